--- /dev/null
+++ b/src/link/Link.ts
@@ -0,0 +1,24 @@
+import type { Hello } from '../gen/magnoliakeel/v1/peer_pb';
+import type PeerMessage from './PeerMessage';
+
+/**
+ * One open link to a peer process. A link keeps the order of messages and
+ * never comes back: after a break the dialling side opens a new one with the
+ * next session number.
+ */
+export default interface Link {
+  /** What the peer said of itself when the link opened. */
+  readonly peer: Hello;
+
+  /** Aborts when the link has ended, whichever side or fault ended it. */
+  readonly closed: AbortSignal;
+
+  /** Queues a message; all messages of one event-loop turn leave in one frame. Does nothing once closed. */
+  send(message: PeerMessage): void;
+
+  /** The peer's messages in order, until the link ends. Meant for the one task that serves this link. */
+  messages(): AsyncIterable<PeerMessage>;
+
+  /** Ends the link at once. What was sent before may or may not arrive. */
+  close(): void;
+}
