--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -33,6 +33,14 @@
     languageOptions: { parserOptions: { projectService: true } },
     rules: houseRules,
   },
+  {
+    files: ['**/*.mjs'],
+    rules: {
+      'no-use-before-define': ['error', { functions: false, classes: false }],
+      // Node resolves packages without an export map by full file names only.
+      'import-x/extensions': 'off',
+    },
+  },
   {
     files: ['**/*.mjs', 'tools/**/*.ts', 'test/**/*.ts', '*.config.*'],
     rules: {
