Take callers' jobs at an entry and find their owner

Cause: an entry did not exist. Change: callers' HTTP interface, job records, rendezvous ownership with recovery from past owners and sidecars, and dispatch by credits. Not yet assembled into a process. Conclusion: to be joined with links, store and sidecars.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -8,7 +8,10 @@
   'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
   'no-continue': 'off',
   // Files read top to bottom, main type first, helpers after their use.
-  '@typescript-eslint/no-use-before-define': ['error', { functions: false, classes: false }],
+  '@typescript-eslint/no-use-before-define': [
+    'error',
+    { functions: false, classes: false, variables: false },
+  ],
   'class-methods-use-this': 'off',
   '@typescript-eslint/class-methods-use-this': 'off',
   // Construction goes through a named static.
@@ -16,6 +19,8 @@
   '@typescript-eslint/no-useless-constructor': 'off',
   'no-empty-function': 'off',
   '@typescript-eslint/no-empty-function': ['error', { allow: ['private-constructors'] }],
+  // Records that a module keeps to itself are updated in place.
+  'no-param-reassign': ['error', { props: false }],
   // A type that is a file's one export can only be its default by this form.
   'no-restricted-exports': 'off',
 };
--- /dev/null
+++ b/src/callers/OutcomeRow.ts
@@ -0,0 +1,5 @@
+/** An outcome's HTTP status and its name in bodies and in the header `Magnoliakeel-Outcome`. */
+export default interface OutcomeRow {
+  readonly status: number;
+  readonly name: string;
+}
--- /dev/null
+++ b/src/callers/headerOf.ts
@@ -0,0 +1,7 @@
+import type { IncomingHttpHeaders } from 'node:http';
+
+/** The value of a header, its first when it came several times. */
+export default function headerOf(headers: IncomingHttpHeaders, name: string): string | undefined {
+  const value = headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
--- /dev/null
+++ b/src/dispatch/CreditPool.ts
@@ -0,0 +1,81 @@
+import type { Credit } from '../gen/magnoliakeel/v1/peer_pb';
+import type HeldCredit from './HeldCredit';
+
+/**
+ * The idle credits that an entry holds for one service. Credits are taken from
+ * the sidecar with most of them, so that load spreads over the backend servers.
+ */
+export default class CreditPool {
+  private readonly bySidecar = new Map<string, Credit[]>();
+
+  private count = 0;
+
+  private constructor() {}
+
+  /** Creates a pool without credits. */
+  static create(): CreditPool {
+    return new CreditPool();
+  }
+
+  /** Number of idle credits. */
+  get size(): number {
+    return this.count;
+  }
+
+  /** Adds a credit; an older one of the same slot is replaced. */
+  add({ sidecar, credit }: HeldCredit): void {
+    const credits = this.bySidecar.get(sidecar) ?? [];
+    const same = credits.findIndex(({ slot }) => slot === credit.slot);
+    if (same >= 0) {
+      if (credits[same]!.generation < credit.generation) credits[same] = credit;
+      return;
+    }
+    credits.push(credit);
+    this.bySidecar.set(sidecar, credits);
+    this.count += 1;
+  }
+
+  /** Takes a credit, avoiding sidecars for which `avoid` holds unless only those are left. */
+  take(avoid: (sidecar: string) => boolean): HeldCredit | undefined {
+    let best: string | undefined;
+    let bestCount = 0;
+    this.bySidecar.forEach((credits, sidecar) => {
+      if (credits.length > bestCount && !avoid(sidecar)) {
+        best = sidecar;
+        bestCount = credits.length;
+      }
+    });
+    return best === undefined ? undefined : this.takeFrom(best);
+  }
+
+  /** Takes half of the credits, rounded up, but no more than wanted. */
+  takeHalf(wanted: number): HeldCredit[] {
+    const number = Math.min(wanted, Math.ceil(this.count / 2));
+    const taken: HeldCredit[] = [];
+    while (taken.length < number) {
+      const credit = this.take(() => false);
+      if (!credit) break;
+      taken.push(credit);
+    }
+    return taken;
+  }
+
+  /** Forgets the credits of a sidecar, all or those of the slots named. */
+  drop(sidecar: string, slots?: readonly number[]): void {
+    const credits = this.bySidecar.get(sidecar);
+    if (!credits) return;
+    const kept = slots ? credits.filter(({ slot }) => !slots.includes(slot)) : [];
+    this.count -= credits.length - kept.length;
+    if (kept.length === 0) this.bySidecar.delete(sidecar);
+    else this.bySidecar.set(sidecar, kept);
+  }
+
+  private takeFrom(sidecar: string): HeldCredit | undefined {
+    const credits = this.bySidecar.get(sidecar)!;
+    const credit = credits.pop();
+    if (credits.length === 0) this.bySidecar.delete(sidecar);
+    if (!credit) return undefined;
+    this.count -= 1;
+    return { sidecar, credit };
+  }
+}
--- /dev/null
+++ b/src/dispatch/Dispatcher.ts
@@ -0,0 +1,397 @@
+import { create } from '@bufbuild/protobuf';
+import {
+  BorrowSchema,
+  CancelSchema,
+  type Done,
+  type Grant,
+  type Lend,
+  LendSchema,
+  ReclaimSchema,
+  ReconcileSchema,
+  type Reconciled,
+  RefusalCause,
+  type Refuse,
+  type ServiceLoad,
+  ServiceLoadSchema,
+  StartSchema,
+  TaskIdSchema,
+  TaskResultSchema,
+  TaskStatus,
+  type Withdraw,
+  type Borrow,
+} from '../gen/magnoliakeel/v1/peer_pb';
+import type PeerMessage from '../link/PeerMessage';
+import CreditPool from './CreditPool';
+import type DispatcherOptions from './DispatcherOptions';
+import EntryLoads from './EntryLoads';
+import type HeldCredit from './HeldCredit';
+import type QueuedTask from './QueuedTask';
+import type SidecarPeer from './SidecarPeer';
+import TeamQueue from './TeamQueue';
+
+/**
+ * Brings an entry's waiting tasks and its credits together. It starts a task
+ * as soon as there is a credit for its service, keeps track of what runs
+ * where, and settles each task exactly once.
+ */
+export default class Dispatcher {
+  readonly loads = EntryLoads.create();
+
+  private readonly lanes = new Map<string, Lane>();
+
+  private readonly running = new Map<string, RunningTask>();
+
+  private readonly bySidecar = new Map<string, Set<RunningTask>>();
+
+  private readonly sidecars = new Map<string, SidecarPeer>();
+
+  private readonly lentTo = new Map<string, HeldCredit[]>();
+
+  private constructor(private readonly options: DispatcherOptions) {}
+
+  /** Creates a dispatcher without tasks, credits or sidecars. */
+  static create(options: DispatcherOptions): Dispatcher {
+    return new Dispatcher(options);
+  }
+
+  /** Number of tasks waiting for a service. */
+  queued(service: string): number {
+    return this.lanes.get(service)?.queue.length ?? 0;
+  }
+
+  /** Number of tasks that were sent to sidecars and have not ended. */
+  get inFlight(): number {
+    return this.running.size;
+  }
+
+  /** Queues a task and starts it at once when there is a credit. */
+  enqueue(task: QueuedTask): void {
+    const lane = this.laneOf(task.service);
+    lane.queue.push(task);
+    this.pump(lane);
+  }
+
+  /** Takes tasks out of the queue that need not run any more; those that run go on. */
+  dequeue(tasks: ReadonlySet<QueuedTask>): void {
+    const service = first(tasks)?.service;
+    const lane = service === undefined ? undefined : this.lanes.get(service);
+    if (lane && lane.queue.length > 0) lane.queue.remove(tasks);
+  }
+
+  /** Takes tasks out of the queue and stops those that run at their sidecars. */
+  cancel(tasks: ReadonlySet<QueuedTask>): void {
+    this.dequeue(tasks);
+    const bySidecar = new Map<string, QueuedTask[]>();
+    this.running.forEach(({ task, sidecar }) => {
+      if (!tasks.has(task)) return;
+      bySidecar.set(sidecar, [...(bySidecar.get(sidecar) ?? []), task]);
+    });
+    bySidecar.forEach((cancelled, sidecar) => {
+      const value = create(CancelSchema, { tasks: cancelled.map(taskIdOf) });
+      this.send(sidecar, { case: 'cancel', value });
+    });
+  }
+
+  /** Takes note of a sidecar whose link has opened and asks it for what is still awaited. */
+  linkOpened(peer: SidecarPeer): void {
+    this.sidecars.set(peer.incarnation, peer);
+    const awaited = [...(this.bySidecar.get(peer.incarnation) ?? [])];
+    if (awaited.length === 0) return;
+    const value = create(ReconcileSchema, { tasks: awaited.map(({ task }) => taskIdOf(task)) });
+    this.send(peer.incarnation, { case: 'reconcile', value });
+  }
+
+  /** Drops the credits of a sidecar whose link has ended; its tasks stay awaited. */
+  linkEnded(peer: SidecarPeer): void {
+    this.lanes.forEach(({ pool }) => pool.drop(peer.incarnation));
+  }
+
+  /** Gives a sidecar up: its tasks may have run, and nothing more is expected of it. */
+  sidecarLost(incarnation: string): void {
+    this.sidecars.delete(incarnation);
+    this.lanes.forEach(({ pool }) => pool.drop(incarnation));
+    const lost = [...(this.bySidecar.get(incarnation) ?? [])];
+    lost.forEach((entry) => {
+      this.forget(entry);
+      this.attemptLost(entry.task, 'the sidecar was lost');
+    });
+    this.bySidecar.delete(incarnation);
+  }
+
+  /** Takes a sidecar's credits. */
+  granted(peer: SidecarPeer, grant: Grant): void {
+    const lane = this.laneOf(grant.service);
+    if (!peer.services.includes(grant.service)) peer.services = [...peer.services, grant.service];
+    grant.credits.forEach((credit) => lane.pool.add({ sidecar: peer.incarnation, credit }));
+    this.pump(lane);
+  }
+
+  /** Drops credits that a sidecar has ended. */
+  withdrawn(peer: SidecarPeer, withdraw: Withdraw): void {
+    if (withdraw.leaving) {
+      this.lanes.forEach(({ pool }) => pool.drop(peer.incarnation));
+      return;
+    }
+    this.lanes.get(withdraw.service)?.pool.drop(peer.incarnation, withdraw.slots);
+  }
+
+  /** Settles a task with its result and takes the credit that came along. */
+  done(peer: SidecarPeer, done: Done): void {
+    const entry = done.task && this.running.get(taskKey(done.task.job, done.task.index));
+    const matches = entry?.task.attempt === done.task?.attempt;
+    if (entry && matches) {
+      this.forget(entry);
+      this.settleDone(entry.task, done);
+    }
+    if (!done.credit) return;
+    const service = entry?.task.service ?? peer.services[0];
+    if (service === undefined) return;
+    const lane = this.laneOf(service);
+    lane.pool.add({ sidecar: peer.incarnation, credit: done.credit });
+    this.pump(lane);
+  }
+
+  /** Queues a task again that a sidecar refused: it was proven not to have run. */
+  refused(peer: SidecarPeer, refuse: Refuse): void {
+    const entry = refuse.task && this.running.get(taskKey(refuse.task.job, refuse.task.index));
+    if (!entry || entry.sidecar !== peer.incarnation) return;
+    this.forget(entry);
+    if (refuse.cause === RefusalCause.DUPLICATE) {
+      this.attemptLost(entry.task, 'the sidecar had started this task before');
+      return;
+    }
+    this.startAgain(entry.task);
+  }
+
+  /** Queues the tasks again that a sidecar never started and, after its new link, never will. */
+  reconciled(peer: SidecarPeer, { notHeld }: Reconciled): void {
+    notHeld.forEach((id) => {
+      const entry = this.running.get(taskKey(id.job, id.index));
+      if (!entry || entry.sidecar !== peer.incarnation) return;
+      this.forget(entry);
+      this.startAgain(entry.task);
+    });
+  }
+
+  /** Awaits a task that a sidecar is known to run already, after a recovery. */
+  awaitAdopted(task: QueuedTask, sidecar: string): void {
+    this.track({ task, sidecar });
+  }
+
+  /** Answers another entry's ask for credits with half of the idle ones. */
+  borrowed(entry: string, borrow: Borrow): Lend {
+    const { pool } = this.laneOf(borrow.service);
+    const taken = pool.takeHalf(borrow.wanted);
+    this.lentTo.set(entry, [...(this.lentTo.get(entry) ?? []), ...taken].slice(-LENT_KEPT));
+    return create(LendSchema, { service: borrow.service, credits: taken, idle: pool.size });
+  }
+
+  /** Takes the credits that another entry lent. */
+  lent(entry: string, lend: Lend): void {
+    const lane = this.laneOf(lend.service);
+    lane.asking = undefined;
+    this.loads.setIdle(entry, lend.service, lend.idle);
+    lend.credits.forEach(({ sidecar, credit }) => {
+      if (credit && this.sidecars.get(sidecar)?.link) lane.pool.add({ sidecar, credit });
+    });
+    this.pump(lane);
+  }
+
+  /** Forgets an entry that was lost and has its sidecars renew the credits it had borrowed. */
+  entryLost(entry: string): void {
+    this.loads.drop(entry);
+    this.lanes.forEach((lane) => {
+      if (lane.asking === entry) lane.asking = undefined;
+    });
+    const bySidecar = new Map<string, HeldCredit[]>();
+    (this.lentTo.get(entry) ?? []).forEach((held) => {
+      bySidecar.set(held.sidecar, [...(bySidecar.get(held.sidecar) ?? []), held]);
+    });
+    this.lentTo.delete(entry);
+    bySidecar.forEach((lent, sidecar) => {
+      const value = create(ReclaimSchema, { credits: lent.map(({ credit }) => credit) });
+      this.send(sidecar, { case: 'reclaim', value });
+    });
+  }
+
+  /** Tries again to start waiting tasks; meant for when loads of other entries were heard. */
+  pumpAll(): void {
+    this.lanes.forEach((lane) => this.pump(lane));
+  }
+
+  /** What this entry tells others of its idle credits and queues. */
+  serviceLoads(): ServiceLoad[] {
+    return [...this.lanes].map(([service, lane]) => {
+      const oldest = lane.queue.oldestQueuedAt();
+      return create(ServiceLoadSchema, {
+        service,
+        idle: lane.pool.size,
+        queued: lane.queue.length,
+        oldestWaitMs: oldest === undefined ? 0 : this.options.timer.now() - oldest,
+        teams: [...lane.teamsRunning].map(([team, running]) => ({ team, running })),
+      });
+    });
+  }
+
+  private laneOf(service: string): Lane {
+    let lane = this.lanes.get(service);
+    if (!lane) {
+      lane = {
+        service,
+        queue: TeamQueue.create((team) => this.options.shareOf(team)),
+        pool: CreditPool.create(),
+        teamsRunning: new Map(),
+        asking: undefined,
+      };
+      this.lanes.set(service, lane);
+    }
+    return lane;
+  }
+
+  private pump(lane: Lane): void {
+    while (lane.queue.length > 0 && lane.pool.size > 0) {
+      const task = lane.queue.shift((team) => this.mayRun(lane, team));
+      if (!task) return;
+      const held = lane.pool.take((sidecar) => this.sidecars.get(sidecar)?.suspected ?? true);
+      if (!held) {
+        lane.queue.pushFront(task);
+        break;
+      }
+      this.start(lane, task, held);
+    }
+    if (lane.queue.length > 0) this.borrow(lane);
+  }
+
+  private mayRun(lane: Lane, team: string): boolean {
+    const limit = this.options.maxRunningOf(team);
+    if (limit === undefined) return true;
+    const here = lane.teamsRunning.get(team) ?? 0;
+    return here + this.loads.running(lane.service, team) < limit;
+  }
+
+  private start(lane: Lane, task: QueuedTask, { sidecar, credit }: HeldCredit): void {
+    const { timer, owner, viewNumber } = this.options;
+    task.starting(sidecar);
+    this.track({ task, sidecar });
+    const oldest = lane.queue.oldestQueuedAt();
+    const value = create(StartSchema, {
+      task: taskIdOf(task),
+      service: task.service,
+      owner,
+      viewNumber: viewNumber(),
+      credit,
+      input: task.input,
+      timeoutMs: task.timeoutMs,
+      nextWaitMs: oldest === undefined ? 0 : Math.ceil(timer.now() - oldest),
+      digest: task.digest,
+      jobSize: task.jobSize,
+      createdMs: task.createdMs,
+      traceparent: task.traceparent,
+    });
+    this.send(sidecar, { case: 'start', value });
+  }
+
+  private borrow(lane: Lane): void {
+    if (lane.asking !== undefined) return;
+    const entry = this.loads.mostIdle(lane.service);
+    if (entry === undefined) return;
+    const value = create(BorrowSchema, { service: lane.service, wanted: lane.queue.length });
+    if (this.options.sendToEntry(entry, { case: 'borrow', value })) {
+      lane.asking = entry;
+    } else {
+      this.loads.drop(entry);
+    }
+  }
+
+  private startAgain(task: QueuedTask): void {
+    task.notStarted();
+    const lane = this.laneOf(task.service);
+    lane.queue.pushFront(task);
+    this.pump(lane);
+  }
+
+  private settleDone(task: QueuedTask, done: Done): void {
+    if (done.status === TaskStatus.LOST) {
+      this.attemptLost(task, done.reason);
+      return;
+    }
+    task.settled(
+      create(TaskResultSchema, {
+        index: task.index,
+        status: done.status,
+        output: done.output,
+        runMs: done.runMs,
+        reason: done.reason,
+      }),
+    );
+  }
+
+  private attemptLost(task: QueuedTask, reason: string): void {
+    if (task.retryable && this.options.mayRetry(task.service)) {
+      task.attempt += 1;
+      const lane = this.laneOf(task.service);
+      lane.queue.pushFront(task);
+      this.pump(lane);
+      return;
+    }
+    task.settled(create(TaskResultSchema, { index: task.index, status: TaskStatus.LOST, reason }));
+  }
+
+  private track(entry: RunningTask): void {
+    this.running.set(keyOf(entry.task), entry);
+    const tasks = this.bySidecar.get(entry.sidecar) ?? new Set();
+    tasks.add(entry);
+    this.bySidecar.set(entry.sidecar, tasks);
+    this.countTeam(entry.task, 1);
+  }
+
+  private forget(entry: RunningTask): void {
+    this.running.delete(keyOf(entry.task));
+    this.bySidecar.get(entry.sidecar)?.delete(entry);
+    this.countTeam(entry.task, -1);
+  }
+
+  private countTeam(task: QueuedTask, change: number): void {
+    const { teamsRunning } = this.laneOf(task.service);
+    teamsRunning.set(task.team, (teamsRunning.get(task.team) ?? 0) + change);
+  }
+
+  private send(sidecar: string, message: PeerMessage): void {
+    this.sidecars.get(sidecar)?.link?.send(message);
+  }
+}
+
+/** Everything of one service. */
+interface Lane {
+  readonly service: string;
+  readonly queue: TeamQueue;
+  readonly pool: CreditPool;
+  readonly teamsRunning: Map<string, number>;
+  /** The entry that was asked for credits and has not answered. */
+  asking: string | undefined;
+}
+
+/** A task with the sidecar that it was sent to. */
+interface RunningTask {
+  readonly task: QueuedTask;
+  readonly sidecar: string;
+}
+
+/** How many lent credits are remembered for each entry; more than it can hold at once. */
+const LENT_KEPT = 16_384;
+
+function taskKey(job: string, index: number): string {
+  return `${job}/${index}`;
+}
+
+function keyOf(task: QueuedTask): string {
+  return taskKey(task.job, task.index);
+}
+
+function taskIdOf({ job, index, attempt }: QueuedTask) {
+  return create(TaskIdSchema, { job, index, attempt });
+}
+
+function first(tasks: ReadonlySet<QueuedTask>): QueuedTask | undefined {
+  return tasks.values().next().value;
+}
--- /dev/null
+++ b/src/dispatch/DispatcherOptions.ts
@@ -0,0 +1,18 @@
+import type TimerService from '../core/TimerService';
+import type PeerMessage from '../link/PeerMessage';
+
+/** What a dispatcher needs from the entry around it. */
+export default interface DispatcherOptions {
+  readonly timer: TimerService;
+  /** The incarnation of this entry, which its starts carry. */
+  readonly owner: string;
+  readonly viewNumber: () => bigint;
+  /** A team's weight in the queue. */
+  readonly shareOf: (team: string) => number;
+  /** How many tasks of a team may run at once, everywhere; undefined for no limit. */
+  readonly maxRunningOf: (team: string) => number | undefined;
+  /** Takes one retry from a service's budget, if there is one. */
+  readonly mayRetry: (service: string) => boolean;
+  /** Sends to another entry; false when there is no link to it. */
+  readonly sendToEntry: (incarnation: string, message: PeerMessage) => boolean;
+}
--- /dev/null
+++ b/src/dispatch/HeldCredit.ts
@@ -0,0 +1,8 @@
+import type { Credit } from '../gen/magnoliakeel/v1/peer_pb';
+
+/** A credit with the sidecar it belongs to. */
+export default interface HeldCredit {
+  /** The sidecar's incarnation. */
+  readonly sidecar: string;
+  readonly credit: Credit;
+}
--- /dev/null
+++ b/src/entry/Job.ts
@@ -0,0 +1,146 @@
+import { create } from '@bufbuild/protobuf';
+import type Subscription from '../core/Subscription';
+import type TimerService from '../core/TimerService';
+import {
+  type Answer,
+  AnswerSchema,
+  Outcome,
+  type Submission,
+  type TaskResult,
+} from '../gen/magnoliakeel/v1/peer_pb';
+import judge from './judge';
+
+/**
+ * The one record of a job at its owner: its results as they come in, where its
+ * tasks were started, and in the end its answer. Each task's result is bound
+ * to its index; the first result counts and later ones are ignored.
+ */
+export default class Job {
+  /** Where each task was started last, by sidecar incarnation. */
+  readonly places: (string | undefined)[];
+
+  private readonly results: (TaskResult | undefined)[];
+
+  private readonly waiters = new Set<(answer: Answer) => void>();
+
+  /** True once this entry may not act for the job any more; its next owner continues it. */
+  abandoned = false;
+
+  private finished = 0;
+
+  private final: Answer | undefined;
+
+  private constructor(
+    readonly key: string,
+    readonly service: string,
+    readonly digest: string,
+    readonly createdMs: number,
+    readonly size: number,
+  ) {
+    this.places = new Array(size);
+    this.results = new Array(size);
+  }
+
+  /** Creates the record of a job that was just accepted. */
+  static fromSubmission(key: string, submission: Submission): Job {
+    const { service, digest, createdMs, inputs } = submission;
+    return new Job(key, service, digest, Number(createdMs), inputs.length);
+  }
+
+  /** Creates the record of a job that another entry finished. */
+  static fromAnswer(key: string, digest: string, createdMs: number, answer: Answer): Job {
+    const job = new Job(key, '', digest, createdMs, answer.size);
+    job.final = answer;
+    return job;
+  }
+
+  /** The final answer, once there is one. */
+  get answer(): Answer | undefined {
+    return this.final;
+  }
+
+  /** Bytes that the record keeps for its answer. */
+  get bytes(): number {
+    return RECORD_BYTES + (this.final?.results ?? []).reduce(addOutput, 0);
+  }
+
+  /** Notes that a task is about to be started at a sidecar. */
+  starting(index: number, sidecar: string): void {
+    this.places[index] = sidecar;
+  }
+
+  /** Notes that the last start of a task was proven not to have run. */
+  notStarted(index: number): void {
+    this.places[index] = undefined;
+  }
+
+  /** Whether some task may have been started. */
+  get anyStarted(): boolean {
+    return this.places.some((place) => place !== undefined);
+  }
+
+  /** Takes a task's result and finishes the job when nothing else can change its outcome. */
+  settle(result: TaskResult): void {
+    if (this.final || this.results[result.index]) return;
+    this.results[result.index] = result;
+    this.finished += 1;
+    const verdict = judge(this.results, this.finished, this.anyStarted);
+    if (verdict) this.finish(verdict);
+  }
+
+  /** Ends the job with an outcome that its results do not give: cancelled or out of time. */
+  end(outcome: Outcome, reason: string, retryAfterMs = 0): void {
+    if (this.final) return;
+    this.finish(create(AnswerSchema, { outcome, reason, size: this.size, retryAfterMs }));
+  }
+
+  /** Where the job stands now. */
+  progress(): Answer {
+    return (
+      this.final ??
+      create(AnswerSchema, {
+        outcome: Outcome.PENDING,
+        size: this.size,
+        finished: this.finished,
+      })
+    );
+  }
+
+  /** The answer, or where the job stands when the wait is over first. */
+  wait(waitMs: number, timer: TimerService): Promise<Answer> {
+    if (this.final || waitMs <= 0) return Promise.resolve(this.progress());
+    return new Promise((resolve) => {
+      let timeout: Subscription | undefined;
+      const settle = (answer: Answer) => {
+        timeout?.cancel();
+        this.waiters.delete(settle);
+        resolve(answer);
+      };
+      timeout = timer.after(waitMs, () => settle(this.progress()));
+      this.waiters.add(settle);
+    });
+  }
+
+  /** The answer, however long it takes. */
+  answered(): Promise<Answer> {
+    if (this.final) return Promise.resolve(this.final);
+    return new Promise((resolve) => {
+      this.waiters.add(resolve);
+    });
+  }
+
+  private finish(answer: Answer): void {
+    this.final = answer;
+    [...this.waiters].forEach((settle) => settle(answer));
+  }
+}
+
+/** What a record without results costs in memory, roughly. */
+const RECORD_BYTES = 400;
+
+function addOutput(sum: number, { output }: TaskResult): number {
+  return sum + output.length + RESULT_BYTES;
+}
+
+/** What one result costs beside its output, roughly. */
+const RESULT_BYTES = 100;
--- /dev/null
+++ b/src/entry/Jobs.ts
@@ -0,0 +1,357 @@
+import { create } from '@bufbuild/protobuf';
+import jobKey from '../core/jobKey';
+import type Dispatcher from '../dispatch/Dispatcher';
+import type QueuedTask from '../dispatch/QueuedTask';
+import {
+  Action,
+  type Answer,
+  AnswerSchema,
+  type JobRecord,
+  JobRecordSchema,
+  Outcome,
+  type Submission,
+  TaskResultSchema,
+  TaskStatus,
+} from '../gen/magnoliakeel/v1/peer_pb';
+import type LocatedTask from '../recovery/LocatedTask';
+import Job from './Job';
+import type JobsOptions from './JobsOptions';
+import type OwnerReply from './OwnerReply';
+import type Provenance from '../recovery/Provenance';
+
+/**
+ * The jobs that this entry owns: one record for each, from its acceptance
+ * until no resubmission of its id can be accepted any more.
+ */
+export default class Jobs {
+  private readonly records = new Map<string, Job>();
+
+  private readonly tasks = new Map<Job, ReadonlySet<QueuedTask>>();
+
+  private readonly resolving = new Map<string, Promise<Provenance>>();
+
+  private keptBytes = 0;
+
+  private constructor(
+    private readonly options: JobsOptions,
+    private readonly dispatcher: Dispatcher,
+  ) {}
+
+  /** Creates an empty table whose accepted tasks go to the dispatcher. */
+  static create(options: JobsOptions, dispatcher: Dispatcher): Jobs {
+    return new Jobs(options, dispatcher);
+  }
+
+  /** Number of records kept. */
+  get size(): number {
+    return this.records.size;
+  }
+
+  /** Number of jobs without an answer. */
+  get open(): number {
+    return this.tasks.size;
+  }
+
+  /** The record of a job, if there is one. */
+  find(key: string): Job | undefined {
+    return this.records.get(key);
+  }
+
+  /** Whether this entry holds or is about to hold a record of the job. */
+  holds(key: string): boolean {
+    return this.records.has(key);
+  }
+
+  /** Acts on a submission as the owner of its job. */
+  handle(submission: Submission): Promise<OwnerReply> {
+    return actions[submission.action](this, submission);
+  }
+
+  /** Accepts a submission, joins the job it repeats, or says why not. */
+  async submit(submission: Submission): Promise<OwnerReply> {
+    const key = keyOf(submission);
+    const known = this.records.get(key);
+    if (known) return this.join(known, submission);
+    if (!this.options.ownsNew(key)) return { kind: 'notOwner' };
+    const untimely = this.checkAge(submission);
+    if (untimely) return answerOf(untimely);
+    const provenance = await this.resolve(key, Number(submission.createdMs));
+    const meanwhile = this.records.get(key);
+    if (meanwhile) return this.join(meanwhile, submission);
+    if (!this.options.ownsNew(key)) return { kind: 'notOwner' };
+    return this.acceptFrom(provenance, key, submission);
+  }
+
+  /** Reports on a job without starting anything. */
+  async lookup(submission: Submission): Promise<OwnerReply> {
+    const key = keyOf(submission);
+    const known = this.records.get(key);
+    if (known) return answerOf(await known.wait(submission.waitMs, this.options.timer));
+    const holder = await this.holderOf(key, submission);
+    if (holder) return holder;
+    return answerOf(
+      refusal(Outcome.ABSENT, 'no such job is known here; submit it to run or continue it'),
+    );
+  }
+
+  /** Cancels a job: what waits leaves the queue, what runs is stopped if it can be. */
+  async cancel(submission: Submission): Promise<OwnerReply> {
+    const key = keyOf(submission);
+    const known = this.records.get(key);
+    if (known) {
+      this.endEarly(known, Outcome.CANCELLED, 'cancelled by the caller');
+      return answerOf(known.progress());
+    }
+    const holder = await this.holderOf(key, submission);
+    return holder ?? answerOf(refusal(Outcome.ABSENT, 'no such job is known here'));
+  }
+
+  /** Runs a request that nobody can ask for again, and keeps no record of it. */
+  async runOnce(submission: Submission): Promise<Answer> {
+    const key = keyOf(submission);
+    const refused = this.refuseUnready(submission);
+    if (refused) return refused;
+    const job = this.accept(key, submission, []);
+    const answer = await job.answered();
+    this.drop(job);
+    return answer;
+  }
+
+  /** Drops records that no accepted resubmission can refer to any more. */
+  expire(): void {
+    const now = this.options.timer.wall();
+    this.records.forEach((job) => {
+      const limit =
+        job.createdMs + this.options.retentionOf(job.service) + this.options.clockSkewMs;
+      if (job.answer && limit < now) this.drop(job);
+    });
+  }
+
+  /** Takes records that a leaving entry hands over. */
+  takeOver(records: readonly JobRecord[]): void {
+    records.forEach(({ job: key, digest, createdMs, answer }) => {
+      if (!answer || this.records.has(key)) return;
+      const job = Job.fromAnswer(key, digest, Number(createdMs), answer);
+      this.records.set(key, job);
+      this.keptBytes += job.bytes;
+    });
+  }
+
+  /** The answered records, for handing over. */
+  answered(): JobRecord[] {
+    return [...this.records.values()]
+      .filter((job) => job.answer)
+      .map(({ key, digest, createdMs, answer }) =>
+        create(JobRecordSchema, { job: key, digest, createdMs: BigInt(createdMs), answer }),
+      );
+  }
+
+  /** Keys of the jobs that had tasks on a sidecar. */
+  keysOn(sidecar: string): string[] {
+    return [...this.records.values()]
+      .filter((job) => job.places.includes(sidecar))
+      .map((job) => job.key);
+  }
+
+  /** Ends every open job, for an owner that was removed and may start nothing more. */
+  abandon(): void {
+    [...this.tasks.keys()].forEach((job) => {
+      job.abandoned = true;
+      this.endEarly(job, Outcome.UNKNOWN, 'this entry lost its ownership; resubmit to continue');
+      this.drop(job);
+    });
+  }
+
+  private async join(job: Job, submission: Submission): Promise<OwnerReply> {
+    if (job.digest !== submission.digest) {
+      return answerOf(refusal(Outcome.CONFLICT, 'this id was submitted before with another body'));
+    }
+    const answer = await job.wait(submission.waitMs, this.options.timer);
+    return job.abandoned ? { kind: 'notOwner' } : answerOf(answer);
+  }
+
+  private async holderOf(key: string, submission: Submission): Promise<OwnerReply | undefined> {
+    if (!this.options.ownsNew(key)) return { kind: 'notOwner' };
+    const created = Number(submission.createdMs) || this.options.timer.wall();
+    const provenance = await this.resolve(key, created);
+    if (provenance.kind === 'held') return { kind: 'heldBy', incarnation: provenance.incarnation };
+    if (provenance.kind === 'unavailable') {
+      return answerOf(refusal(Outcome.NOT_RUN, provenance.reason, RESOLVE_AGAIN_MS));
+    }
+    return undefined;
+  }
+
+  private resolve(key: string, createdMs: number): Promise<Provenance> {
+    const running = this.resolving.get(key);
+    if (running) return running;
+    const started = this.options.resolve(key, createdMs);
+    this.resolving.set(key, started);
+    started.finally(() => this.resolving.delete(key));
+    return started;
+  }
+
+  private async acceptFrom(
+    provenance: Provenance,
+    key: string,
+    submission: Submission,
+  ): Promise<OwnerReply> {
+    if (provenance.kind === 'held') return { kind: 'heldBy', incarnation: provenance.incarnation };
+    if (provenance.kind === 'unavailable') {
+      return answerOf(refusal(Outcome.NOT_RUN, provenance.reason, RESOLVE_AGAIN_MS));
+    }
+    const refused = this.refuseUnready(submission);
+    if (refused) return answerOf(refused);
+    if (provenance.kind === 'fresh') return this.join(this.accept(key, submission, []), submission);
+    const { digest, tasks, doubt } = provenance;
+    if (digest !== undefined && digest !== submission.digest) {
+      return answerOf(refusal(Outcome.CONFLICT, 'this id was submitted before with another body'));
+    }
+    return this.join(this.accept(key, submission, tasks, doubt), submission);
+  }
+
+  private accept(
+    key: string,
+    submission: Submission,
+    evidence: readonly LocatedTask[],
+    doubt = false,
+  ): Job {
+    const job = Job.fromSubmission(key, submission);
+    this.records.set(key, job);
+    const tasks = submission.inputs.map((input, index) =>
+      this.taskOf(job, submission, input, index),
+    );
+    this.tasks.set(job, new Set(tasks));
+    const seen = new Map(evidence.map((at) => [at.held.index, at]));
+    tasks.forEach((task) => {
+      if (!job.answer) this.begin(job, task, seen.get(task.index), doubt);
+    });
+    this.limitTime(job, submission);
+    return job;
+  }
+
+  private begin(
+    job: Job,
+    task: QueuedTask,
+    evidence: LocatedTask | undefined,
+    doubt: boolean,
+  ): void {
+    if (evidence) {
+      job.starting(task.index, evidence.sidecar);
+      const { running, index, status, output, runMs, reason } = evidence.held;
+      if (running) this.dispatcher.awaitAdopted(task, evidence.sidecar);
+      else task.settled(create(TaskResultSchema, { index, status, output, runMs, reason }));
+      return;
+    }
+    if (doubt) {
+      const { index } = task;
+      const reason = 'it may have run where the record of it was lost';
+      job.starting(index, '');
+      task.settled(create(TaskResultSchema, { index, status: TaskStatus.LOST, reason }));
+      return;
+    }
+    this.dispatcher.enqueue(task);
+  }
+
+  private taskOf(job: Job, submission: Submission, input: Uint8Array, index: number): QueuedTask {
+    return {
+      job: job.key,
+      index,
+      service: submission.service,
+      team: submission.team,
+      input,
+      digest: submission.digest,
+      jobSize: job.size,
+      createdMs: submission.createdMs,
+      timeoutMs: this.options.taskTimeoutOf(submission.service),
+      traceparent: submission.traceparent,
+      retryable: submission.kind === REQUEST_KIND && submission.idempotent,
+      queuedAt: this.options.timer.now(),
+      attempt: 0,
+      starting: (sidecar) => job.starting(index, sidecar),
+      notStarted: () => job.notStarted(index),
+      settled: (result) => {
+        job.settle(result);
+        if (job.answer) this.finished(job);
+      },
+    };
+  }
+
+  private limitTime(job: Job, submission: Submission): void {
+    if (job.answer) return;
+    const limit = this.options.jobTimeoutOf(submission.service);
+    const wanted = submission.deadlineMs || limit;
+    const timeout = this.options.timer.after(Math.min(wanted, limit), () => {
+      const { anyStarted } = job;
+      const outcome = anyStarted ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+      this.endEarly(job, outcome, 'the deadline has passed');
+    });
+    job.answered().then(() => timeout.cancel());
+  }
+
+  private endEarly(job: Job, outcome: Outcome, reason: string): void {
+    const tasks = this.tasks.get(job);
+    job.end(outcome, reason, outcome === Outcome.NOT_RUN ? RESOLVE_AGAIN_MS : 0);
+    if (tasks) this.dispatcher.cancel(tasks);
+    this.finished(job);
+  }
+
+  /** Cleans up after a job's answer; a job that was not run may be submitted anew. */
+  private finished(job: Job): void {
+    const tasks = this.tasks.get(job);
+    if (!tasks) return;
+    this.tasks.delete(job);
+    if (job.answer?.outcome !== Outcome.COMPLETED) this.dispatcher.dequeue(tasks);
+    this.keptBytes += job.bytes;
+    if (job.answer?.outcome === Outcome.NOT_RUN) this.drop(job);
+  }
+
+  private drop(job: Job): void {
+    if (this.records.get(job.key) !== job) return;
+    this.records.delete(job.key);
+    this.keptBytes -= job.bytes;
+  }
+
+  private checkAge(submission: Submission): Answer | undefined {
+    const now = this.options.timer.wall();
+    const created = Number(submission.createdMs);
+    if (created > now + this.options.clockSkewMs) {
+      return refusal(Outcome.INVALID, 'the time of creation lies in the future');
+    }
+    if (created + this.options.retentionOf(submission.service) < now) {
+      return refusal(
+        Outcome.EXPIRED,
+        'this id is older than the retention: it is not run now, and may have run before',
+      );
+    }
+    return undefined;
+  }
+
+  private refuseUnready(submission: Submission): Answer | undefined {
+    return this.options.refuse(submission, this.keptBytes);
+  }
+}
+
+/** The kind of a single request, as opposed to a job. */
+const REQUEST_KIND = 'request';
+
+/** When to come back after a refusal that a view change or a recovery will end. */
+const RESOLVE_AGAIN_MS = 1000;
+
+const actions: Record<Action, (jobs: Jobs, submission: Submission) => Promise<OwnerReply>> = {
+  [Action.UNSPECIFIED]: async () => answerOf(refusal(Outcome.INVALID, 'no action was given')),
+  [Action.SUBMIT]: (jobs, submission) => jobs.submit(submission),
+  [Action.LOOKUP]: (jobs, submission) => jobs.lookup(submission),
+  [Action.CANCEL]: (jobs, submission) => jobs.cancel(submission),
+};
+
+function keyOf({ service, kind, id }: Submission): string {
+  return jobKey(service, kind, id);
+}
+
+function answerOf(answer: Answer): OwnerReply {
+  return { kind: 'answer', answer };
+}
+
+function refusal(outcome: Outcome, reason: string, retryAfterMs = 0): Answer {
+  return create(AnswerSchema, { outcome, reason, retryAfterMs });
+}
--- /dev/null
+++ b/src/entry/Router.ts
@@ -0,0 +1,128 @@
+import { create } from '@bufbuild/protobuf';
+import jobKey from '../core/jobKey';
+import ownerOf from '../core/ownerOf';
+import {
+  type Answer,
+  AnswerSchema,
+  ForwardRequestSchema,
+  type ForwardResponse,
+  ForwardResponseSchema,
+  type Member,
+  Outcome,
+  type Submission,
+} from '../gen/magnoliakeel/v1/peer_pb';
+import type Jobs from './Jobs';
+import type RouterOptions from './RouterOptions';
+
+/**
+ * Brings a submission to the owner of its job and the answer back. It keeps
+ * the submission until the answer is there, so that a lost owner's successor
+ * gets it from here and the caller need not ask again.
+ */
+export default class Router {
+  private constructor(
+    private readonly options: RouterOptions,
+    private readonly jobs: Jobs,
+  ) {}
+
+  /** Creates the router of an entry with the jobs that it owns itself. */
+  static create(options: RouterOptions, jobs: Jobs): Router {
+    return new Router(options, jobs);
+  }
+
+  /** The answer to a caller's submission, from whichever entry owns its job. */
+  async submit(submission: Submission, gone: AbortSignal): Promise<Answer> {
+    const { timer } = this.options;
+    const begun = timer.now();
+    const patience = Math.max(submission.waitMs, this.options.ownerWaitMs);
+    let sent = false;
+    while (!gone.aborted) {
+      const waitMs = Math.max(0, submission.waitMs - (timer.now() - begun));
+      const attempt = await this.tryOwner({ ...submission, waitMs: Math.ceil(waitMs) }, gone);
+      if (attempt.answer) return attempt.answer;
+      sent ||= attempt.sent;
+      if (timer.now() - begun >= patience) break;
+      await this.options.viewOrDelay(RETRY_MS);
+    }
+    return giveUp(sent);
+  }
+
+  /** Acts on a submission that another entry forwarded. */
+  async forwarded(submission: Submission, gone: AbortSignal): Promise<ForwardResponse> {
+    const reply = await this.jobs.handle(submission);
+    if (reply.kind === 'notOwner') {
+      const value = this.options.views.current;
+      return create(ForwardResponseSchema, { result: { case: 'notOwner', value } });
+    }
+    const value =
+      reply.kind === 'answer'
+        ? reply.answer
+        : ((await this.passOn(submission, this.memberOf(reply.incarnation), gone)).answer ??
+          giveUp(true));
+    return create(ForwardResponseSchema, { result: { case: 'answer', value } });
+  }
+
+  private async tryOwner(submission: Submission, gone: AbortSignal): Promise<Attempt> {
+    const owner = this.ownerOf(submission);
+    if (!owner) return NOT_SENT;
+    if (owner.incarnation !== this.options.self) return this.passOn(submission, owner, gone);
+    const reply = await this.jobs.handle(submission);
+    if (reply.kind === 'answer') return { answer: reply.answer, sent: false };
+    if (reply.kind === 'notOwner') return NOT_SENT;
+    return this.passOn(submission, this.memberOf(reply.incarnation), gone);
+  }
+
+  private async passOn(
+    submission: Submission,
+    member: Member | undefined,
+    gone: AbortSignal,
+  ): Promise<Attempt> {
+    if (!member || this.options.isSuspected(member.incarnation)) return NOT_SENT;
+    const { network, views } = this.options;
+    const { signal, end } = this.options.untilSuspected(member.incarnation, gone);
+    const req = create(ForwardRequestSchema, { submission, view: views.current });
+    const reply = await network.forward(member.address, req, signal);
+    end();
+    if (reply.isErr()) return { sent: reply.error.kind === 'broken' };
+    const { result } = reply.value;
+    if (result.case === 'answer') return { answer: result.value, sent: true };
+    if (result.case === 'notOwner') views.adopt(result.value);
+    return NOT_SENT;
+  }
+
+  private ownerOf({ service, kind, id }: Submission): Member | undefined {
+    const owners = this.options.views.current.members.filter(({ leaving }) => !leaving);
+    const names = owners.map(({ incarnation }) => incarnation);
+    const name = ownerOf(jobKey(service, kind, id), names);
+    return name === undefined ? undefined : this.memberOf(name);
+  }
+
+  private memberOf(incarnation: string): Member | undefined {
+    return this.options.views.current.members.find((member) => member.incarnation === incarnation);
+  }
+}
+
+/** The outcome of one try to reach an owner. */
+interface Attempt {
+  readonly answer?: Answer;
+  /** Whether the submission may have reached an owner. */
+  readonly sent: boolean;
+}
+
+const NOT_SENT: Attempt = { sent: false };
+
+/** How long to wait for a newer view before the next try. */
+const RETRY_MS = 250;
+
+function giveUp(sent: boolean): Answer {
+  return create(AnswerSchema, {
+    outcome: sent ? Outcome.UNKNOWN : Outcome.NOT_RUN,
+    reason: sent
+      ? 'the owner of this id was lost while it had the submission; submit it again to continue it'
+      : 'the owner of this id can not be reached',
+    retryAfterMs: COME_BACK_MS,
+  });
+}
+
+/** When a caller may try again after its owner was not reached. */
+const COME_BACK_MS = 2000;
--- /dev/null
+++ b/src/entry/RouterOptions.ts
@@ -0,0 +1,22 @@
+import type TimerService from '../core/TimerService';
+import type Versioned from '../core/Versioned';
+import type { View } from '../gen/magnoliakeel/v1/peer_pb';
+import type Network from '../link/Network';
+
+/** What the router needs from the entry around it. */
+export default interface RouterOptions {
+  readonly timer: TimerService;
+  readonly self: string;
+  readonly views: Versioned<View>;
+  readonly network: Pick<Network, 'forward'>;
+  /** How long a submission waits for an owner that can't be reached. */
+  readonly ownerWaitMs: number;
+  readonly isSuspected: (incarnation: string) => boolean;
+  /** A signal that aborts once the entry is suspected or the other signal aborts; `end` releases it. */
+  readonly untilSuspected: (
+    incarnation: string,
+    gone: AbortSignal,
+  ) => { readonly signal: AbortSignal; readonly end: () => void };
+  /** Resolves at a newer view or after the delay. */
+  readonly viewOrDelay: (delayMs: number) => Promise<void>;
+}
--- /dev/null
+++ b/src/entry/SidecarLinksOptions.ts
@@ -0,0 +1,23 @@
+import type TimerService from '../core/TimerService';
+import type SidecarPeer from '../dispatch/SidecarPeer';
+import type { Heartbeat } from '../gen/magnoliakeel/v1/peer_pb';
+import type KeepAliveOptions from '../link/KeepAliveOptions';
+import type Link from '../link/Link';
+import type PeerMessage from '../link/PeerMessage';
+
+/** What the links to sidecars need from the entry around them. */
+export default interface SidecarLinksOptions {
+  readonly timer: TimerService;
+  readonly self: string;
+  readonly viewNumber: () => bigint;
+  /** How long a sidecar may stay away before it counts as lost. */
+  readonly witnessMs: number;
+  readonly keepAlive: KeepAliveOptions;
+  readonly heartbeat: () => Heartbeat;
+  /** Sends what a newly linked process has to know. */
+  readonly greet: (link: Link) => void;
+  /** Told when a sidecar has linked, and when it has ended. */
+  readonly seen: (peer: SidecarPeer, ended: boolean) => void;
+  /** Told of each message, for counting. */
+  readonly received: (kind: PeerMessage['case']) => void;
+}
--- /dev/null
+++ b/src/recovery/PastOwner.ts
@@ -0,0 +1,8 @@
+/** An entry that owned a job in an earlier view. */
+export default interface PastOwner {
+  readonly incarnation: string;
+  /** Its address while it is still a member. */
+  readonly address: string | undefined;
+  /** Wall-clock time from which it was no member any more; undefined while it is one. */
+  readonly removedMs: number | undefined;
+}
--- /dev/null
+++ b/src/recovery/Recovery.ts
@@ -0,0 +1,155 @@
+import { create } from '@bufbuild/protobuf';
+import {
+  ClaimRequestSchema,
+  type Fenced,
+  type HeldJob,
+  type RosterItem,
+  type Settlement,
+  type View,
+} from '../gen/magnoliakeel/v1/peer_pb';
+import Fences from './Fences';
+import type PastOwner from './PastOwner';
+import pastOwners from './pastOwners';
+import type Provenance from './Provenance';
+import type RecoveryOptions from './RecoveryOptions';
+import Settlements from './Settlements';
+import SidecarRoster from './SidecarRoster';
+
+/**
+ * Finds out what happened to a job before this entry owned it, from the past
+ * owners that are still members and from the sidecars that saw every start.
+ * The design is in `docs/design/ownership.md`.
+ */
+export default class Recovery {
+  readonly roster = SidecarRoster.create();
+
+  readonly settlements = Settlements.create();
+
+  readonly fences = Fences.create();
+
+  private readonly informants = new Set<string>();
+
+  private constructor(private readonly options: RecoveryOptions) {}
+
+  /** Creates the recovery of an entry that has heard nothing yet. */
+  static create(options: RecoveryOptions): Recovery {
+    return new Recovery(options);
+  }
+
+  /** Takes another entry's roster and returns what was new in it. */
+  informed(entry: string, items: readonly RosterItem[]): RosterItem[] {
+    this.informants.add(entry);
+    const news = this.roster.merge(items);
+    this.fences.changed();
+    return news;
+  }
+
+  /** Takes a settlement and says whether it was new. */
+  settled(settlement: Settlement): boolean {
+    const isNew = this.settlements.add(settlement);
+    if (isNew) this.fences.changed();
+    return isNew;
+  }
+
+  /** Takes a sidecar's confirmation of a view. */
+  fenced(sidecar: string, fenced: Fenced): void {
+    this.fences.add(sidecar, fenced);
+  }
+
+  /** Tells what is known of a job without a record here that was created at a wall-clock time. */
+  async resolve(job: string, createdMs: number): Promise<Provenance> {
+    const sinceMs = createdMs - this.options.clockSkewMs;
+    const owners = pastOwners(this.options.views.current, job, sinceMs, this.options.self);
+    const claimed = await this.claim(job, owners);
+    if (claimed) return claimed;
+    const removed = owners.filter((owner) => owner.address === undefined);
+    const doubts = await Promise.all(removed.map((owner) => this.inDoubt(owner, createdMs)));
+    return this.collect(job, doubts.includes(true) || this.settlements.touches(job));
+  }
+
+  /** Forgets what no job that can still be submitted depends on. */
+  expire(wallMs: number): void {
+    this.roster.expire(wallMs);
+    this.settlements.expire(wallMs);
+  }
+
+  /** Asks the past owners that are still members; gives a verdict if one holds the job or can't be asked. */
+  private async claim(job: string, owners: readonly PastOwner[]): Promise<Provenance | undefined> {
+    const view = this.options.views.current;
+    const asked = owners.filter((owner) => owner.address !== undefined);
+    const verdicts = await Promise.all(asked.map((owner) => this.claimOne(job, owner, view)));
+    return verdicts.find((verdict) => verdict?.kind === 'held') ?? verdicts.find(Boolean);
+  }
+
+  private async claimOne(
+    job: string,
+    { incarnation, address }: PastOwner,
+    view: View,
+  ): Promise<Provenance | undefined> {
+    const req = create(ClaimRequestSchema, { job, view });
+    const reply = await this.options.network.claim(address!, req);
+    if (reply.isErr()) {
+      const reason = `the job's former owner can't be asked: ${reply.error.reason}`;
+      return { kind: 'unavailable', reason };
+    }
+    return reply.value.held ? { kind: 'held', incarnation } : undefined;
+  }
+
+  /**
+   * Waits until every sidecar that may have started tasks for a removed owner
+   * has confirmed the present view. True when one is lost that the owner had
+   * not settled, for jobs that are old enough to have been started there.
+   */
+  private async inDoubt(owner: PastOwner, createdMs: number): Promise<boolean> {
+    const { timer, views, witnessMs, clockSkewMs } = this.options;
+    const sinceMs = createdMs - clockSkewMs;
+    const viewNumber = views.number;
+    const deadline = timer.now() + witnessMs;
+    let open = this.openWitnesses(owner, sinceMs, viewNumber);
+    while (this.isWorthWaiting(owner, open) && timer.now() < deadline) {
+      const over = new AbortController();
+      await Promise.race([
+        this.fences.nextChange(),
+        timer.sleep(deadline - timer.now(), over.signal),
+      ]);
+      over.abort();
+      open = this.openWitnesses(owner, sinceMs, viewNumber);
+    }
+    const oldEnough = createdMs <= owner.removedMs! + clockSkewMs;
+    return oldEnough && (open.length > 0 || !this.isInformed(owner));
+  }
+
+  /** Whether an open witness may still confirm, or a roster may still come. */
+  private isWorthWaiting(owner: PastOwner, open: readonly RosterItem[]): boolean {
+    if (!this.isInformed(owner)) return true;
+    const longAgo = this.options.timer.wall() - this.options.witnessMs;
+    return open.some((item) => !item.ended || Number(item.seenMs) > longAgo);
+  }
+
+  private openWitnesses(owner: PastOwner, sinceMs: number, viewNumber: bigint): RosterItem[] {
+    return this.roster
+      .activeSince(sinceMs)
+      .filter(({ incarnation }) => !this.fences.covers(incarnation, viewNumber))
+      .filter(({ incarnation }) => !this.settlements.has(incarnation, owner.incarnation));
+  }
+
+  /** Whether the roster comes from a process that was a member together with the owner. */
+  private isInformed(owner: PastOwner): boolean {
+    return this.options.views.current.past.some((past) => {
+      const members = [...past.incarnations, ...past.leaving];
+      if (!members.includes(owner.incarnation)) return false;
+      return members.some((name) => name === this.options.self || this.informants.has(name));
+    });
+  }
+
+  private async collect(job: string, doubt: boolean): Promise<Provenance> {
+    const sidecars = this.fences.sidecarsOf(job);
+    if (sidecars.length === 0 && !doubt) return { kind: 'fresh' };
+    const reports = await Promise.all(sidecars.map((name) => this.options.adopt(name, job)));
+    const tasks = reports.flatMap((report, at) =>
+      (report?.tasks ?? []).map((held) => ({ sidecar: sidecars[at]!, held })),
+    );
+    const digest = reports.find((report): report is HeldJob => report !== undefined)?.digest;
+    return { kind: 'continued', digest, tasks, doubt: doubt || reports.includes(undefined) };
+  }
+}
--- /dev/null
+++ b/src/recovery/SidecarRoster.ts
@@ -0,0 +1,44 @@
+import type { RosterItem } from '../gen/magnoliakeel/v1/peer_pb';
+
+/**
+ * Every sidecar incarnation that may have started a task lately, as seen by
+ * this entry or told by others. Recovery must hear from each of them or know
+ * what its loss means.
+ */
+export default class SidecarRoster {
+  private readonly items = new Map<string, RosterItem>();
+
+  private constructor() {}
+
+  /** Creates an empty roster. */
+  static create(): SidecarRoster {
+    return new SidecarRoster();
+  }
+
+  /** Takes items and returns those that told something new. */
+  merge(items: readonly RosterItem[]): RosterItem[] {
+    return items.filter((item) => {
+      const known = this.items.get(item.incarnation);
+      if (known && known.seenMs >= item.seenMs) return false;
+      this.items.set(item.incarnation, item);
+      return true;
+    });
+  }
+
+  /** All items, for telling another entry. */
+  all(): RosterItem[] {
+    return [...this.items.values()];
+  }
+
+  /** Sidecars that may have started a task at or after a wall-clock time. */
+  activeSince(wallMs: number): RosterItem[] {
+    return this.all().filter((item) => !item.ended || Number(item.seenMs) >= wallMs);
+  }
+
+  /** Forgets sidecars that ended before a wall-clock time. */
+  expire(wallMs: number): void {
+    this.items.forEach((item, incarnation) => {
+      if (item.ended && Number(item.seenMs) < wallMs) this.items.delete(incarnation);
+    });
+  }
+}
--- /dev/null
+++ b/src/recovery/pastOwners.ts
@@ -0,0 +1,29 @@
+import ownerOf from '../core/ownerOf';
+import type { PastView, View } from '../gen/magnoliakeel/v1/peer_pb';
+import type PastOwner from './PastOwner';
+
+/** The entries other than `self` that owned a job in a past view current at or after a wall-clock time. */
+export default function pastOwners(
+  view: View,
+  job: string,
+  sinceMs: number,
+  self: string,
+): PastOwner[] {
+  const relevant = view.past.filter((past) => Number(past.untilMs) >= sinceMs);
+  const owners = relevant.map((past) => ownerOf(job, past.incarnations));
+  const distinct = [...new Set(owners)].filter((owner) => owner !== undefined && owner !== self);
+  return distinct.map((incarnation) => describe(view, incarnation!));
+}
+
+function describe(view: View, incarnation: string): PastOwner {
+  const member = view.members.find((candidate) => candidate.incarnation === incarnation);
+  if (member) return { incarnation, address: member.address, removedMs: undefined };
+  const ends = view.past
+    .filter((past) => wasMember(past, incarnation))
+    .map((past) => Number(past.untilMs));
+  return { incarnation, address: undefined, removedMs: Math.max(...ends) };
+}
+
+function wasMember(past: PastView, incarnation: string): boolean {
+  return past.incarnations.includes(incarnation) || past.leaving.includes(incarnation);
+}
