Connect processes over HTTP/2, and over memory in tests

Processes had the Network interface and nothing behind it. ConnectNetwork carries links and calls by Connect over one plain-text HTTP/2 session for each address; MemoryNetwork keeps the same contract with faults that a test controls, and ManualTimer holds the clock still. One contract test runs over both. Link gains lastSentAt and lastReceivedAt, which KeepAlive reads to send heartbeats into silence only and to suspect a silent peer.

--- /dev/null
+++ b/src/link/ConnectNetwork.ts
@@ -0,0 +1,146 @@
+import { type Client, ConnectError } from '@connectrpc/connect';
+import { err, ok, type Result, ResultAsync } from 'neverthrow';
+import type TimerService from '../core/TimerService';
+import type {
+  ClaimRequest,
+  ClaimResponse,
+  ForwardRequest,
+  ForwardResponse,
+  HandoverRequest,
+  HandoverResponse,
+  Hello,
+  InspectRequest,
+  InspectResponse,
+  Peer,
+} from '../gen/magnoliakeel/v1/peer_pb';
+import type CallError from './CallError';
+import FrameQueue from './FrameQueue';
+import helloOf from './helloOf';
+import type Link from './Link';
+import type Listener from './Listener';
+import type Network from './Network';
+import objectionTo from './objectionTo';
+import type PeerHandlers from './PeerHandlers';
+import PeerServer from './PeerServer';
+import PeerSession from './PeerSession';
+import StreamLink from './StreamLink';
+
+const HELLO_TIMEOUT_MS = 5000;
+
+/** The network of a running process: Connect calls over plain-text HTTP/2. */
+export default class ConnectNetwork implements Network {
+  private readonly sessions = new Map<string, PeerSession>();
+
+  private constructor(private readonly timer: TimerService) {}
+
+  /** Creates the network of one process. */
+  static create(timer: TimerService): ConnectNetwork {
+    return new ConnectNetwork(timer);
+  }
+
+  dial(address: string, hello: Hello): ResultAsync<Link, CallError> {
+    return new ResultAsync(this.openLink(address, hello));
+  }
+
+  forward(
+    address: string,
+    req: ForwardRequest,
+    signal: AbortSignal,
+  ): ResultAsync<ForwardResponse, CallError> {
+    return this.call(address, (client) => client.forward(req, { signal }), signal);
+  }
+
+  claim(address: string, req: ClaimRequest): ResultAsync<ClaimResponse, CallError> {
+    return this.call(address, (client) => client.claim(req));
+  }
+
+  handover(address: string, req: HandoverRequest): ResultAsync<HandoverResponse, CallError> {
+    return this.call(address, (client) => client.handover(req));
+  }
+
+  inspect(address: string, req: InspectRequest): ResultAsync<InspectResponse, CallError> {
+    return this.call(address, (client) => client.inspect(req));
+  }
+
+  listen(
+    address: string,
+    hello: () => Hello,
+    handlers: PeerHandlers,
+  ): ResultAsync<Listener, CallError> {
+    return PeerServer.listen(address, hello, handlers, this.timer);
+  }
+
+  /** Ends every session that this process has opened. Listeners are closed on their own. */
+  close(): void {
+    this.sessions.forEach((session) => session.close());
+    this.sessions.clear();
+  }
+
+  private call<T>(
+    address: string,
+    send: (client: Client<typeof Peer>) => Promise<T>,
+    signal?: AbortSignal,
+  ): ResultAsync<T, CallError> {
+    return new ResultAsync(this.callSession(this.sessionTo(address), send, signal));
+  }
+
+  private async callSession<T>(
+    session: PeerSession,
+    send: (client: Client<typeof Peer>) => Promise<T>,
+    signal?: AbortSignal,
+  ): Promise<Result<T, CallError>> {
+    const failure = await session.open(signal);
+    if (failure !== undefined) return err({ kind: 'unreachable', reason: failure });
+    try {
+      return ok(await send(session.client));
+    } catch (cause) {
+      return err(broken(cause));
+    }
+  }
+
+  private async openLink(address: string, hello: Hello): Promise<Result<Link, CallError>> {
+    const session = this.sessionTo(address);
+    const failure = await session.open();
+    if (failure !== undefined) return err({ kind: 'unreachable', reason: failure });
+    const stop = new AbortController();
+    const outgoing = FrameQueue.create(() => stop.abort());
+    outgoing.send({ case: 'hello', value: hello });
+    const frames = session.client.link(outgoing.frames(), { signal: stop.signal });
+    const incoming = frames[Symbol.asyncIterator]();
+    const limit = this.timer.after(HELLO_TIMEOUT_MS, () => stop.abort());
+    try {
+      const peer = helloOf(await incoming.next());
+      const objection = peer ? objectionTo(peer, hello) : 'the peer sent no hello';
+      if (peer && objection === undefined) {
+        const reset = () => stop.abort();
+        return ok(StreamLink.open({ timer: this.timer, peer, incoming, outgoing, reset }));
+      }
+      stop.abort();
+      return err({ kind: 'broken', reason: objection ?? '' });
+    } catch (cause) {
+      outgoing.drop();
+      return err(broken(cause));
+    } finally {
+      limit.cancel();
+    }
+  }
+
+  private sessionTo(address: string): PeerSession {
+    const known = this.sessions.get(address);
+    if (known) return known;
+    this.forgetUnused();
+    const session = PeerSession.to(address, this.timer);
+    this.sessions.set(address, session);
+    return session;
+  }
+
+  private forgetUnused(): void {
+    [...this.sessions]
+      .filter(([, session]) => session.unused)
+      .forEach(([address]) => this.sessions.delete(address));
+  }
+}
+
+function broken(cause: unknown): CallError {
+  return { kind: 'broken', reason: ConnectError.from(cause).rawMessage };
+}
--- /dev/null
+++ b/src/link/KeepAlive.ts
@@ -0,0 +1,103 @@
+import type Subscription from '../core/Subscription';
+import type TimerService from '../core/TimerService';
+import type Link from './Link';
+import type PeerMessage from './PeerMessage';
+
+/** How long a link may be silent, in milliseconds. */
+interface Limits {
+  /** After this long without a message of its own, a process sends a heartbeat. */
+  readonly intervalMs: number;
+  /** After this long without a message from the peer, the peer is suspected. */
+  readonly suspectMs: number;
+  /** After this long without a message from the peer, the link is closed. */
+  readonly closeMs: number;
+}
+
+/** What a link's owner adds to the keep-alive. */
+interface Owner {
+  /** Makes the next heartbeat. */
+  heartbeat(): PeerMessage;
+  /** Told once at each change of suspicion. Not told when the link closes. */
+  suspected(suspected: boolean): void;
+}
+
+/**
+ * Sends heartbeats into silence and watches the peer's. Any message counts as
+ * a heartbeat, in both directions. It stops when the link closes.
+ */
+export default class KeepAlive {
+  private suspecting = false;
+
+  /** Silence is counted from here when this process itself was held up and may have unread messages. */
+  private heldUpUntil = 0;
+
+  private beat: Subscription | undefined;
+
+  private check: Subscription | undefined;
+
+  private constructor(
+    private readonly link: Link,
+    private readonly timer: TimerService,
+    private readonly limits: Limits,
+    private readonly owner: Owner,
+  ) {}
+
+  /** Starts to keep the link alive. */
+  static start(link: Link, timer: TimerService, limits: Limits, owner: Owner): KeepAlive {
+    const keepAlive = new KeepAlive(link, timer, limits, owner);
+    if (link.closed.aborted) return keepAlive;
+    link.closed.addEventListener('abort', () => keepAlive.stop(), { once: true });
+    keepAlive.beatLater();
+    keepAlive.checkLater(limits.suspectMs);
+    return keepAlive;
+  }
+
+  /** Ends heartbeats and watching; the link stays as it is. */
+  stop(): void {
+    this.beat?.cancel();
+    this.check?.cancel();
+  }
+
+  private beatLater(): void {
+    const { link, timer, limits } = this;
+    const dueMs = link.lastSentAt + limits.intervalMs - timer.now();
+    this.beat = timer.after(Math.max(0, dueMs), () => this.beatIfSilent());
+  }
+
+  private beatIfSilent(): void {
+    const { link, timer, limits } = this;
+    const silentMs = timer.now() - link.lastSentAt;
+    if (silentMs >= limits.intervalMs) link.send(this.owner.heartbeat());
+    if (!link.closed.aborted) this.beatLater();
+  }
+
+  private checkLater(delayMs: number): void {
+    const dueAt = this.timer.now() + delayMs;
+    this.check = this.timer.after(delayMs, () => {
+      this.noteHoldUp(dueAt);
+      this.checkSilence();
+    });
+  }
+
+  private noteHoldUp(dueAt: number): void {
+    const now = this.timer.now();
+    if (now - dueAt > this.limits.intervalMs) this.heldUpUntil = now;
+  }
+
+  private checkSilence(): void {
+    const { link, timer, limits } = this;
+    const silentMs = timer.now() - Math.max(link.lastReceivedAt, this.heldUpUntil);
+    if (silentMs >= limits.closeMs) {
+      link.close();
+      return;
+    }
+    this.suspect(silentMs >= limits.suspectMs);
+    this.checkLater(this.suspecting ? limits.intervalMs : limits.suspectMs - silentMs);
+  }
+
+  private suspect(suspected: boolean): void {
+    if (suspected === this.suspecting) return;
+    this.suspecting = suspected;
+    this.owner.suspected(suspected);
+  }
+}
--- a/src/link/Link.ts
+++ b/src/link/Link.ts
@@ -10,15 +10,27 @@
   /** What the peer said of itself when the link opened. */
   readonly peer: Hello;
 
-  /** Aborts when the link has ended, whichever side or fault ended it. */
+  /**
+   * Aborts when the link has ended, whichever side or fault ended it. When the peer ended it, the
+   * messages that had arrived by then are handed out first.
+   */
   readonly closed: AbortSignal;
 
+  /** Monotonic time in milliseconds at which this side last sent a message, or of the opening. */
+  readonly lastSentAt: number;
+
+  /** Monotonic time in milliseconds at which something last arrived, or of the opening. */
+  readonly lastReceivedAt: number;
+
   /** Queues a message; all messages of one event-loop turn leave in one frame. Does nothing once closed. */
   send(message: PeerMessage): void;
 
   /** The peer's messages in order, until the link ends. Meant for the one task that serves this link. */
   messages(): AsyncIterable<PeerMessage>;
 
-  /** Ends the link at once. What was sent before may or may not arrive. */
+  /**
+   * Ends the link at once: nothing more is received. What was sent before still goes out when the
+   * peer reads, but may or may not arrive.
+   */
   close(): void;
 }
--- /dev/null
+++ b/src/link/PeerServer.ts
@@ -0,0 +1,169 @@
+import {
+  Code,
+  ConnectError,
+  createConnectRouter,
+  createContextKey,
+  createContextValues,
+  type HandlerContext,
+} from '@connectrpc/connect';
+import {
+  universalRequestFromNodeRequest,
+  universalResponseToNodeResponse,
+} from '@connectrpc/connect-node';
+import {
+  constants,
+  createServer,
+  type Http2Server,
+  type Http2ServerRequest,
+  type Http2ServerResponse,
+  type ServerHttp2Session,
+  type ServerHttp2Stream,
+} from 'node:http2';
+import type { AddressInfo } from 'node:net';
+import { err, ok, type Result, ResultAsync } from 'neverthrow';
+import type TimerService from '../core/TimerService';
+import { type Frame, type Hello, Peer } from '../gen/magnoliakeel/v1/peer_pb';
+import type CallError from './CallError';
+import FrameQueue from './FrameQueue';
+import helloOf from './helloOf';
+import type Listener from './Listener';
+import MESSAGE_LIMITS from './MESSAGE_LIMITS';
+import objectionTo from './objectionTo';
+import type PeerHandlers from './PeerHandlers';
+import SESSION_OPTIONS from './SESSION_OPTIONS';
+import StreamLink from './StreamLink';
+import widenWindow from './widenWindow';
+
+const DEFAULT_PORT = 80;
+const SILENT_SESSION_MS = 120_000;
+const CLOSE_GRACE_MS = 1000;
+
+const streamKey = createContextKey<ServerHttp2Stream | undefined>(undefined);
+
+/** Serves the peers of one process at one address. */
+export default class PeerServer implements Listener {
+  private readonly server: Http2Server;
+
+  private readonly sessions = new Set<ServerHttp2Session>();
+
+  private readonly links = new Set<StreamLink>();
+
+  private readonly paths: ReadonlyMap<string, PeerHandler>;
+
+  private constructor(
+    private readonly hello: () => Hello,
+    private readonly handlers: PeerHandlers,
+    private readonly timer: TimerService,
+  ) {
+    this.paths = this.routes();
+    this.server = createServer(SESSION_OPTIONS, (req, res) => this.handle(req, res));
+    // A session whose client vanished without a word is ended in the end; a live one sends pings.
+    this.server.setTimeout(SILENT_SESSION_MS);
+    this.server.on('session', (session) => this.track(session));
+  }
+
+  /** Opens the address and serves it until the listener is closed. */
+  static listen(
+    address: string,
+    hello: () => Hello,
+    handlers: PeerHandlers,
+    timer: TimerService,
+  ): ResultAsync<Listener, CallError> {
+    return new ResultAsync(new PeerServer(hello, handlers, timer).open(address));
+  }
+
+  get address(): string {
+    const { address, family, port } = this.server.address() as AddressInfo;
+    return family === 'IPv6' ? `[${address}]:${port}` : `${address}:${port}`;
+  }
+
+  async close(): Promise<void> {
+    const closed = new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+    });
+    this.links.forEach((link) => link.close());
+    this.sessions.forEach((session) => session.close());
+    const grace = this.timer.after(CLOSE_GRACE_MS, () =>
+      this.sessions.forEach((session) => session.destroy()),
+    );
+    await closed;
+    grace.cancel();
+  }
+
+  private open(address: string): Promise<Result<Listener, CallError>> {
+    const { hostname, port } = new URL(`http://${address}`);
+    const host = hostname.replace(/^\[|\]$/g, '');
+    return new Promise((resolve) => {
+      const fail = (cause: Error) => resolve(err({ kind: 'unreachable', reason: cause.message }));
+      this.server.once('error', fail);
+      this.server.listen({ host, port: Number(port || DEFAULT_PORT) }, () => {
+        this.server.off('error', fail);
+        resolve(ok(this));
+      });
+    });
+  }
+
+  private track(session: ServerHttp2Session): void {
+    this.sessions.add(session);
+    session.once('close', () => this.sessions.delete(session));
+    session.on('error', () => session.destroy());
+    widenWindow(session);
+  }
+
+  private routes(): ReadonlyMap<string, PeerHandler> {
+    const { handlers } = this;
+    const router = createConnectRouter({ acceptCompression: [], ...MESSAGE_LIMITS });
+    router.service(Peer, {
+      link: (frames, context) => this.serveLink(frames, context),
+      forward: (req) => handlers.forward(req),
+      claim: (req) => handlers.claim(req),
+      handover: (req) => handlers.handover(req),
+      inspect: (req) => handlers.inspect(req),
+    });
+    return new Map(router.handlers.map((handler) => [handler.requestPath, handler]));
+  }
+
+  private async handle(req: Http2ServerRequest, res: Http2ServerResponse): Promise<void> {
+    const handler = this.paths.get(req.url);
+    if (!handler) {
+      res.writeHead(constants.HTTP_STATUS_NOT_FOUND).end();
+      return;
+    }
+    const values = createContextValues().set(streamKey, req.stream);
+    try {
+      const request = universalRequestFromNodeRequest(req, res, undefined, values);
+      await universalResponseToNodeResponse(await handler(request), res);
+    } catch {
+      // The peer has gone; whoever serves it sees that on the request's signal.
+      req.stream.close(constants.NGHTTP2_CANCEL);
+    }
+  }
+
+  private async *serveLink(
+    frames: AsyncIterable<Frame>,
+    context: HandlerContext,
+  ): AsyncGenerator<Frame, void, void> {
+    const own = this.hello();
+    const incoming = frames[Symbol.asyncIterator]();
+    const peer = helloOf(await incoming.next());
+    if (!peer) throw new ConnectError('the link began without a hello', Code.InvalidArgument);
+    const objection = objectionTo(peer, own);
+    if (objection !== undefined) throw new ConnectError(objection, Code.FailedPrecondition);
+    const reset = () => context.values.get(streamKey)?.close(constants.NGHTTP2_CANCEL);
+    const outgoing = FrameQueue.create(reset);
+    outgoing.send({ case: 'hello', value: own });
+    this.serve(StreamLink.open({ timer: this.timer, peer, incoming, outgoing, reset }));
+    yield* outgoing.frames();
+  }
+
+  private serve(link: StreamLink): void {
+    this.links.add(link);
+    link.closed.addEventListener('abort', () => this.links.delete(link), { once: true });
+    this.handlers.link(link).then(
+      () => link.close(),
+      () => link.close(),
+    );
+  }
+}
+
+type PeerHandler = ReturnType<typeof createConnectRouter>['handlers'][number];
--- /dev/null
+++ b/test/support/ManualTimer.ts
@@ -0,0 +1,103 @@
+import type Subscription from '../../src/core/Subscription';
+import type TimerService from '../../src/core/TimerService';
+
+const WALL_START = Date.UTC(2025, 0, 1);
+const SETTLE_ROUNDS = 4;
+
+interface Entry {
+  readonly at: number;
+  readonly order: number;
+  readonly handler: () => void;
+}
+
+/** A timer service that stands still until a test moves it. */
+export default class ManualTimer implements TimerService {
+  private time = 0;
+
+  private orders = 0;
+
+  private readonly entries = new Set<Entry>();
+
+  private constructor() {}
+
+  /** Creates a timer service at time 0. */
+  static create(): ManualTimer {
+    return new ManualTimer();
+  }
+
+  now(): number {
+    return this.time;
+  }
+
+  wall(): number {
+    return WALL_START + this.time;
+  }
+
+  after(delayMs: number, handler: () => void): Subscription {
+    this.orders += 1;
+    const entry = { at: this.time + Math.max(0, delayMs), order: this.orders, handler };
+    this.entries.add(entry);
+    return { cancel: () => this.entries.delete(entry) };
+  }
+
+  every(intervalMs: number, handler: () => void): Subscription {
+    const stop = new AbortController();
+    const again = () => {
+      if (stop.signal.aborted) return;
+      this.after(intervalMs, again);
+      handler();
+    };
+    this.after(intervalMs, again);
+    return { cancel: () => stop.abort() };
+  }
+
+  sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      if (signal?.aborted) {
+        resolve();
+        return;
+      }
+      const subscription = this.after(delayMs, finish);
+      function finish(): void {
+        subscription.cancel();
+        signal?.removeEventListener('abort', finish);
+        resolve();
+      }
+      signal?.addEventListener('abort', finish, { once: true });
+    });
+  }
+
+  /** Moves the time, running what falls due in its order; promise jobs settle after each handler. */
+  async advance(ms: number): Promise<void> {
+    const target = this.time + ms;
+    await ManualTimer.settle();
+    for (let next = this.due(target); next; next = this.due(target)) {
+      this.entries.delete(next);
+      this.time = Math.max(this.time, next.at);
+      next.handler();
+      await ManualTimer.settle();
+    }
+    this.time = target;
+  }
+
+  /** Lets promise jobs and what the event loop has ready run, without moving the time. */
+  static async settle(): Promise<void> {
+    for (let round = 0; round < SETTLE_ROUNDS; round += 1) {
+      await new Promise<void>((resolve) => {
+        setImmediate(resolve);
+      });
+    }
+  }
+
+  private due(target: number): Entry | undefined {
+    let first: Entry | undefined;
+    this.entries.forEach((entry) => {
+      if (entry.at <= target && (!first || isBefore(entry, first))) first = entry;
+    });
+    return first;
+  }
+}
+
+function isBefore(one: Entry, other: Entry): boolean {
+  return one.at < other.at || (one.at === other.at && one.order < other.order);
+}
--- /dev/null
+++ b/test/support/MemoryLink.ts
@@ -0,0 +1,94 @@
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
+import type TimerService from '../../src/core/TimerService';
+import { type Hello, HelloSchema, MessageSchema } from '../../src/gen/magnoliakeel/v1/peer_pb';
+import Inbox from '../../src/link/Inbox';
+import type Link from '../../src/link/Link';
+import type PeerMessage from '../../src/link/PeerMessage';
+import type Faults from './Faults';
+import type MemoryProcess from './MemoryProcess';
+import Pipe from './Pipe';
+
+/** One end of a link on the memory network. */
+export default class MemoryLink implements Link {
+  lastSentAt: number;
+
+  lastReceivedAt: number;
+
+  private out: Pipe | undefined;
+
+  private readonly end = new AbortController();
+
+  private readonly inbox = Inbox.create(() => this.end.abort());
+
+  private constructor(
+    readonly peer: Hello,
+    private readonly timer: TimerService,
+  ) {
+    this.lastSentAt = timer.now();
+    this.lastReceivedAt = this.lastSentAt;
+  }
+
+  /** Makes both ends between two processes, of which each knows the other's hello. */
+  static pair(
+    dialler: { process: MemoryProcess; hello: Hello },
+    listener: { process: MemoryProcess; hello: Hello },
+    faults: Faults,
+  ): [MemoryLink, MemoryLink] {
+    const near = new MemoryLink(copyOfHello(listener.hello), faults.timer);
+    const far = new MemoryLink(copyOfHello(dialler.hello), faults.timer);
+    near.out = Pipe.open(dialler.process, listener.process, faults, () => far.ended());
+    far.out = Pipe.open(listener.process, dialler.process, faults, () => near.ended());
+    return [near, far].map((link, index, ends) => link.connect(ends[1 - index]!)) as [
+      MemoryLink,
+      MemoryLink,
+    ];
+  }
+
+  private other: MemoryLink | undefined;
+
+  get closed(): AbortSignal {
+    return this.end.signal;
+  }
+
+  send(message: PeerMessage): void {
+    if (this.closed.aborted) return;
+    this.lastSentAt = this.timer.now();
+    const copy = copyOf(message);
+    this.out?.send(message.case, () => this.other?.receive(copy));
+  }
+
+  messages(): AsyncIterable<PeerMessage> {
+    return this.inbox.read();
+  }
+
+  close(): void {
+    if (this.closed.aborted) return;
+    this.out?.end(() => this.other?.ended());
+    this.inbox.drop();
+  }
+
+  private connect(other: MemoryLink): MemoryLink {
+    this.other = other;
+    return this;
+  }
+
+  private receive(message: PeerMessage): void {
+    if (this.closed.aborted) return;
+    this.lastReceivedAt = this.timer.now();
+    this.inbox.put([message]);
+  }
+
+  private ended(): void {
+    this.out?.forget();
+    this.inbox.finish();
+  }
+}
+
+function copyOf(message: PeerMessage): PeerMessage {
+  const bytes = toBinary(MessageSchema, create(MessageSchema, { kind: message }));
+  return fromBinary(MessageSchema, bytes).kind as PeerMessage;
+}
+
+function copyOfHello(hello: Hello): Hello {
+  return fromBinary(HelloSchema, toBinary(HelloSchema, hello));
+}
--- /dev/null
+++ b/test/support/MemoryNetwork.ts
@@ -0,0 +1,116 @@
+import type TimerService from '../../src/core/TimerService';
+import type Network from '../../src/link/Network';
+import Faults from './Faults';
+import HeldMessages from './HeldMessages';
+import MemoryEndpoint from './MemoryEndpoint';
+import MemoryProcess from './MemoryProcess';
+
+/**
+ * A network in memory whose faults a test controls. Each process gets its own
+ * endpoint; faults name instances.
+ */
+export default class MemoryNetwork {
+  private readonly faults: Faults;
+
+  private readonly processes = new Map<string, MemoryProcess>();
+
+  private readonly addresses: Parameters<typeof MemoryEndpoint.of>[2] = new Map();
+
+  private constructor(timer: TimerService) {
+    this.faults = Faults.none(timer);
+  }
+
+  /** Creates a network without faults. */
+  static create(timer: TimerService): MemoryNetwork {
+    return new MemoryNetwork(timer);
+  }
+
+  /** The network as the instance sees it. After a kill, a call starts the instance's next process. */
+  endpoint(instance: string): Network {
+    const known = this.processes.get(instance);
+    const process = known?.alive ? known : MemoryProcess.start(instance);
+    this.processes.set(instance, process);
+    return MemoryEndpoint.of(process, this.faults, this.addresses);
+  }
+
+  /** Ends all connections between two instances and refuses new ones until they are joined again. */
+  cut(one: string, other: string): void {
+    this.faults.setCut(one, other, true);
+    this.pipesOf(one)
+      .filter(({ from, to }) => from.instance === other || to.instance === other)
+      .forEach((pipe) => pipe.break());
+  }
+
+  /** Makes what one instance sends to the other vanish without a word; both ways unless told otherwise. */
+  halfOpen(from: string, to: string, ways: 'both' | 'one' = 'both'): void {
+    this.faults.setLoss(from, to, true);
+    if (ways === 'both') this.faults.setLoss(to, from, true);
+  }
+
+  /** Ends a cut, a loss and a delay between two instances. */
+  join(one: string, other: string): void {
+    this.faults.setCut(one, other, false);
+    this.faults.setLoss(one, other, false);
+    this.faults.setLoss(other, one, false);
+    this.delay(one, other, 0);
+  }
+
+  /** Delays what two instances send each other, in both directions. */
+  delay(one: string, other: string, delayMs: number): void {
+    this.faults.setDelay(one, other, delayMs);
+    this.faults.setDelay(other, one, delayMs);
+  }
+
+  /** Holds back the messages for which the predicate is true; later ones pass them. */
+  hold(matches: Parameters<typeof HeldMessages.of>[0]): HeldMessages {
+    const held = HeldMessages.of(matches);
+    this.faults.holds.add(held);
+    return held;
+  }
+
+  /** Stops an instance as a stop signal would: what it sends and what it is sent waits. */
+  pause(instance: string): void {
+    this.processOf(instance).paused = true;
+  }
+
+  /** Continues a paused instance: everything that waited arrives in order. */
+  resume(instance: string): void {
+    this.processOf(instance).paused = false;
+    this.pipesOf(instance).forEach((pipe) => pipe.drain());
+  }
+
+  /** Ends an instance's process: others see its connections end, it sees and sends nothing more. */
+  kill(instance: string): void {
+    const process = this.processOf(instance);
+    process.alive = false;
+    process.paused = false;
+    this.pipesOf(instance).forEach((pipe) => {
+      if (pipe.from === process) pipe.orphan();
+      else pipe.forget();
+    });
+  }
+
+  /** How many messages of each kind were sent so far. Calls count as "forward" and "forward.answer". */
+  counts(): Record<string, number> {
+    return Object.fromEntries(
+      [...this.faults.counts].sort(([one], [other]) => (one < other ? -1 : 1)),
+    );
+  }
+
+  /** Starts counting anew. */
+  resetCounts(): void {
+    this.faults.counts.clear();
+  }
+
+  private pipesOf(instance: string) {
+    return [...this.faults.pipes].filter(
+      ({ from, to }) => from.instance === instance || to.instance === instance,
+    );
+  }
+
+  private processOf(instance: string): MemoryProcess {
+    const process = this.processes.get(instance);
+    if (!process) throw new Error(`no instance "${instance}" on this network`);
+    return process;
+  }
+}
--- /dev/null
+++ b/test/support/NetworkCase.ts
@@ -0,0 +1,112 @@
+import { create } from '@bufbuild/protobuf';
+import type TimerService from '../../src/core/TimerService';
+import SystemTimer from '../../src/core/SystemTimer';
+import {
+  ClaimResponseSchema,
+  ForwardResponseSchema,
+  HandoverResponseSchema,
+  type Hello,
+  HelloSchema,
+  InspectResponseSchema,
+  Role,
+} from '../../src/gen/magnoliakeel/v1/peer_pb';
+import ConnectNetwork from '../../src/link/ConnectNetwork';
+import type Link from '../../src/link/Link';
+import type Listener from '../../src/link/Listener';
+import type Network from '../../src/link/Network';
+import type PeerHandlers from '../../src/link/PeerHandlers';
+import PROTOCOL_VERSION from '../../src/link/PROTOCOL_VERSION';
+import ManualTimer from './ManualTimer';
+import MemoryNetwork from './MemoryNetwork';
+import valueOf from './valueOf';
+
+type Make = () => { near: Network; far: Network; close: () => void };
+
+/** Two processes, "near" and "far", of which far listens. */
+export default class NetworkCase {
+  /** The links that far serves, in the order of their opening. */
+  readonly served: Link[] = [];
+
+  listener!: Listener;
+
+  private constructor(
+    readonly near: Network,
+    private readonly far: Network,
+    private readonly end: () => void,
+  ) {}
+
+  /** The networks that keep the same contract, by name. */
+  static readonly kinds: Record<string, Make> = {
+    connect: () => NetworkCase.overTcp(SystemTimer.create()),
+    memory: () => {
+      const network = MemoryNetwork.create(ManualTimer.create());
+      return {
+        near: network.endpoint('near'),
+        far: network.endpoint('far'),
+        close: () => undefined,
+      };
+    },
+  };
+
+  /** Starts far's listener; the handlers given replace those that answer with empty messages. */
+  static async start(make: Make, handlers: Partial<PeerHandlers> = {}): Promise<NetworkCase> {
+    const { near, far, close } = make();
+    const made = new NetworkCase(near, far, close);
+    const all = { ...made.handlers(), ...handlers };
+    const address = '127.0.0.1:0';
+    made.listener = valueOf(await far.listen(address, () => helloOf('far'), all));
+    return made;
+  }
+
+  /** Far's hello, near's hello, or another with some fields changed. */
+  static hello(instance: string, changes: Partial<Hello> = {}): Hello {
+    return { ...helloOf(instance), ...changes };
+  }
+
+  /** Opens a link from near to far. */
+  async dial(): Promise<Link> {
+    const dialled = await this.near.dial(this.listener.address, helloOf('near'));
+    return valueOf(dialled);
+  }
+
+  /** Ends both processes. */
+  async stop(): Promise<void> {
+    this.end();
+    await this.listener.close();
+  }
+
+  private static overTcp(timer: TimerService): ReturnType<Make> {
+    const near = ConnectNetwork.create(timer);
+    return { near, far: ConnectNetwork.create(timer), close: () => near.close() };
+  }
+
+  private handlers(): PeerHandlers {
+    return {
+      link: (link) => {
+        this.served.push(link);
+        return untilClosed(link);
+      },
+      forward: async () => create(ForwardResponseSchema),
+      claim: async ({ job }) => create(ClaimResponseSchema, { held: job === 'held' }),
+      handover: async () => create(HandoverResponseSchema),
+      inspect: async () => create(InspectResponseSchema, { instance: 'far' }),
+    };
+  }
+}
+
+function helloOf(instance: string): Hello {
+  return create(HelloSchema, {
+    protocol: PROTOCOL_VERSION,
+    cluster: 'test',
+    role: Role.ENTRY,
+    instance,
+    incarnation: `${instance}-1`,
+  });
+}
+
+function untilClosed({ closed }: Link): Promise<void> {
+  return new Promise((resolve) => {
+    if (closed.aborted) resolve();
+    closed.addEventListener('abort', () => resolve(), { once: true });
+  });
+}
