Reach the platform's key-value service over HTTP, with a stand-in for tests

Cause: nothing could store a view or a manifest yet, and no test could cause the store's faults. Change: HttpStore speaks the HTTP protocol with a timeout, aborts and a rate limit for each process; an answer that did not come is 'unavailable', whether or not the write took effect. tools/platform holds an in-memory stand-in with revisions, leases, watches, counted calls and switchable faults, in process or as a server of its own.

--- /dev/null
+++ b/src/store/HttpStore.ts
@@ -0,0 +1,165 @@
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+import { Pool, type Dispatcher } from 'undici';
+import type HttpStoreOptions from './HttpStoreOptions';
+import type PutOptions from './PutOptions';
+import type Store from './Store';
+import type StoreChanges from './StoreChanges';
+import type StoreError from './StoreError';
+import type StoreItem from './StoreItem';
+import TokenBucket from './TokenBucket';
+
+const CONNECTIONS = 8;
+
+const KINDS: Readonly<Record<number, StoreError['kind']>> = { 409: 'conflict', 410: 'leaseGone' };
+
+/**
+ * The platform's key-value service over HTTP with JSON bodies. Every failure
+ * without a clear answer is `unavailable`: a write may have taken effect, and
+ * may still take effect later.
+ */
+export default class HttpStore implements Store {
+  private readonly pool: Pool;
+
+  private readonly bucket: TokenBucket;
+
+  private constructor(private readonly options: HttpStoreOptions) {
+    // Timeouts come from the timer service, not from the pool.
+    const { url, timer, callsPerSecond } = options;
+    this.pool = new Pool(url, { connections: CONNECTIONS, headersTimeout: 0, bodyTimeout: 0 });
+    this.bucket = TokenBucket.of(timer, callsPerSecond);
+  }
+
+  /** Creates the client; it connects with the first call. */
+  static create(options: HttpStoreOptions): HttpStore {
+    return new HttpStore(options);
+  }
+
+  /** Breaks all connections; calls under way end as `unavailable`. */
+  async close(): Promise<void> {
+    await this.pool.destroy();
+  }
+
+  get(key: string): ResultAsync<StoreItem | undefined, StoreError> {
+    return this.call<StoreItem | undefined>({ method: 'GET', path: keyPath(key), absent: true });
+  }
+
+  list(prefix: string): ResultAsync<StoreChanges, StoreError> {
+    return this.call({ method: 'GET', path: `/v1/keys?${query({ prefix })}` });
+  }
+
+  put(key: string, value: string, options: PutOptions = {}): ResultAsync<number, StoreError> {
+    const { expectRevision, lease } = options;
+    return this.call<{ revision: number }>({
+      method: 'PUT',
+      path: keyPath(key),
+      body: { value, expectRevision, lease },
+    }).map(({ revision }) => revision);
+  }
+
+  remove(key: string, expectRevision?: number): ResultAsync<void, StoreError> {
+    const path = `${keyPath(key)}?${query({ expectRevision })}`;
+    return this.call({ method: 'DELETE', path }).map(() => undefined);
+  }
+
+  grantLease(ttlMs: number): ResultAsync<string, StoreError> {
+    const call: Call = { method: 'POST', path: '/v1/leases', body: { ttlMs } };
+    return this.call<{ id: string }>(call).map(({ id }) => id);
+  }
+
+  renewLease(lease: string): ResultAsync<void, StoreError> {
+    const path = `${leasePath(lease)}/renew`;
+    return this.call({ method: 'POST', path }).map(() => undefined);
+  }
+
+  revokeLease(lease: string): ResultAsync<void, StoreError> {
+    return this.call({ method: 'DELETE', path: leasePath(lease) }).map(() => undefined);
+  }
+
+  watch(
+    prefix: string,
+    afterRevision: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): ResultAsync<StoreChanges, StoreError> {
+    const path = `/v1/watch?${query({ prefix, after: afterRevision, waitMs })}`;
+    return this.call({ method: 'GET', path, waitMs, signal });
+  }
+
+  private call<T>(call: Call): ResultAsync<T, StoreError> {
+    return new ResultAsync(this.limited(call));
+  }
+
+  private async limited<T>(call: Call): Promise<Result<T, StoreError>> {
+    const { timer, timeoutMs } = this.options;
+    const delayMs = this.bucket.take(timeoutMs);
+    if (delayMs === undefined)
+      return err(unavailable('the call rate is used up; nothing was sent'));
+    if (delayMs > 0) await timer.sleep(delayMs, call.signal);
+    if (call.signal?.aborted) return err(unavailable('aborted'));
+    return this.timed(call);
+  }
+
+  private async timed<T>(call: Call): Promise<Result<T, StoreError>> {
+    const { timer, timeoutMs } = this.options;
+    const limit = new AbortController();
+    const abort = (): void => limit.abort(new Error('aborted'));
+    const timeout = timer.after(timeoutMs + (call.waitMs ?? 0), () =>
+      limit.abort(new Error('timeout')),
+    );
+    call.signal?.addEventListener('abort', abort, { once: true });
+    try {
+      return await this.send<T>(call, limit.signal);
+    } catch (cause) {
+      return err(unavailable(cause instanceof Error ? cause.message : String(cause)));
+    } finally {
+      timeout.cancel();
+      call.signal?.removeEventListener('abort', abort);
+    }
+  }
+
+  private async send<T>(call: Call, signal: AbortSignal): Promise<Result<T, StoreError>> {
+    const { statusCode, body } = await this.pool.request({
+      method: call.method,
+      path: call.path,
+      headers: { 'x-client': this.options.client, 'content-type': 'application/json' },
+      body: call.body === undefined ? null : JSON.stringify(call.body),
+      signal,
+    });
+    const answer = await body.text();
+    if (statusCode === 200) return ok(JSON.parse(answer) as T);
+    if (statusCode === 404 && call.absent) return ok(undefined as T);
+    const kind = KINDS[statusCode] ?? 'unavailable';
+    return err({ kind, reason: `status ${statusCode}: ${answer}` });
+  }
+}
+
+interface Call {
+  readonly method: Dispatcher.HttpMethod;
+  readonly path: string;
+  readonly body?: unknown;
+  /** A missing key is an answer, not an error. */
+  readonly absent?: boolean;
+  /** How long the service itself waits before it answers. */
+  readonly waitMs?: number;
+  readonly signal?: AbortSignal;
+}
+
+function unavailable(reason: string): StoreError {
+  return { kind: 'unavailable', reason };
+}
+
+function keyPath(key: string): string {
+  return `/v1/keys/${encodeURIComponent(key)}`;
+}
+
+function leasePath(lease: string): string {
+  return `/v1/leases/${encodeURIComponent(lease)}`;
+}
+
+function query(values: Readonly<Record<string, string | number | undefined>>): string {
+  const params = new URLSearchParams();
+  Object.entries(values).forEach(([name, value]) => {
+    if (value !== undefined) params.set(name, String(value));
+  });
+  return params.toString();
+}
--- /dev/null
+++ b/test/platform/store.test.ts
@@ -0,0 +1,281 @@
+import { afterEach, describe, expect, test } from 'vitest';
+import HttpStore from '../../src/store/HttpStore';
+import type Store from '../../src/store/Store';
+import Engine from '../../tools/platform/Engine';
+import type Faults from '../../tools/platform/Faults';
+import PlatformServer from '../../tools/platform/PlatformServer';
+import ManualTimer from '../support/ManualTimer';
+import outcome from '../support/outcome';
+
+interface Case {
+  readonly engine: Engine;
+  readonly timer: ManualTimer;
+  readonly store: Store;
+}
+
+const cleanups: (() => Promise<void>)[] = [];
+
+const kinds: Record<string, () => Promise<Case>> = {
+  'in process': async () => {
+    const timer = new ManualTimer();
+    const engine = Engine.create(timer);
+    return { engine, timer, store: engine.client('a') };
+  },
+  'over HTTP': () => httpCase(),
+};
+
+async function httpCase(callsPerSecond = 100): Promise<Case> {
+  const timer = new ManualTimer();
+  const engine = Engine.create(timer);
+  const server = PlatformServer.of(engine);
+  const url = `http://${await server.listen('127.0.0.1', 0)}`;
+  const options = { url, client: 'a', timer, callsPerSecond, timeoutMs: 2_000 };
+  const store = HttpStore.create(options);
+  cleanups.push(
+    () => store.close(),
+    () => server.close(),
+  );
+  return { engine, timer, store };
+}
+
+/** Waits, without moving the clock, until the engine has counted the call. */
+async function counted(engine: Engine, kind: keyof Store, count: number): Promise<void> {
+  await expect.poll(() => engine.calls().a?.[kind]).toBe(count);
+}
+
+afterEach(async () => {
+  await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
+});
+
+describe.each(Object.entries(kinds))('a store %s', (_, create) => {
+  test('writes by compare-and-swap', async () => {
+    const { store } = await create();
+    expect([
+      await outcome(store.put('entries/a?b', 'one', { expectRevision: 0 })),
+      await outcome(store.put('entries/a?b', 'two', { expectRevision: 0 })),
+      await outcome(store.remove('entries/a?b', 7)),
+      await outcome(store.get('entries/a?b')),
+      await outcome(store.get('absent')),
+      await outcome(store.list('entries/')),
+    ]).toMatchInlineSnapshot(`
+      [
+        1,
+        "conflict",
+        "conflict",
+        {
+          "key": "entries/a?b",
+          "revision": 1,
+          "value": "one",
+        },
+        undefined,
+        {
+          "deleted": [],
+          "items": [
+            {
+              "key": "entries/a?b",
+              "revision": 1,
+              "value": "one",
+            },
+          ],
+          "revision": 1,
+        },
+      ]
+    `);
+  });
+
+  test('deletes the keys of a lapsed lease', async () => {
+    const { store, timer } = await create();
+    const lease = await outcome(store.grantLease(3_000));
+    await store.put('k', 'v', { lease });
+    await timer.advance(2_000);
+    await store.renewLease(lease);
+    await timer.advance(2_000);
+    const renewed = await outcome(store.get('k').map((item) => item?.value));
+    await timer.advance(1_000);
+    const lapsed = await outcome(store.get('k'));
+    expect([renewed, lapsed, await outcome(store.renewLease(lease))]).toMatchInlineSnapshot(`
+      [
+        "v",
+        undefined,
+        "leaseGone",
+      ]
+    `);
+  });
+
+  test('wakes a watch by a change, and returns it empty when the wait is over', async () => {
+    const { engine, store, timer } = await create();
+    const woken = store.watch('a', 0, 1_000);
+    await counted(engine, 'watch', 1);
+    await engine.put('b', 'other');
+    await engine.put('a', 'v');
+    const first = await outcome(woken);
+    const deleted = store.watch('a', 2, 1_000);
+    await counted(engine, 'watch', 2);
+    await engine.remove('a');
+    const second = await outcome(deleted);
+    const idle = store.watch('a', 3, 1_000);
+    await counted(engine, 'watch', 3);
+    await timer.advance(1_000);
+    expect([first, second, await outcome(idle)]).toMatchInlineSnapshot(`
+      [
+        {
+          "deleted": [],
+          "items": [
+            {
+              "key": "a",
+              "revision": 2,
+              "value": "v",
+            },
+          ],
+          "revision": 2,
+        },
+        {
+          "deleted": [
+            "a",
+          ],
+          "items": [],
+          "revision": 3,
+        },
+        {
+          "deleted": [],
+          "items": [],
+          "revision": 3,
+        },
+      ]
+    `);
+  });
+
+  test('says unavailable when the answer of a write is lost', async () => {
+    const { engine, store } = await create();
+    engine.setFaults({ answerLost: true }, 'a');
+    const put = await outcome(store.put('k', 'v'));
+    expect([put, await outcome(store.get('k'))]).toMatchInlineSnapshot(`
+      [
+        "unavailable",
+        {
+          "key": "k",
+          "revision": 1,
+          "value": "v",
+        },
+      ]
+    `);
+  });
+
+  test('ends waiting watches and keeps leases while it is down', async () => {
+    const { engine, store, timer } = await create();
+    const lease = await outcome(store.grantLease(1_000));
+    await store.put('k', 'v', { lease });
+    const watch = store.watch('x', 1, 60_000);
+    await counted(engine, 'watch', 1);
+    engine.setFaults({ down: true });
+    const broken = await outcome(watch);
+    await timer.advance(60_000);
+    const down = await outcome(store.get('k'));
+    engine.setFaults({});
+    await timer.advance(999);
+    const back = await outcome(store.get('k'));
+    expect([broken, down, back]).toMatchInlineSnapshot(`
+      [
+        "unavailable",
+        "unavailable",
+        {
+          "key": "k",
+          "revision": 1,
+          "value": "v",
+        },
+      ]
+    `);
+  });
+});
+
+describe('a store over HTTP', () => {
+  test('gives up after its timeout although the write takes effect', async () => {
+    const { engine, store, timer } = await httpCase();
+    engine.setFaults({ slowMs: 5_000 });
+    const put = store.put('k', 'v');
+    await counted(engine, 'put', 1);
+    await timer.advance(2_000);
+    const result = await put;
+    await timer.advance(3_000);
+    expect([result, await outcome(engine.get('k'))]).toMatchInlineSnapshot(`
+      [
+        Err {
+          "error": {
+            "kind": "unavailable",
+            "reason": "timeout",
+          },
+        },
+        {
+          "key": "k",
+          "revision": 1,
+          "value": "v",
+        },
+      ]
+    `);
+  });
+
+  test('keeps to its rate of calls', async () => {
+    const { engine, store, timer } = await httpCase(2);
+    const calls = Array.from({ length: 8 }, () => store.get('k'));
+    await Promise.all(calls.slice(0, 2));
+    const atOnce = engine.calls().a;
+    await timer.advance(500);
+    await calls[2];
+    const later = engine.calls().a;
+    await timer.advance(1_500);
+    const refused = (await Promise.all(calls)).filter((call) => call.isErr()).length;
+    expect({ atOnce, later, refused }).toMatchInlineSnapshot(`
+      {
+        "atOnce": {
+          "get": 2,
+        },
+        "later": {
+          "get": 3,
+        },
+        "refused": 2,
+      }
+    `);
+  });
+
+  test('ends a watch that its caller gives up', async () => {
+    const { engine, store } = await httpCase();
+    const caller = new AbortController();
+    const watch = store.watch('', 0, 30_000, caller.signal);
+    await counted(engine, 'watch', 1);
+    caller.abort();
+    expect(await watch).toMatchInlineSnapshot(`
+      Err {
+        "error": {
+          "kind": "unavailable",
+          "reason": "aborted",
+        },
+      }
+    `);
+  });
+
+  test('switches faults and reads counts by its own calls', async () => {
+    const { engine } = await httpCase();
+    const server = PlatformServer.of(engine);
+    const url = `http://${await server.listen('127.0.0.1', 0)}`;
+    cleanups.push(() => server.close());
+    const faults: Faults & { client: string } = { client: 'b', down: true };
+    await fetch(`${url}/v1/faults`, { method: 'PUT', body: JSON.stringify(faults) });
+    const down = await fetch(`${url}/v1/keys/k`, { headers: { 'x-client': 'b' } });
+    const up = await fetch(`${url}/v1/keys/k`, { headers: { 'x-client': 'c' } });
+    const counts = await fetch(`${url}/v1/calls`);
+    expect([down.status, up.status, await counts.json()]).toMatchInlineSnapshot(`
+      [
+        503,
+        404,
+        {
+          "b": {
+            "get": 1,
+          },
+          "c": {
+            "get": 1,
+          },
+        },
+      ]
+    `);
+  });
+});
--- /dev/null
+++ b/tools/platform/PlatformServer.ts
@@ -0,0 +1,71 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { text } from 'node:stream/consumers';
+import type Engine from './Engine';
+import type PlatformCall from './PlatformCall';
+import routes from './routes';
+
+/** Serves the stand-in's engine over HTTP with JSON bodies. */
+export default class PlatformServer {
+  private constructor(
+    private readonly engine: Engine,
+    private readonly server: Server,
+  ) {}
+
+  /** Creates a server that does not listen yet. */
+  static of(engine: Engine): PlatformServer {
+    const platform = new PlatformServer(engine, createServer());
+    platform.server.on('request', (req, res) => {
+      platform.serve(req, res).catch((cause: unknown) => send(res, 400, { reason: String(cause) }));
+    });
+    return platform;
+  }
+
+  /** Listens and returns the address in use, "ip:port". */
+  async listen(host: string, port: number): Promise<string> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+    const { port: bound } = this.server.address() as AddressInfo;
+    return `${host}:${bound}`;
+  }
+
+  /** Breaks all connections and stops listening. */
+  async close(): Promise<void> {
+    const closed = new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+    });
+    this.server.closeAllConnections();
+    await closed;
+  }
+
+  private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const url = new URL(req.url ?? '/', 'http://platform');
+    const gone = new AbortController();
+    res.once('close', () => gone.abort());
+    const body = await text(req);
+    const { engine } = this;
+    const client = String(req.headers['x-client'] ?? 'unnamed');
+    const call: PlatformCall = {
+      engine,
+      store: () => engine.client(client),
+      query: url.searchParams,
+      body: body === '' ? {} : (JSON.parse(body) as PlatformCall['body']),
+      signal: gone.signal,
+    };
+    const route = routes.find(
+      ({ method, path }) => method === req.method && path.test(url.pathname),
+    );
+    if (!route) return send(res, 405, { reason: 'no such call' });
+    const part = decodeURIComponent(route.path.exec(url.pathname)?.[1] ?? '');
+    const { status, body: answer } = await route.handle(call, part);
+    return send(res, status, answer);
+  }
+}
+
+function send(res: ServerResponse, status: number, body: unknown): void {
+  if (res.destroyed) return;
+  res.writeHead(status, { 'content-type': 'application/json' });
+  res.end(JSON.stringify(body));
+}
