Assemble an entry from its parts

Cause: the parts of an entry stood alone. Change: Entry joins them: listening, links, membership, leaving.

--- /dev/null
+++ b/src/entry/Admission.ts
@@ -0,0 +1,45 @@
+import { create } from '@bufbuild/protobuf';
+import type Random from '../core/Random';
+import {
+  type Answer,
+  AnswerSchema,
+  Outcome,
+  type Submission,
+} from '../gen/magnoliakeel/v1/peer_pb';
+import type AdmissionOptions from './AdmissionOptions';
+
+/** Decides whether an entry takes a submission on, before anything of it runs. */
+export default class Admission {
+  private constructor(
+    private readonly options: AdmissionOptions,
+    private readonly random: Random,
+  ) {}
+
+  /** Creates the admission of an entry. */
+  static create(options: AdmissionOptions, random: Random): Admission {
+    return new Admission(options, random);
+  }
+
+  /** The answer to a submission that is not taken on; undefined for one that is. */
+  refuse(submission: Submission, keptBytes: number): Answer | undefined {
+    const { manifest, recordBytes, queued, isLeaving } = this.options;
+    if (isLeaving()) return this.notRun('this entry is leaving');
+    const service = manifest.service(submission.service);
+    if (!service || !manifest.offers(submission.service)) {
+      const reason = `there is no service "${submission.service}"`;
+      return create(AnswerSchema, { outcome: Outcome.INVALID, reason });
+    }
+    if (keptBytes > recordBytes) return this.notRun('the memory for job records is full');
+    if (queued(submission.service) + submission.inputs.length > service.queue.maxTasks) {
+      return this.notRun('the queue of the service is full');
+    }
+    return undefined;
+  }
+
+  private notRun(reason: string): Answer {
+    const retryAfterMs = Math.ceil(this.random.jitter(RETRY_AFTER_MS));
+    return create(AnswerSchema, { outcome: Outcome.NOT_RUN, reason, retryAfterMs });
+  }
+}
+
+const RETRY_AFTER_MS = 1000;
--- /dev/null
+++ b/src/entry/AdmissionOptions.ts
@@ -0,0 +1,11 @@
+import type ManifestView from './ManifestView';
+
+/** What admission looks at. */
+export default interface AdmissionOptions {
+  readonly manifest: ManifestView;
+  /** Bytes that job records may take. */
+  readonly recordBytes: number;
+  /** Number of tasks waiting for a service. */
+  readonly queued: (service: string) => number;
+  readonly isLeaving: () => boolean;
+}
--- a/src/entry/EntryLinks.ts
+++ b/src/entry/EntryLinks.ts
@@ -75,15 +75,15 @@
     peer.suspected = false;
     older?.close();
     this.options.greet(link);
-    const keepAlive = KeepAlive.start(link, this.options.keepAlive, {
-      heartbeat: this.options.heartbeat,
+    const keepAlive = KeepAlive.start(link, this.options.timer, this.options.keepAlive, {
+      heartbeat: () => ({ case: 'heartbeat', value: this.options.heartbeat() }),
       suspected: (suspected) => this.suspect(peer, suspected),
     });
     for await (const message of link.messages()) {
       if (peer.link !== link) break;
       this.options.receive(peer.incarnation, message);
     }
-    keepAlive.cancel();
+    keepAlive.stop();
     this.end(peer, link);
   }
 
--- a/src/entry/EntryLinksOptions.ts
+++ b/src/entry/EntryLinksOptions.ts
@@ -1,7 +1,7 @@
 import type Random from '../core/Random';
 import type TimerService from '../core/TimerService';
 import type { Heartbeat, Hello } from '../gen/magnoliakeel/v1/peer_pb';
-import type KeepAliveOptions from '../link/KeepAliveOptions';
+import type KeepAliveLimits from '../link/KeepAliveLimits';
 import type Link from '../link/Link';
 import type Network from '../link/Network';
 import type PeerMessage from '../link/PeerMessage';
@@ -13,7 +13,7 @@
   readonly network: Pick<Network, 'dial'>;
   readonly self: string;
   readonly hello: () => Hello;
-  readonly keepAlive: KeepAliveOptions;
+  readonly keepAlive: KeepAliveLimits;
   readonly heartbeat: () => Heartbeat;
   /** Sends what a newly linked process has to know. */
   readonly greet: (link: Link) => void;
--- /dev/null
+++ b/src/entry/EntryOptions.ts
@@ -0,0 +1,18 @@
+import type { ConsolaInstance } from 'consola';
+import type Random from '../core/Random';
+import type TimerService from '../core/TimerService';
+import type Network from '../link/Network';
+import type EntrySettings from '../settings/EntrySettings';
+import type Store from '../store/Store';
+
+/** What an entry is built of. */
+export default interface EntryOptions {
+  readonly settings: EntrySettings;
+  /** Unique for each run of the process. */
+  readonly incarnation: string;
+  readonly timer: TimerService;
+  readonly random: Random;
+  readonly network: Network;
+  readonly store: Store;
+  readonly log: Pick<ConsolaInstance, 'info' | 'warn'>;
+}
--- /dev/null
+++ b/src/entry/EntryParts.ts
@@ -0,0 +1,16 @@
+import type Versioned from '../core/Versioned';
+import type Dispatcher from '../dispatch/Dispatcher';
+import type { Configuration, View } from '../gen/magnoliakeel/v1/peer_pb';
+import type Recovery from '../recovery/Recovery';
+import type EntryLinks from './EntryLinks';
+import type Sightings from './Sightings';
+
+/** The parts of an entry that messages from other entries act on. */
+export default interface EntryParts {
+  readonly views: Versioned<View>;
+  readonly configurations: Versioned<Configuration>;
+  readonly dispatcher: Dispatcher;
+  readonly recovery: Recovery;
+  readonly entryLinks: EntryLinks;
+  readonly sightings: Sightings;
+}
--- a/src/entry/Jobs.ts
+++ b/src/entry/Jobs.ts
@@ -72,13 +72,13 @@
     const key = keyOf(submission);
     const known = this.records.get(key);
     if (known) return this.join(known, submission);
-    if (!this.options.ownsNew(key)) return { kind: 'notOwner' };
+    if (!this.options.ownsNew(key)) return NOT_OWNER;
     const untimely = this.checkAge(submission);
     if (untimely) return answerOf(untimely);
     const provenance = await this.resolve(key, Number(submission.createdMs));
     const meanwhile = this.records.get(key);
     if (meanwhile) return this.join(meanwhile, submission);
-    if (!this.options.ownsNew(key)) return { kind: 'notOwner' };
+    if (!this.options.ownsNew(key)) return NOT_OWNER;
     return this.acceptFrom(provenance, key, submission);
   }
 
@@ -167,16 +167,16 @@
       return answerOf(refusal(Outcome.CONFLICT, 'this id was submitted before with another body'));
     }
     const answer = await job.wait(submission.waitMs, this.options.timer);
-    return job.abandoned ? { kind: 'notOwner' } : answerOf(answer);
+    return job.abandoned ? { kind: 'notOwner', mayHaveRun: job.anyStarted } : answerOf(answer);
   }
 
   private async holderOf(key: string, submission: Submission): Promise<OwnerReply | undefined> {
-    if (!this.options.ownsNew(key)) return { kind: 'notOwner' };
+    if (!this.options.ownsNew(key)) return NOT_OWNER;
     const created = Number(submission.createdMs) || this.options.timer.wall();
     const provenance = await this.resolve(key, created);
     if (provenance.kind === 'held') return { kind: 'heldBy', incarnation: provenance.incarnation };
     if (provenance.kind === 'unavailable') {
-      return answerOf(refusal(Outcome.NOT_RUN, provenance.reason, RESOLVE_AGAIN_MS));
+      return answerOf(refusal(Outcome.UNKNOWN, provenance.reason, RESOLVE_AGAIN_MS));
     }
     return undefined;
   }
@@ -197,10 +197,13 @@
   ): Promise<OwnerReply> {
     if (provenance.kind === 'held') return { kind: 'heldBy', incarnation: provenance.incarnation };
     if (provenance.kind === 'unavailable') {
-      return answerOf(refusal(Outcome.NOT_RUN, provenance.reason, RESOLVE_AGAIN_MS));
+      return answerOf(refusal(Outcome.UNKNOWN, provenance.reason, RESOLVE_AGAIN_MS));
     }
     const refused = this.refuseUnready(submission);
-    if (refused) return answerOf(refused);
+    if (refused && provenance.kind === 'fresh') return answerOf(refused);
+    if (refused) {
+      return answerOf(refusal(Outcome.UNKNOWN, refused.reason, refused.retryAfterMs));
+    }
     if (provenance.kind === 'fresh') return this.join(this.accept(key, submission, []), submission);
     const { digest, tasks, doubt } = provenance;
     if (digest !== undefined && digest !== submission.digest) {
@@ -331,6 +334,8 @@
   }
 }
 
+const NOT_OWNER: OwnerReply = { kind: 'notOwner', mayHaveRun: false };
+
 /** The kind of a single request, as opposed to a job. */
 const REQUEST_KIND = 'request';
 
--- /dev/null
+++ b/src/entry/ManifestView.ts
@@ -0,0 +1,59 @@
+import type Versioned from '../core/Versioned';
+import type { Configuration } from '../gen/magnoliakeel/v1/peer_pb';
+import type Manifest from '../settings/Manifest';
+import type ServiceConfig from '../settings/ServiceConfig';
+
+/** The manifest in force, with the look-ups that the parts of an entry make. */
+export default class ManifestView {
+  private manifest: Manifest | undefined;
+
+  private readonly services = new Map<string, ServiceConfig>();
+
+  private constructor() {}
+
+  /** Follows the configurations that a process adopts. */
+  static follow(configurations: Versioned<Configuration>): ManifestView {
+    const view = new ManifestView();
+    if (configurations.number > 0n) view.read(configurations.current);
+    configurations.subscribe((configuration) => view.read(configuration));
+    return view;
+  }
+
+  /** The manifest; undefined before the first configuration. */
+  get current(): Manifest | undefined {
+    return this.manifest;
+  }
+
+  /**
+   * A service's configuration. One that has been removed from the manifest
+   * stays known as it last was, so that its work in flight can finish.
+   */
+  service(name: string): ServiceConfig | undefined {
+    return this.services.get(name);
+  }
+
+  /** Whether the manifest in force has the service. */
+  offers(name: string): boolean {
+    return this.manifest?.services.some((service) => service.name === name) ?? false;
+  }
+
+  /** A team's weight in queues. */
+  shareOf(team: string): number {
+    return this.manifest?.teams.find(({ name }) => name === team)?.share ?? 1;
+  }
+
+  /** How many tasks of a team may run at once; undefined for no limit. */
+  maxRunningOf(team: string): number | undefined {
+    return this.manifest?.teams.find(({ name }) => name === team)?.maxRunning;
+  }
+
+  /** The longest retention of all services, in milliseconds. */
+  get longestRetentionMs(): number {
+    return Math.max(0, ...[...this.services.values()].map(({ retentionMs }) => retentionMs));
+  }
+
+  private read(configuration: Configuration): void {
+    this.manifest = JSON.parse(configuration.manifest) as Manifest;
+    this.manifest.services.forEach((service) => this.services.set(service.name, service));
+  }
+}
--- a/src/entry/OwnerReply.ts
+++ b/src/entry/OwnerReply.ts
@@ -6,7 +6,7 @@
  */
 type OwnerReply =
   | { readonly kind: 'answer'; readonly answer: Answer }
-  | { readonly kind: 'notOwner' }
+  | { readonly kind: 'notOwner'; readonly mayHaveRun: boolean }
   | { readonly kind: 'heldBy'; readonly incarnation: string };
 
 export type { OwnerReply as default };
--- a/src/entry/Router.ts
+++ b/src/entry/Router.ts
@@ -39,12 +39,12 @@
     while (!gone.aborted) {
       const waitMs = Math.max(0, submission.waitMs - (timer.now() - begun));
       const attempt = await this.tryOwner({ ...submission, waitMs: Math.ceil(waitMs) }, gone);
-      if (attempt.answer) return attempt.answer;
+      if (attempt.answer) return sent ? withoutProof(attempt.answer) : attempt.answer;
       sent ||= attempt.sent;
       if (timer.now() - begun >= patience) break;
       await this.options.viewOrDelay(RETRY_MS);
     }
-    return giveUp(sent);
+    return giveUp();
   }
 
   /** Acts on a submission that another entry forwarded. */
@@ -52,13 +52,14 @@
     const reply = await this.jobs.handle(submission);
     if (reply.kind === 'notOwner') {
       const value = this.options.views.current;
-      return create(ForwardResponseSchema, { result: { case: 'notOwner', value } });
+      const { mayHaveRun } = reply;
+      return create(ForwardResponseSchema, { result: { case: 'notOwner', value }, mayHaveRun });
     }
     const value =
       reply.kind === 'answer'
         ? reply.answer
         : ((await this.passOn(submission, this.memberOf(reply.incarnation), gone)).answer ??
-          giveUp(true));
+          giveUp());
     return create(ForwardResponseSchema, { result: { case: 'answer', value } });
   }
 
@@ -68,7 +69,7 @@
     if (owner.incarnation !== this.options.self) return this.passOn(submission, owner, gone);
     const reply = await this.jobs.handle(submission);
     if (reply.kind === 'answer') return { answer: reply.answer, sent: false };
-    if (reply.kind === 'notOwner') return NOT_SENT;
+    if (reply.kind === 'notOwner') return { sent: reply.mayHaveRun };
     return this.passOn(submission, this.memberOf(reply.incarnation), gone);
   }
 
@@ -87,7 +88,7 @@
     const { result } = reply.value;
     if (result.case === 'answer') return { answer: result.value, sent: true };
     if (result.case === 'notOwner') views.adopt(result.value);
-    return NOT_SENT;
+    return { sent: reply.value.mayHaveRun };
   }
 
   private ownerOf({ service, kind, id }: Submission): Member | undefined {
@@ -114,12 +115,20 @@
 /** How long to wait for a newer view before the next try. */
 const RETRY_MS = 250;
 
-function giveUp(sent: boolean): Answer {
+/**
+ * An earlier try may have been taken up, so a later "not run" proves nothing
+ * about the job as a whole.
+ */
+function withoutProof(answer: Answer): Answer {
+  if (answer.outcome !== Outcome.NOT_RUN) return answer;
+  return { ...answer, outcome: Outcome.UNKNOWN };
+}
+
+/** Without the owner nobody can say whether an earlier submission of the id was run. */
+function giveUp(): Answer {
   return create(AnswerSchema, {
-    outcome: sent ? Outcome.UNKNOWN : Outcome.NOT_RUN,
-    reason: sent
-      ? 'the owner of this id was lost while it had the submission; submit it again to continue it'
-      : 'the owner of this id can not be reached',
+    outcome: Outcome.UNKNOWN,
+    reason: 'the owner of this id can not be reached; submit it again to run or continue it',
     retryAfterMs: COME_BACK_MS,
   });
 }
--- a/src/entry/SidecarLinks.ts
+++ b/src/entry/SidecarLinks.ts
@@ -49,6 +49,18 @@
     return this.peers.get(incarnation)?.link !== undefined;
   }
 
+  /** The sidecar with an open link, if it has one. */
+  linkedPeer(incarnation: string): SidecarPeer | undefined {
+    const peer = this.peers.get(incarnation);
+    return peer?.link ? peer : undefined;
+  }
+
+  /** Ends all links. */
+  close(): void {
+    this.absences.forEach((absence) => absence.cancel());
+    this.peers.forEach((peer) => peer.link?.close());
+  }
+
   /** Sends a message to every linked sidecar. */
   broadcast(message: PeerMessage): void {
     this.peers.forEach((peer) => peer.link?.send(message));
@@ -71,8 +83,8 @@
   /** Serves a sidecar's link until it ends. */
   async serve(link: Link): Promise<void> {
     const peer = this.open(link);
-    const keepAlive = KeepAlive.start(link, this.options.keepAlive, {
-      heartbeat: this.options.heartbeat,
+    const keepAlive = KeepAlive.start(link, this.options.timer, this.options.keepAlive, {
+      heartbeat: () => ({ case: 'heartbeat', value: this.options.heartbeat() }),
       suspected: (suspected) => {
         peer.suspected = suspected;
       },
@@ -81,7 +93,7 @@
       if (peer.link !== link) break;
       this.receive(peer, message);
     }
-    keepAlive.cancel();
+    keepAlive.stop();
     this.end(peer, link);
   }
 
@@ -98,7 +110,7 @@
     if (older) this.dispatcher.linkEnded(peer);
     this.options.greet(link);
     this.dispatcher.linkOpened(peer);
-    this.options.seen(peer, false);
+    this.options.linked(peer);
     return peer;
   }
 
@@ -130,7 +142,7 @@
     this.peers.delete(peer.incarnation);
     this.dispatcher.sidecarLost(peer.incarnation);
     this.recovery.fences.drop(peer.incarnation);
-    this.options.seen(peer, true);
+    this.options.ended(peer);
   }
 
   private failAdoptions(incarnation: string): void {
--- a/src/entry/SidecarLinksOptions.ts
+++ b/src/entry/SidecarLinksOptions.ts
@@ -1,7 +1,7 @@
 import type TimerService from '../core/TimerService';
 import type SidecarPeer from '../dispatch/SidecarPeer';
 import type { Heartbeat } from '../gen/magnoliakeel/v1/peer_pb';
-import type KeepAliveOptions from '../link/KeepAliveOptions';
+import type KeepAliveLimits from '../link/KeepAliveLimits';
 import type Link from '../link/Link';
 import type PeerMessage from '../link/PeerMessage';
 
@@ -12,12 +12,14 @@
   readonly viewNumber: () => bigint;
   /** How long a sidecar may stay away before it counts as lost. */
   readonly witnessMs: number;
-  readonly keepAlive: KeepAliveOptions;
+  readonly keepAlive: KeepAliveLimits;
   readonly heartbeat: () => Heartbeat;
   /** Sends what a newly linked process has to know. */
   readonly greet: (link: Link) => void;
-  /** Told when a sidecar has linked, and when it has ended. */
-  readonly seen: (peer: SidecarPeer, ended: boolean) => void;
+  /** Told when a sidecar has linked. */
+  readonly linked: (peer: SidecarPeer) => void;
+  /** Told when a sidecar has ended and its tasks are settled. */
+  readonly ended: (peer: SidecarPeer) => void;
   /** Told of each message, for counting. */
   readonly received: (kind: PeerMessage['case']) => void;
 }
--- /dev/null
+++ b/src/entry/Sightings.ts
@@ -0,0 +1,79 @@
+import { create } from '@bufbuild/protobuf';
+import type SidecarPeer from '../dispatch/SidecarPeer';
+import {
+  type RosterItem,
+  RosterSchema,
+  type Settlement,
+  SettlementSchema,
+} from '../gen/magnoliakeel/v1/peer_pb';
+import type PeerMessage from '../link/PeerMessage';
+import type SightingsOptions from './SightingsOptions';
+
+/**
+ * Tells the other entries which sidecars this one sees come and go, and that
+ * it has settled the loss of a sidecar, so that its successor can rely on it.
+ */
+export default class Sightings {
+  private constructor(private readonly options: SightingsOptions) {}
+
+  /** Creates the sightings of an entry. */
+  static create(options: SightingsOptions): Sightings {
+    return new Sightings(options);
+  }
+
+  /** Notes that a sidecar has linked. */
+  linked(peer: SidecarPeer): void {
+    this.sight(peer, false);
+    const { recovery, self } = this.options;
+    if (recovery.settlements.has(peer.incarnation, self)) this.settle(peer.incarnation, [], true);
+  }
+
+  /** Notes that a sidecar has ended, once all its tasks here are settled. */
+  ended(peer: SidecarPeer): void {
+    this.settle(peer.incarnation, this.options.keysOn(peer.incarnation), false);
+    this.sight(peer, true);
+  }
+
+  /** Contradicts items that call a sidecar ended which is linked here. */
+  correct(news: readonly RosterItem[]): void {
+    const { linkedPeer } = this.options;
+    news
+      .filter((item) => item.ended)
+      .map((item) => linkedPeer(item.incarnation))
+      .forEach((peer) => peer && this.sight(peer, false));
+  }
+
+  /** What a newly linked entry has to know. */
+  everything(): PeerMessage[] {
+    const { recovery } = this.options;
+    const roster = create(RosterSchema, { items: recovery.roster.all() });
+    const settlements = recovery.settlements
+      .all()
+      .map((value): PeerMessage => ({ case: 'settlement', value }));
+    return [...settlements, { case: 'roster', value: roster }];
+  }
+
+  private sight({ incarnation, instance, services }: SidecarPeer, ended: boolean): void {
+    const { recovery, timer, broadcast } = this.options;
+    const sighting = { incarnation, instance, services: [...services], ended };
+    const item = recovery.roster.sighted(sighting, timer.wall());
+    recovery.fences.changed();
+    broadcast({ case: 'roster', value: create(RosterSchema, { items: [item] }) });
+  }
+
+  private settle(sidecar: string, jobs: string[], revoked: boolean): void {
+    const { recovery, timer, self, broadcast } = this.options;
+    const known = recovery.settlements.atMs(sidecar, self) ?? 0n;
+    const wall = BigInt(timer.wall());
+    const atMs = wall > known ? wall : known + 1n;
+    const value: Settlement = create(SettlementSchema, {
+      sidecar,
+      owner: self,
+      jobs,
+      atMs,
+      revoked,
+    });
+    recovery.settled(value);
+    broadcast({ case: 'settlement', value });
+  }
+}
--- /dev/null
+++ b/src/entry/handOver.ts
@@ -0,0 +1,35 @@
+import { create } from '@bufbuild/protobuf';
+import ownerOf from '../core/ownerOf';
+import { HandoverRequestSchema, type JobRecord, type View } from '../gen/magnoliakeel/v1/peer_pb';
+import type Network from '../link/Network';
+
+/** Gives the records of a leaving entry to the entries that own their jobs next. */
+export default async function handOver(
+  records: readonly JobRecord[],
+  view: View,
+  network: Pick<Network, 'handover'>,
+): Promise<void> {
+  const owners = view.members.filter(({ leaving }) => !leaving);
+  const names = owners.map(({ incarnation }) => incarnation);
+  const byOwner = new Map<string, JobRecord[]>();
+  records.forEach((record) => {
+    const owner = ownerOf(record.job, names);
+    if (owner === undefined) return;
+    byOwner.set(owner, [...(byOwner.get(owner) ?? []), record]);
+  });
+  const given = owners.flatMap(({ incarnation, address }) =>
+    batches(byOwner.get(incarnation) ?? []).map((batch) =>
+      network.handover(address, create(HandoverRequestSchema, { view, records: batch })),
+    ),
+  );
+  await Promise.all(given);
+}
+
+const BATCH_RECORDS = 200;
+
+function batches(records: readonly JobRecord[]): JobRecord[][] {
+  const count = Math.ceil(records.length / BATCH_RECORDS);
+  return Array.from({ length: count }, (_, at) =>
+    records.slice(at * BATCH_RECORDS, (at + 1) * BATCH_RECORDS),
+  );
+}
--- /dev/null
+++ b/src/entry/inspectEntry.ts
@@ -0,0 +1,47 @@
+import { create } from '@bufbuild/protobuf';
+import {
+  type InspectResponse,
+  InspectResponseSchema,
+  Role,
+  SidecarStatusSchema,
+  TaskPlaceSchema,
+} from '../gen/magnoliakeel/v1/peer_pb';
+import type Entry from './Entry';
+import type EntryOptions from './EntryOptions';
+
+/** Describes an entry for operators, with one job's record where a key is given. */
+export default function inspectEntry(
+  entry: Entry,
+  { settings, incarnation }: EntryOptions,
+  leaving: boolean,
+  key: string,
+): InspectResponse {
+  const job = key ? entry.jobs.find(key) : undefined;
+  const places = (job?.places ?? []).map((sidecar, index) =>
+    create(TaskPlaceSchema, { index, sidecar: sidecar ?? '' }),
+  );
+  return create(InspectResponseSchema, {
+    instance: settings.instance,
+    incarnation,
+    role: Role.ENTRY,
+    zone: settings.zone,
+    viewNumber: entry.views.number,
+    configurationVersion: entry.configurations.number,
+    leaving,
+    loads: entry.dispatcher.serviceLoads(),
+    sidecars: entry.sidecarLinks.all().map((peer) =>
+      create(SidecarStatusSchema, {
+        instance: peer.instance,
+        incarnation: peer.incarnation,
+        zone: peer.zone,
+        services: [...peer.services],
+        configurationVersion: peer.configurationVersion,
+        leaving: peer.leaving,
+        suspected: peer.suspected || !peer.link,
+      }),
+    ),
+    jobs: entry.jobs.size,
+    job: job?.progress(),
+    places,
+  });
+}
--- a/src/link/KeepAlive.ts
+++ b/src/link/KeepAlive.ts
@@ -1,18 +1,9 @@
 import type Subscription from '../core/Subscription';
 import type TimerService from '../core/TimerService';
+import type KeepAliveLimits from './KeepAliveLimits';
 import type Link from './Link';
 import type PeerMessage from './PeerMessage';
 
-/** How long a link may be silent, in milliseconds. */
-interface Limits {
-  /** After this long without a message of its own, a process sends a heartbeat. */
-  readonly intervalMs: number;
-  /** After this long without a message from the peer, the peer is suspected. */
-  readonly suspectMs: number;
-  /** After this long without a message from the peer, the link is closed. */
-  readonly closeMs: number;
-}
-
 /** What a link's owner adds to the keep-alive. */
 interface Owner {
   /** Makes the next heartbeat. */
@@ -38,12 +29,12 @@
   private constructor(
     private readonly link: Link,
     private readonly timer: TimerService,
-    private readonly limits: Limits,
+    private readonly limits: KeepAliveLimits,
     private readonly owner: Owner,
   ) {}
 
   /** Starts to keep the link alive. */
-  static start(link: Link, timer: TimerService, limits: Limits, owner: Owner): KeepAlive {
+  static start(link: Link, timer: TimerService, limits: KeepAliveLimits, owner: Owner): KeepAlive {
     const keepAlive = new KeepAlive(link, timer, limits, owner);
     if (link.closed.aborted) return keepAlive;
     link.closed.addEventListener('abort', () => keepAlive.stop(), { once: true });
--- a/src/recovery/Settlements.ts
+++ b/src/recovery/Settlements.ts
@@ -16,15 +16,24 @@
   /** Takes a settlement and says whether it was new. */
   add(settlement: Settlement): boolean {
     const loss = lossOf(settlement.sidecar, settlement.owner);
-    if (this.byLoss.has(loss)) return false;
-    this.byLoss.set(loss, settlement);
-    settlement.jobs.forEach((job) => this.jobs.set(job, (this.jobs.get(job) ?? 0) + 1));
+    const known = this.byLoss.get(loss);
+    if (known && known.atMs >= settlement.atMs) return false;
+    const jobs = [...new Set([...(known?.jobs ?? []), ...settlement.jobs])];
+    this.byLoss.set(loss, { ...settlement, jobs });
+    known?.jobs.forEach((job) => this.release(job));
+    jobs.forEach((job) => this.jobs.set(job, (this.jobs.get(job) ?? 0) + 1));
     return true;
   }
 
   /** Whether an owner has settled the loss of a sidecar. */
   has(sidecar: string, owner: string): boolean {
-    return this.byLoss.has(lossOf(sidecar, owner));
+    const settlement = this.byLoss.get(lossOf(sidecar, owner));
+    return settlement !== undefined && !settlement.revoked;
+  }
+
+  /** Wall-clock time of an owner's last word on the loss of a sidecar. */
+  atMs(sidecar: string, owner: string): bigint | undefined {
+    return this.byLoss.get(lossOf(sidecar, owner))?.atMs;
   }
 
   /** Whether a job had tasks on a sidecar that was lost. */
--- a/src/recovery/SidecarRoster.ts
+++ b/src/recovery/SidecarRoster.ts
@@ -1,4 +1,5 @@
-import type { RosterItem } from '../gen/magnoliakeel/v1/peer_pb';
+import { create } from '@bufbuild/protobuf';
+import { type RosterItem, RosterItemSchema } from '../gen/magnoliakeel/v1/peer_pb';
 
 /**
  * Every sidecar incarnation that may have started a task lately, as seen by
@@ -25,6 +26,15 @@
     });
   }
 
+  /** Notes what this entry sees itself, and returns the item to tell others. */
+  sighted(sighting: Omit<RosterItem, '$typeName' | 'seenMs'>, wallMs: number): RosterItem {
+    const known = this.items.get(sighting.incarnation);
+    const seenMs = known && known.seenMs >= wallMs ? known.seenMs + 1n : BigInt(wallMs);
+    const item = create(RosterItemSchema, { ...sighting, seenMs });
+    this.items.set(item.incarnation, item);
+    return item;
+  }
+
   /** All items, for telling another entry. */
   all(): RosterItem[] {
     return [...this.items.values()];
