--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -1,9 +1,8 @@
 import { create } from '@bufbuild/protobuf';
-import { ok, type Result } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
 import CallerServer from '../callers/CallerServer';
 import type CallerSubmission from '../callers/CallerSubmission';
 import ownerOf from '../core/ownerOf';
-import type Subscription from '../core/Subscription';
 import Versioned from '../core/Versioned';
 import Dispatcher from '../dispatch/Dispatcher';
 import {
@@ -127,10 +126,10 @@
       () => this.hello(),
       this.peerHandlers(),
     );
-    if (peers.isErr()) return peers.mapErr(({ reason }) => `${listen.peers}: ${reason}`);
+    if (peers.isErr()) return err(`${listen.peers}: ${peers.error.reason}`);
     this.listener = peers.value;
     const callers = await this.callers.listen(listen.callers);
-    if (callers.isErr()) return callers.mapErr(({ message }) => `${listen.callers}: ${message}`);
+    if (callers.isErr()) return err(`${listen.callers}: ${callers.error.message}`);
     this.addresses = { callers: callers.value, peers: peers.value.address };
     return ok(this.addresses);
   }
--- a/src/recovery/RecoveryOptions.ts
+++ b/src/recovery/RecoveryOptions.ts
@@ -9,8 +9,6 @@
   readonly self: string;
   readonly views: Versioned<View>;
   readonly network: Pick<Network, 'claim'>;
-  /** Whether a sidecar has an open link to this entry. */
-  readonly isLinked: (sidecar: string) => boolean;
   /** Has a sidecar report a job to this entry from now on; undefined when it can't be asked. */
   readonly adopt: (sidecar: string, job: string) => Promise<HeldJob | undefined>;
   /** How long a sidecar may stay away before its evidence counts as lost. */
