--- /dev/null
+++ b/src/core/exitCodes.ts
@@ -0,0 +1,14 @@
+/** Exit codes of the programs, by what they mean. Pipelines rely on them; the numbers never change. */
+const exitCodes = {
+  ok: 0,
+  internal: 1,
+  usage: 2,
+  badFile: 3,
+  cannotListen: 4,
+  conflict: 5,
+  unreachable: 6,
+  timedOut: 7,
+  notFound: 8,
+} as const;
+
+export default exitCodes;
--- /dev/null
+++ b/src/ctl/Command.ts
@@ -0,0 +1,13 @@
+import type ExitCode from '../core/ExitCode';
+import type Terminal from '../core/Terminal';
+import type CommandInput from './CommandInput';
+import type CommandOption from './CommandOption';
+
+/** One command of the command-line tool. */
+export default interface Command {
+  /** Arguments as the help shows them: `<file>` is required, `[file]` is not. */
+  readonly args: string;
+  readonly description: string;
+  readonly options: readonly CommandOption[];
+  run(input: CommandInput, terminal: Terminal): Promise<ExitCode>;
+}
--- /dev/null
+++ b/src/ctl/runCtl.ts
@@ -0,0 +1,62 @@
+import { cac, type CAC } from 'cac';
+import type ExitCode from '../core/ExitCode';
+import exitCodes from '../core/exitCodes';
+import findUsageMistake from '../core/findUsageMistake';
+import nearestWord from '../core/nearestWord';
+import type Terminal from '../core/Terminal';
+import version from '../core/version';
+import commands from './commands';
+
+const NAME = 'magnoliakeelctl';
+
+/**
+ * Runs the command that the command line names.
+ * @param argv the arguments after the program's name
+ */
+export default async function runCtl(
+  argv: readonly string[],
+  terminal: Terminal,
+): Promise<ExitCode> {
+  const cli = createCli();
+  const { options } = cli.parse(['node', NAME, ...argv], { run: false });
+  if (options.help || options.version) return exitCodes.ok;
+  const command = commands[cli.matchedCommandName ?? ''];
+  const mistake = command ? findUsageMistake(cli) : describeUnknown(cli.args[0]);
+  if (!command || mistake !== undefined) {
+    terminal.warn(`${NAME}: ${mistake}\nRun \`${NAME} --help\` for its use.`);
+    return exitCodes.usage;
+  }
+  const args = cli.args.map(String);
+  return command.run({ args, options, json: options.json === true }, terminal);
+}
+
+const HELP_EXIT_CODES = [
+  `  ${exitCodes.ok}  done`,
+  `  ${exitCodes.internal}  internal error`,
+  `  ${exitCodes.usage}  wrong command line`,
+  `  ${exitCodes.badFile}  a file cannot be read or has mistakes`,
+  `  ${exitCodes.conflict}  someone else changed the same thing meanwhile`,
+  `  ${exitCodes.unreachable}  no process or store could be reached`,
+  `  ${exitCodes.timedOut}  not done within the time allowed`,
+  `  ${exitCodes.notFound}  what was asked for does not exist`,
+].join('\n');
+
+function createCli(): CAC {
+  const cli = cac(NAME).option('--json', 'Print the result as JSON').version(version);
+  for (const [name, { args, description, options }] of Object.entries(commands)) {
+    const command = cli.command(`${name} ${args}`.trim(), description);
+    for (const option of options) {
+      command.option(option.flags, option.description, { default: option.default });
+    }
+  }
+  return cli.help((sections) => [...sections, { title: 'Exit codes', body: HELP_EXIT_CODES }]);
+}
+
+function describeUnknown(name: string | undefined): string {
+  const known = Object.keys(commands);
+  if (name === undefined) return `a command is missing, one of ${known.join(', ')}`;
+  const near = nearestWord(String(name), known);
+  const hint =
+    near === undefined ? `, expected one of ${known.join(', ')}` : `, did you mean "${near}"?`;
+  return `unknown command "${name}"${hint}`;
+}
--- /dev/null
+++ b/src/daemon/RunRole.ts
@@ -0,0 +1,5 @@
+import type ExitCode from '../core/ExitCode';
+
+/** Runs a process in one role until the signal is aborted and everything in flight is finished. */
+type RunRole<RoleSettings> = (settings: RoleSettings, signal: AbortSignal) => Promise<ExitCode>;
+export type { RunRole as default };
--- /dev/null
+++ b/src/daemon/runDaemon.ts
@@ -0,0 +1,76 @@
+import { cac, type CAC } from 'cac';
+import type ExitCode from '../core/ExitCode';
+import exitCodes from '../core/exitCodes';
+import findUsageMistake from '../core/findUsageMistake';
+import type Terminal from '../core/Terminal';
+import version from '../core/version';
+import formatFinding from '../settings/formatFinding';
+import loadSettings from '../settings/loadSettings';
+import readText from '../settings/readText';
+import type Settings from '../settings/Settings';
+import roles from './roles';
+import type RunRole from './RunRole';
+
+const NAME = 'magnoliakeeld';
+
+/**
+ * Runs the daemon as its command line says. Aborting the signal stops it in good order.
+ * @param argv the arguments after the program's name
+ */
+export default async function runDaemon(
+  argv: readonly string[],
+  terminal: Terminal,
+  signal: AbortSignal,
+): Promise<ExitCode> {
+  const cli = createCli();
+  const { options } = cli.parse(['node', NAME, ...argv], { run: false });
+  if (options.help || options.version) return exitCodes.ok;
+  const mistake = findUsageMistake(cli) ?? findMissingConfig(options);
+  if (mistake !== undefined) {
+    terminal.warn(`${NAME}: ${mistake}\nRun \`${NAME} --help\` for its use.`);
+    return exitCodes.usage;
+  }
+  const file = String(options.config);
+  const loaded = await readText(file).andThen((text) => loadSettings(text, file));
+  if (loaded.isErr()) {
+    loaded.error.forEach((finding) => terminal.warn(formatFinding(finding)));
+    return exitCodes.badFile;
+  }
+  if (options.check) {
+    terminal.print(`${file}: settings of role ${loaded.value.role}, no mistakes found`);
+    return exitCodes.ok;
+  }
+  return startRole(loaded.value, terminal, signal);
+}
+
+const HELP_EXIT_CODES = [
+  `  ${exitCodes.ok}  stopped as asked, or --check found no mistakes`,
+  `  ${exitCodes.internal}  internal error`,
+  `  ${exitCodes.usage}  wrong command line`,
+  `  ${exitCodes.badFile}  the settings cannot be read or have mistakes`,
+  `  ${exitCodes.cannotListen}  an address cannot be listened on`,
+].join('\n');
+
+function createCli(): CAC {
+  const cli = cac(NAME)
+    .usage('--config <file> [--check]')
+    .option('--config <file>', 'Settings of this process, in YAML')
+    .option('--check', 'Check the settings, print what is wrong and exit')
+    .version(version);
+  return cli.help((sections) => [...sections, { title: 'Exit codes', body: HELP_EXIT_CODES }]);
+}
+
+function findMissingConfig(options: Readonly<Record<string, unknown>>): string | undefined {
+  return options.config === undefined ? 'the option --config is missing' : undefined;
+}
+
+async function startRole(
+  settings: Settings,
+  terminal: Terminal,
+  signal: AbortSignal,
+): Promise<ExitCode> {
+  const run = roles[settings.role] as RunRole<Settings> | undefined;
+  if (run) return run(settings, signal);
+  terminal.warn(`${NAME}: this build cannot run the role ${settings.role}`);
+  return exitCodes.internal;
+}
--- /dev/null
+++ b/src/observe/JsonReporter.ts
@@ -0,0 +1,30 @@
+import type { ConsolaReporter, LogObject } from 'consola';
+
+/** Writes each log line as one JSON object: time, level, message and the line's own fields. */
+export default class JsonReporter implements ConsolaReporter {
+  private constructor(private readonly stream: NodeJS.WritableStream) {}
+
+  static to(stream: NodeJS.WritableStream): JsonReporter {
+    return new JsonReporter(stream);
+  }
+
+  log(line: LogObject): void {
+    const texts = line.args.filter((arg) => !isFields(arg)).map(textOf);
+    const fields = Object.assign({}, ...line.args.filter(isFields));
+    const head = { time: line.date.toISOString(), level: line.type, message: texts.join(' ') };
+    this.stream.write(`${JSON.stringify({ ...fields, ...head }, encode)}\n`);
+  }
+}
+
+function isFields(arg: unknown): boolean {
+  return typeof arg === 'object' && arg !== null && !(arg instanceof Error);
+}
+
+function textOf(arg: unknown): string {
+  return arg instanceof Error ? (arg.stack ?? arg.message) : String(arg);
+}
+
+function encode(_key: string, value: unknown): unknown {
+  if (typeof value === 'bigint') return value.toString();
+  return value instanceof Error ? value.message : value;
+}
--- /dev/null
+++ b/test/observe/createLogger.test.ts
@@ -0,0 +1,44 @@
+import { PassThrough } from 'node:stream';
+import { expect, test } from 'vitest';
+import createLogger from '../../src/observe/createLogger';
+
+type Logger = ReturnType<typeof createLogger>;
+
+function logged(write: (logger: Logger) => void): readonly unknown[] {
+  const stream = new PassThrough({ encoding: 'utf8' });
+  write(createLogger('info', stream));
+  const lines = String(stream.read() ?? '').split('\n');
+  return lines.filter(Boolean).map((line) => ({ ...JSON.parse(line), time: 'now' }));
+}
+
+test('a line away from a terminal is a JSON object with its fields', () => {
+  const lines = logged((logger) => {
+    logger.info('link opened', { peer: 'e2', session: 3n });
+    logger.warn('store unavailable', { cause: new Error('refused') });
+  });
+  expect(lines).toMatchInlineSnapshot(`
+    [
+      {
+        "level": "info",
+        "message": "link opened",
+        "peer": "e2",
+        "session": "3",
+        "time": "now",
+      },
+      {
+        "cause": "refused",
+        "level": "warn",
+        "message": "store unavailable",
+        "time": "now",
+      },
+    ]
+  `);
+});
+
+test('lines below the level are left out and repeated lines are all kept', () => {
+  const lines = logged((logger) => {
+    logger.debug('hidden');
+    for (let i = 0; i < 12; i += 1) logger.error('again');
+  });
+  expect(lines).toHaveLength(12);
+});
