--- a/src/core/exitCodes.ts
+++ b/src/core/exitCodes.ts
@@ -9,6 +9,7 @@
   unreachable: 6,
   timedOut: 7,
   notFound: 8,
+  removed: 9,
 } as const;
 
 export default exitCodes;
--- a/src/daemon/roles.ts
+++ b/src/daemon/roles.ts
@@ -1,6 +1,8 @@
 import type EntrySettings from '../settings/EntrySettings';
 import type SidecarSettings from '../settings/SidecarSettings';
+import runEntry from './runEntry';
 import type RunRole from './RunRole';
+import runSidecar from './runSidecar';
 
 /** What runs each role. */
 interface Roles {
@@ -9,6 +11,6 @@
 }
 
 /** The roles that this build can run, by the name that the settings give. */
-const roles: Roles = {};
+const roles: Roles = { entry: runEntry, sidecar: runSidecar };
 
 export default roles;
--- a/src/daemon/runDaemon.ts
+++ b/src/daemon/runDaemon.ts
@@ -49,6 +49,7 @@
   `  ${exitCodes.usage}  wrong command line`,
   `  ${exitCodes.badFile}  the settings cannot be read or have mistakes`,
   `  ${exitCodes.cannotListen}  an address cannot be listened on`,
+  `  ${exitCodes.removed}  the other entries removed this one, as after a long pause; start it again`,
 ].join('\n');
 
 function createCli(): CAC {
--- /dev/null
+++ b/src/daemon/runSidecar.ts
@@ -0,0 +1,51 @@
+import type ExitCode from '../core/ExitCode';
+import exitCodes from '../core/exitCodes';
+import Random from '../core/Random';
+import SystemTimer from '../core/SystemTimer';
+import ConnectNetwork from '../link/ConnectNetwork';
+import createLogger from '../observe/createLogger';
+import type SidecarSettings from '../settings/SidecarSettings';
+import BackendDesk from '../sidecar/BackendDesk';
+import Sidecar from '../sidecar/Sidecar';
+import SidecarCounters from '../sidecar/SidecarCounters';
+import UndiciBackendClient from '../sidecar/UndiciBackendClient';
+import newIncarnation from './newIncarnation';
+import randomSeed from './randomSeed';
+
+/** Runs this process as a sidecar. */
+export default async function runSidecar(
+  settings: SidecarSettings,
+  signal: AbortSignal,
+): Promise<ExitCode> {
+  const { cluster, instance, zone, entries, links, heartbeat } = settings;
+  const log = createLogger(settings.log.level);
+  const timer = SystemTimer.create();
+  const sidecar = Sidecar.create({
+    ...{ timer, cluster, instance, zone, entries, links, heartbeat },
+    random: Random.fromSeed(randomSeed()),
+    network: ConnectNetwork.create(timer),
+    client: UndiciBackendClient.create(),
+    counters: SidecarCounters.create(),
+    incarnation: newIncarnation(instance),
+    ledgerBytes: settings.ledger.bytes,
+    skewMs: settings.ledger.clockSkewMs,
+    renewMs: settings.backend.renewMs,
+    drainMs: settings.stop.drainMs,
+    log: (line) => log.info(line),
+  });
+  const desk = BackendDesk.create({
+    announce: (backend) => sidecar.announce(backend),
+    withdraw: () => sidecar.withdrawBackend(),
+  });
+  try {
+    const address = await desk.listen(settings.listen.backend);
+    log.info(`sidecar ${instance} listens for its backend server on ${address}`);
+  } catch (error) {
+    log.error(`cannot listen: ${settings.listen.backend}: ${(error as Error).message}`);
+    return exitCodes.cannotListen;
+  }
+  await sidecar.run(signal);
+  await desk.close();
+  log.info(`sidecar ${instance} has stopped`);
+  return exitCodes.ok;
+}
--- a/src/gen/settingsSchema.ts
+++ b/src/gen/settingsSchema.ts
@@ -398,6 +398,14 @@
             "description": "Memory for the ledger. When it is used up, starts are refused.",
             "minimum": 1,
             "default": 67108864
+          },
+          "clockSkewMs": {
+            "title": "a number of milliseconds",
+            "type": "integer",
+            "description": "Largest difference of wall clocks assumed between callers and sidecars.",
+            "minimum": 1,
+            "maximum": 86400000,
+            "default": 30000
           }
         },
         "default": {}
--- a/src/gen/validateSidecarSettings.ts
+++ b/src/gen/validateSidecarSettings.ts
@@ -5,7 +5,7 @@
 
 
 export default validate20 as unknown as ValidateFunction;
-const schema31 = {"type":"object","description":"Settings of a sidecar: it runs beside one backend server and starts tasks on it.","additionalProperties":false,"properties":{"role":{"const":"sidecar","description":"Role of the process."},"cluster":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Name of the cluster. Processes of different clusters refuse to link.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"instance":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Name of this instance, unique within the cluster and role.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"zone":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Availability zone that this instance runs in.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"listen":{"type":"object","description":"Addresses this process listens on. Port 0 takes any free port.","additionalProperties":false,"properties":{"backend":{"title":"an address \"ip:port\"","type":"string","description":"Address at which the backend server announces itself. A loopback address, as a rule.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"operators":{"title":"an address \"ip:port\"","type":"string","description":"Address for health, readiness and metrics.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"}},"required":["backend","operators"]},"entries":{"type":"array","title":"a list of at least one address","description":"Addresses of entries to link to first. The others are learnt from them.","items":{"title":"an address \"ip:port\"","type":"string","description":"Peer address of an entry.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"minItems":1},"links":{"type":"integer","description":"Largest number of entries to keep links to.","minimum":1,"maximum":1024,"default":16},"ledger":{"type":"object","description":"The record of started tasks and their results.","additionalProperties":false,"properties":{"bytes":{"title":"a number of bytes","type":"integer","description":"Memory for the ledger. When it is used up, starts are refused.","minimum":1,"default":67108864}},"default":{}},"backend":{"type":"object","description":"The backend server beside this process.","additionalProperties":false,"properties":{"renewMs":{"title":"a number of milliseconds","type":"integer","description":"Lifetime of an announcement. The backend server renews it within this time.","minimum":1,"maximum":86400000,"default":3000}},"default":{}},"heartbeat":{"type":"object","description":"Heartbeats on the links to other processes.","additionalProperties":false,"properties":{"intervalMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which a heartbeat is sent.","minimum":1,"maximum":86400000,"default":1000},"suspectMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which the other process is suspected: it gets no new work.","minimum":1,"maximum":86400000,"default":3000},"closeMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which the link is closed.","minimum":1,"maximum":86400000,"default":10000}},"default":{}},"log":{"type":"object","description":"What is logged.","additionalProperties":false,"properties":{"level":{"title":"a log level","enum":["error","warn","info","debug"],"description":"Least severe level that is logged.","default":"info"}},"default":{}},"traces":{"type":"object","description":"Where spans of traced requests go.","additionalProperties":false,"properties":{"sample":{"title":"a share","type":"number","description":"Share of the requests that are traced although their caller did not ask for it.","minimum":0,"maximum":1,"default":0},"otlp":{"title":"an http or https URL, or \"\"","type":"string","description":"URL that takes spans as OTLP over HTTP; empty for none.","pattern":"^(https?://\\S+)?$","default":""},"output":{"title":"a trace output","enum":["","stdout"],"description":"Where spans are printed as JSON lines; empty for nowhere.","default":""}},"default":{}},"stop":{"type":"object","description":"How the process stops on SIGTERM or SIGINT.","additionalProperties":false,"properties":{"drainMs":{"title":"a number of milliseconds","type":"integer","description":"Longest time for finishing what is in flight before the process exits.","minimum":1,"maximum":86400000,"default":30000}},"default":{}}},"required":["role","cluster","instance","zone","listen","entries"]};
+const schema31 = {"type":"object","description":"Settings of a sidecar: it runs beside one backend server and starts tasks on it.","additionalProperties":false,"properties":{"role":{"const":"sidecar","description":"Role of the process."},"cluster":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Name of the cluster. Processes of different clusters refuse to link.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"instance":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Name of this instance, unique within the cluster and role.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"zone":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Availability zone that this instance runs in.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"listen":{"type":"object","description":"Addresses this process listens on. Port 0 takes any free port.","additionalProperties":false,"properties":{"backend":{"title":"an address \"ip:port\"","type":"string","description":"Address at which the backend server announces itself. A loopback address, as a rule.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"operators":{"title":"an address \"ip:port\"","type":"string","description":"Address for health, readiness and metrics.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"}},"required":["backend","operators"]},"entries":{"type":"array","title":"a list of at least one address","description":"Addresses of entries to link to first. The others are learnt from them.","items":{"title":"an address \"ip:port\"","type":"string","description":"Peer address of an entry.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"minItems":1},"links":{"type":"integer","description":"Largest number of entries to keep links to.","minimum":1,"maximum":1024,"default":16},"ledger":{"type":"object","description":"The record of started tasks and their results.","additionalProperties":false,"properties":{"bytes":{"title":"a number of bytes","type":"integer","description":"Memory for the ledger. When it is used up, starts are refused.","minimum":1,"default":67108864},"clockSkewMs":{"title":"a number of milliseconds","type":"integer","description":"Largest difference of wall clocks assumed between callers and sidecars.","minimum":1,"maximum":86400000,"default":30000}},"default":{}},"backend":{"type":"object","description":"The backend server beside this process.","additionalProperties":false,"properties":{"renewMs":{"title":"a number of milliseconds","type":"integer","description":"Lifetime of an announcement. The backend server renews it within this time.","minimum":1,"maximum":86400000,"default":3000}},"default":{}},"heartbeat":{"type":"object","description":"Heartbeats on the links to other processes.","additionalProperties":false,"properties":{"intervalMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which a heartbeat is sent.","minimum":1,"maximum":86400000,"default":1000},"suspectMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which the other process is suspected: it gets no new work.","minimum":1,"maximum":86400000,"default":3000},"closeMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which the link is closed.","minimum":1,"maximum":86400000,"default":10000}},"default":{}},"log":{"type":"object","description":"What is logged.","additionalProperties":false,"properties":{"level":{"title":"a log level","enum":["error","warn","info","debug"],"description":"Least severe level that is logged.","default":"info"}},"default":{}},"traces":{"type":"object","description":"Where spans of traced requests go.","additionalProperties":false,"properties":{"sample":{"title":"a share","type":"number","description":"Share of the requests that are traced although their caller did not ask for it.","minimum":0,"maximum":1,"default":0},"otlp":{"title":"an http or https URL, or \"\"","type":"string","description":"URL that takes spans as OTLP over HTTP; empty for none.","pattern":"^(https?://\\S+)?$","default":""},"output":{"title":"a trace output","enum":["","stdout"],"description":"Where spans are printed as JSON lines; empty for nowhere.","default":""}},"default":{}},"stop":{"type":"object","description":"How the process stops on SIGTERM or SIGINT.","additionalProperties":false,"properties":{"drainMs":{"title":"a number of milliseconds","type":"integer","description":"Longest time for finishing what is in flight before the process exits.","minimum":1,"maximum":86400000,"default":30000}},"default":{}}},"required":["role","cluster","instance","zone","listen","entries"]};
 const func1 = Object.prototype.hasOwnProperty;
 const pattern4 = new RegExp("^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$", "u");
 const pattern7 = new RegExp("^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$", "u");
@@ -389,8 +389,11 @@
 if(data10.bytes === undefined){
 data10.bytes = 67108864;
 }
+if(data10.clockSkewMs === undefined){
+data10.clockSkewMs = 30000;
+}
 for(const key2 in data10){
-if(!(key2 === "bytes")){
+if(!((key2 === "bytes") || (key2 === "clockSkewMs"))){
 const err29 = {instancePath:instancePath+"/ledger",schemaPath:"#/properties/ledger/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key2},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.ledger,data:data10};
 if(vErrors === null){
 vErrors = [err29];
@@ -424,9 +427,9 @@
 errors++;
 }
 }
-}
-else {
-const err32 = {instancePath:instancePath+"/ledger",schemaPath:"#/properties/ledger/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.ledger.type,parentSchema:schema31.properties.ledger,data:data10};
+let data12 = data10.clockSkewMs;
+if(!(((typeof data12 == "number") && (!(data12 % 1) && !isNaN(data12))) && (isFinite(data12)))){
+const err32 = {instancePath:instancePath+"/ledger/clockSkewMs",schemaPath:"#/properties/ledger/properties/clockSkewMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.ledger.properties.clockSkewMs.type,parentSchema:schema31.properties.ledger.properties.clockSkewMs,data:data12};
 if(vErrors === null){
 vErrors = [err32];
 }
@@ -435,14 +438,9 @@
 }
 errors++;
 }
-let data12 = data.backend;
-if(data12 && typeof data12 == "object" && !Array.isArray(data12)){
-if(data12.renewMs === undefined){
-data12.renewMs = 3000;
-}
-for(const key3 in data12){
-if(!(key3 === "renewMs")){
-const err33 = {instancePath:instancePath+"/backend",schemaPath:"#/properties/backend/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key3},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.backend,data:data12};
+if((typeof data12 == "number") && (isFinite(data12))){
+if(data12 > 86400000 || isNaN(data12)){
+const err33 = {instancePath:instancePath+"/ledger/clockSkewMs",schemaPath:"#/properties/ledger/properties/clockSkewMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.ledger.properties.clockSkewMs,data:data12};
 if(vErrors === null){
 vErrors = [err33];
 }
@@ -451,10 +449,8 @@
 }
 errors++;
 }
-}
-let data13 = data12.renewMs;
-if(!(((typeof data13 == "number") && (!(data13 % 1) && !isNaN(data13))) && (isFinite(data13)))){
-const err34 = {instancePath:instancePath+"/backend/renewMs",schemaPath:"#/properties/backend/properties/renewMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.backend.properties.renewMs.type,parentSchema:schema31.properties.backend.properties.renewMs,data:data13};
+if(data12 < 1 || isNaN(data12)){
+const err34 = {instancePath:instancePath+"/ledger/clockSkewMs",schemaPath:"#/properties/ledger/properties/clockSkewMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.ledger.properties.clockSkewMs,data:data12};
 if(vErrors === null){
 vErrors = [err34];
 }
@@ -463,9 +459,10 @@
 }
 errors++;
 }
-if((typeof data13 == "number") && (isFinite(data13))){
-if(data13 > 86400000 || isNaN(data13)){
-const err35 = {instancePath:instancePath+"/backend/renewMs",schemaPath:"#/properties/backend/properties/renewMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.backend.properties.renewMs,data:data13};
+}
+}
+else {
+const err35 = {instancePath:instancePath+"/ledger",schemaPath:"#/properties/ledger/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.ledger.type,parentSchema:schema31.properties.ledger,data:data10};
 if(vErrors === null){
 vErrors = [err35];
 }
@@ -474,8 +471,14 @@
 }
 errors++;
 }
-if(data13 < 1 || isNaN(data13)){
-const err36 = {instancePath:instancePath+"/backend/renewMs",schemaPath:"#/properties/backend/properties/renewMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.backend.properties.renewMs,data:data13};
+let data13 = data.backend;
+if(data13 && typeof data13 == "object" && !Array.isArray(data13)){
+if(data13.renewMs === undefined){
+data13.renewMs = 3000;
+}
+for(const key3 in data13){
+if(!(key3 === "renewMs")){
+const err36 = {instancePath:instancePath+"/backend",schemaPath:"#/properties/backend/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key3},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.backend,data:data13};
 if(vErrors === null){
 vErrors = [err36];
 }
@@ -485,9 +488,9 @@
 errors++;
 }
 }
-}
-else {
-const err37 = {instancePath:instancePath+"/backend",schemaPath:"#/properties/backend/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.backend.type,parentSchema:schema31.properties.backend,data:data12};
+let data14 = data13.renewMs;
+if(!(((typeof data14 == "number") && (!(data14 % 1) && !isNaN(data14))) && (isFinite(data14)))){
+const err37 = {instancePath:instancePath+"/backend/renewMs",schemaPath:"#/properties/backend/properties/renewMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.backend.properties.renewMs.type,parentSchema:schema31.properties.backend.properties.renewMs,data:data14};
 if(vErrors === null){
 vErrors = [err37];
 }
@@ -496,20 +499,9 @@
 }
 errors++;
 }
-let data14 = data.heartbeat;
-if(data14 && typeof data14 == "object" && !Array.isArray(data14)){
-if(data14.intervalMs === undefined){
-data14.intervalMs = 1000;
-}
-if(data14.suspectMs === undefined){
-data14.suspectMs = 3000;
-}
-if(data14.closeMs === undefined){
-data14.closeMs = 10000;
-}
-for(const key4 in data14){
-if(!(((key4 === "intervalMs") || (key4 === "suspectMs")) || (key4 === "closeMs"))){
-const err38 = {instancePath:instancePath+"/heartbeat",schemaPath:"#/properties/heartbeat/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key4},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.heartbeat,data:data14};
+if((typeof data14 == "number") && (isFinite(data14))){
+if(data14 > 86400000 || isNaN(data14)){
+const err38 = {instancePath:instancePath+"/backend/renewMs",schemaPath:"#/properties/backend/properties/renewMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.backend.properties.renewMs,data:data14};
 if(vErrors === null){
 vErrors = [err38];
 }
@@ -518,10 +510,8 @@
 }
 errors++;
 }
-}
-let data15 = data14.intervalMs;
-if(!(((typeof data15 == "number") && (!(data15 % 1) && !isNaN(data15))) && (isFinite(data15)))){
-const err39 = {instancePath:instancePath+"/heartbeat/intervalMs",schemaPath:"#/properties/heartbeat/properties/intervalMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.heartbeat.properties.intervalMs.type,parentSchema:schema31.properties.heartbeat.properties.intervalMs,data:data15};
+if(data14 < 1 || isNaN(data14)){
+const err39 = {instancePath:instancePath+"/backend/renewMs",schemaPath:"#/properties/backend/properties/renewMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.backend.properties.renewMs,data:data14};
 if(vErrors === null){
 vErrors = [err39];
 }
@@ -530,9 +520,10 @@
 }
 errors++;
 }
-if((typeof data15 == "number") && (isFinite(data15))){
-if(data15 > 86400000 || isNaN(data15)){
-const err40 = {instancePath:instancePath+"/heartbeat/intervalMs",schemaPath:"#/properties/heartbeat/properties/intervalMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.heartbeat.properties.intervalMs,data:data15};
+}
+}
+else {
+const err40 = {instancePath:instancePath+"/backend",schemaPath:"#/properties/backend/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.backend.type,parentSchema:schema31.properties.backend,data:data13};
 if(vErrors === null){
 vErrors = [err40];
 }
@@ -541,8 +532,20 @@
 }
 errors++;
 }
-if(data15 < 1 || isNaN(data15)){
-const err41 = {instancePath:instancePath+"/heartbeat/intervalMs",schemaPath:"#/properties/heartbeat/properties/intervalMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.heartbeat.properties.intervalMs,data:data15};
+let data15 = data.heartbeat;
+if(data15 && typeof data15 == "object" && !Array.isArray(data15)){
+if(data15.intervalMs === undefined){
+data15.intervalMs = 1000;
+}
+if(data15.suspectMs === undefined){
+data15.suspectMs = 3000;
+}
+if(data15.closeMs === undefined){
+data15.closeMs = 10000;
+}
+for(const key4 in data15){
+if(!(((key4 === "intervalMs") || (key4 === "suspectMs")) || (key4 === "closeMs"))){
+const err41 = {instancePath:instancePath+"/heartbeat",schemaPath:"#/properties/heartbeat/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key4},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.heartbeat,data:data15};
 if(vErrors === null){
 vErrors = [err41];
 }
@@ -552,9 +555,9 @@
 errors++;
 }
 }
-let data16 = data14.suspectMs;
+let data16 = data15.intervalMs;
 if(!(((typeof data16 == "number") && (!(data16 % 1) && !isNaN(data16))) && (isFinite(data16)))){
-const err42 = {instancePath:instancePath+"/heartbeat/suspectMs",schemaPath:"#/properties/heartbeat/properties/suspectMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.heartbeat.properties.suspectMs.type,parentSchema:schema31.properties.heartbeat.properties.suspectMs,data:data16};
+const err42 = {instancePath:instancePath+"/heartbeat/intervalMs",schemaPath:"#/properties/heartbeat/properties/intervalMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.heartbeat.properties.intervalMs.type,parentSchema:schema31.properties.heartbeat.properties.intervalMs,data:data16};
 if(vErrors === null){
 vErrors = [err42];
 }
@@ -565,7 +568,7 @@
 }
 if((typeof data16 == "number") && (isFinite(data16))){
 if(data16 > 86400000 || isNaN(data16)){
-const err43 = {instancePath:instancePath+"/heartbeat/suspectMs",schemaPath:"#/properties/heartbeat/properties/suspectMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.heartbeat.properties.suspectMs,data:data16};
+const err43 = {instancePath:instancePath+"/heartbeat/intervalMs",schemaPath:"#/properties/heartbeat/properties/intervalMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.heartbeat.properties.intervalMs,data:data16};
 if(vErrors === null){
 vErrors = [err43];
 }
@@ -575,7 +578,7 @@
 errors++;
 }
 if(data16 < 1 || isNaN(data16)){
-const err44 = {instancePath:instancePath+"/heartbeat/suspectMs",schemaPath:"#/properties/heartbeat/properties/suspectMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.heartbeat.properties.suspectMs,data:data16};
+const err44 = {instancePath:instancePath+"/heartbeat/intervalMs",schemaPath:"#/properties/heartbeat/properties/intervalMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.heartbeat.properties.intervalMs,data:data16};
 if(vErrors === null){
 vErrors = [err44];
 }
@@ -585,9 +588,9 @@
 errors++;
 }
 }
-let data17 = data14.closeMs;
+let data17 = data15.suspectMs;
 if(!(((typeof data17 == "number") && (!(data17 % 1) && !isNaN(data17))) && (isFinite(data17)))){
-const err45 = {instancePath:instancePath+"/heartbeat/closeMs",schemaPath:"#/properties/heartbeat/properties/closeMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.heartbeat.properties.closeMs.type,parentSchema:schema31.properties.heartbeat.properties.closeMs,data:data17};
+const err45 = {instancePath:instancePath+"/heartbeat/suspectMs",schemaPath:"#/properties/heartbeat/properties/suspectMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.heartbeat.properties.suspectMs.type,parentSchema:schema31.properties.heartbeat.properties.suspectMs,data:data17};
 if(vErrors === null){
 vErrors = [err45];
 }
@@ -598,7 +601,7 @@
 }
 if((typeof data17 == "number") && (isFinite(data17))){
 if(data17 > 86400000 || isNaN(data17)){
-const err46 = {instancePath:instancePath+"/heartbeat/closeMs",schemaPath:"#/properties/heartbeat/properties/closeMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.heartbeat.properties.closeMs,data:data17};
+const err46 = {instancePath:instancePath+"/heartbeat/suspectMs",schemaPath:"#/properties/heartbeat/properties/suspectMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.heartbeat.properties.suspectMs,data:data17};
 if(vErrors === null){
 vErrors = [err46];
 }
@@ -608,7 +611,7 @@
 errors++;
 }
 if(data17 < 1 || isNaN(data17)){
-const err47 = {instancePath:instancePath+"/heartbeat/closeMs",schemaPath:"#/properties/heartbeat/properties/closeMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.heartbeat.properties.closeMs,data:data17};
+const err47 = {instancePath:instancePath+"/heartbeat/suspectMs",schemaPath:"#/properties/heartbeat/properties/suspectMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.heartbeat.properties.suspectMs,data:data17};
 if(vErrors === null){
 vErrors = [err47];
 }
@@ -618,9 +621,9 @@
 errors++;
 }
 }
-}
-else {
-const err48 = {instancePath:instancePath+"/heartbeat",schemaPath:"#/properties/heartbeat/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.heartbeat.type,parentSchema:schema31.properties.heartbeat,data:data14};
+let data18 = data15.closeMs;
+if(!(((typeof data18 == "number") && (!(data18 % 1) && !isNaN(data18))) && (isFinite(data18)))){
+const err48 = {instancePath:instancePath+"/heartbeat/closeMs",schemaPath:"#/properties/heartbeat/properties/closeMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.heartbeat.properties.closeMs.type,parentSchema:schema31.properties.heartbeat.properties.closeMs,data:data18};
 if(vErrors === null){
 vErrors = [err48];
 }
@@ -629,14 +632,9 @@
 }
 errors++;
 }
-let data18 = data.log;
-if(data18 && typeof data18 == "object" && !Array.isArray(data18)){
-if(data18.level === undefined){
-data18.level = "info";
-}
-for(const key5 in data18){
-if(!(key5 === "level")){
-const err49 = {instancePath:instancePath+"/log",schemaPath:"#/properties/log/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key5},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.log,data:data18};
+if((typeof data18 == "number") && (isFinite(data18))){
+if(data18 > 86400000 || isNaN(data18)){
+const err49 = {instancePath:instancePath+"/heartbeat/closeMs",schemaPath:"#/properties/heartbeat/properties/closeMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.heartbeat.properties.closeMs,data:data18};
 if(vErrors === null){
 vErrors = [err49];
 }
@@ -645,10 +643,8 @@
 }
 errors++;
 }
-}
-let data19 = data18.level;
-if(!((((data19 === "error") || (data19 === "warn")) || (data19 === "info")) || (data19 === "debug"))){
-const err50 = {instancePath:instancePath+"/log/level",schemaPath:"#/properties/log/properties/level/enum",keyword:"enum",params:{allowedValues: schema31.properties.log.properties.level.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.log.properties.level.enum,parentSchema:schema31.properties.log.properties.level,data:data19};
+if(data18 < 1 || isNaN(data18)){
+const err50 = {instancePath:instancePath+"/heartbeat/closeMs",schemaPath:"#/properties/heartbeat/properties/closeMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.heartbeat.properties.closeMs,data:data18};
 if(vErrors === null){
 vErrors = [err50];
 }
@@ -658,8 +654,9 @@
 errors++;
 }
 }
+}
 else {
-const err51 = {instancePath:instancePath+"/log",schemaPath:"#/properties/log/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.log.type,parentSchema:schema31.properties.log,data:data18};
+const err51 = {instancePath:instancePath+"/heartbeat",schemaPath:"#/properties/heartbeat/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.heartbeat.type,parentSchema:schema31.properties.heartbeat,data:data15};
 if(vErrors === null){
 vErrors = [err51];
 }
@@ -668,20 +665,14 @@
 }
 errors++;
 }
-let data20 = data.traces;
-if(data20 && typeof data20 == "object" && !Array.isArray(data20)){
-if(data20.sample === undefined){
-data20.sample = 0;
+let data19 = data.log;
+if(data19 && typeof data19 == "object" && !Array.isArray(data19)){
+if(data19.level === undefined){
+data19.level = "info";
 }
-if(data20.otlp === undefined){
-data20.otlp = "";
-}
-if(data20.output === undefined){
-data20.output = "";
-}
-for(const key6 in data20){
-if(!(((key6 === "sample") || (key6 === "otlp")) || (key6 === "output"))){
-const err52 = {instancePath:instancePath+"/traces",schemaPath:"#/properties/traces/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key6},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.traces,data:data20};
+for(const key5 in data19){
+if(!(key5 === "level")){
+const err52 = {instancePath:instancePath+"/log",schemaPath:"#/properties/log/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key5},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.log,data:data19};
 if(vErrors === null){
 vErrors = [err52];
 }
@@ -691,10 +682,9 @@
 errors++;
 }
 }
-let data21 = data20.sample;
-if((typeof data21 == "number") && (isFinite(data21))){
-if(data21 > 1 || isNaN(data21)){
-const err53 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/maximum",keyword:"maximum",params:{comparison: "<=", limit: 1},message:"must be <= 1",schema:1,parentSchema:schema31.properties.traces.properties.sample,data:data21};
+let data20 = data19.level;
+if(!((((data20 === "error") || (data20 === "warn")) || (data20 === "info")) || (data20 === "debug"))){
+const err53 = {instancePath:instancePath+"/log/level",schemaPath:"#/properties/log/properties/level/enum",keyword:"enum",params:{allowedValues: schema31.properties.log.properties.level.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.log.properties.level.enum,parentSchema:schema31.properties.log.properties.level,data:data20};
 if(vErrors === null){
 vErrors = [err53];
 }
@@ -703,8 +693,9 @@
 }
 errors++;
 }
-if(data21 < 0 || isNaN(data21)){
-const err54 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema31.properties.traces.properties.sample,data:data21};
+}
+else {
+const err54 = {instancePath:instancePath+"/log",schemaPath:"#/properties/log/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.log.type,parentSchema:schema31.properties.log,data:data19};
 if(vErrors === null){
 vErrors = [err54];
 }
@@ -713,9 +704,20 @@
 }
 errors++;
 }
+let data21 = data.traces;
+if(data21 && typeof data21 == "object" && !Array.isArray(data21)){
+if(data21.sample === undefined){
+data21.sample = 0;
 }
-else {
-const err55 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema31.properties.traces.properties.sample.type,parentSchema:schema31.properties.traces.properties.sample,data:data21};
+if(data21.otlp === undefined){
+data21.otlp = "";
+}
+if(data21.output === undefined){
+data21.output = "";
+}
+for(const key6 in data21){
+if(!(((key6 === "sample") || (key6 === "otlp")) || (key6 === "output"))){
+const err55 = {instancePath:instancePath+"/traces",schemaPath:"#/properties/traces/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key6},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.traces,data:data21};
 if(vErrors === null){
 vErrors = [err55];
 }
@@ -724,10 +726,11 @@
 }
 errors++;
 }
-let data22 = data20.otlp;
-if(typeof data22 === "string"){
-if(!pattern10.test(data22)){
-const err56 = {instancePath:instancePath+"/traces/otlp",schemaPath:"#/properties/traces/properties/otlp/pattern",keyword:"pattern",params:{pattern: "^(https?://\\S+)?$"},message:"must match pattern \""+"^(https?://\\S+)?$"+"\"",schema:"^(https?://\\S+)?$",parentSchema:schema31.properties.traces.properties.otlp,data:data22};
+}
+let data22 = data21.sample;
+if((typeof data22 == "number") && (isFinite(data22))){
+if(data22 > 1 || isNaN(data22)){
+const err56 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/maximum",keyword:"maximum",params:{comparison: "<=", limit: 1},message:"must be <= 1",schema:1,parentSchema:schema31.properties.traces.properties.sample,data:data22};
 if(vErrors === null){
 vErrors = [err56];
 }
@@ -736,9 +739,8 @@
 }
 errors++;
 }
-}
-else {
-const err57 = {instancePath:instancePath+"/traces/otlp",schemaPath:"#/properties/traces/properties/otlp/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.traces.properties.otlp.type,parentSchema:schema31.properties.traces.properties.otlp,data:data22};
+if(data22 < 0 || isNaN(data22)){
+const err57 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema31.properties.traces.properties.sample,data:data22};
 if(vErrors === null){
 vErrors = [err57];
 }
@@ -747,9 +749,9 @@
 }
 errors++;
 }
-let data23 = data20.output;
-if(!((data23 === "") || (data23 === "stdout"))){
-const err58 = {instancePath:instancePath+"/traces/output",schemaPath:"#/properties/traces/properties/output/enum",keyword:"enum",params:{allowedValues: schema31.properties.traces.properties.output.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.traces.properties.output.enum,parentSchema:schema31.properties.traces.properties.output,data:data23};
+}
+else {
+const err58 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema31.properties.traces.properties.sample.type,parentSchema:schema31.properties.traces.properties.sample,data:data22};
 if(vErrors === null){
 vErrors = [err58];
 }
@@ -758,9 +760,10 @@
 }
 errors++;
 }
-}
-else {
-const err59 = {instancePath:instancePath+"/traces",schemaPath:"#/properties/traces/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.traces.type,parentSchema:schema31.properties.traces,data:data20};
+let data23 = data21.otlp;
+if(typeof data23 === "string"){
+if(!pattern10.test(data23)){
+const err59 = {instancePath:instancePath+"/traces/otlp",schemaPath:"#/properties/traces/properties/otlp/pattern",keyword:"pattern",params:{pattern: "^(https?://\\S+)?$"},message:"must match pattern \""+"^(https?://\\S+)?$"+"\"",schema:"^(https?://\\S+)?$",parentSchema:schema31.properties.traces.properties.otlp,data:data23};
 if(vErrors === null){
 vErrors = [err59];
 }
@@ -769,14 +772,9 @@
 }
 errors++;
 }
-let data24 = data.stop;
-if(data24 && typeof data24 == "object" && !Array.isArray(data24)){
-if(data24.drainMs === undefined){
-data24.drainMs = 30000;
 }
-for(const key7 in data24){
-if(!(key7 === "drainMs")){
-const err60 = {instancePath:instancePath+"/stop",schemaPath:"#/properties/stop/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key7},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.stop,data:data24};
+else {
+const err60 = {instancePath:instancePath+"/traces/otlp",schemaPath:"#/properties/traces/properties/otlp/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.traces.properties.otlp.type,parentSchema:schema31.properties.traces.properties.otlp,data:data23};
 if(vErrors === null){
 vErrors = [err60];
 }
@@ -785,10 +783,9 @@
 }
 errors++;
 }
-}
-let data25 = data24.drainMs;
-if(!(((typeof data25 == "number") && (!(data25 % 1) && !isNaN(data25))) && (isFinite(data25)))){
-const err61 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.stop.properties.drainMs.type,parentSchema:schema31.properties.stop.properties.drainMs,data:data25};
+let data24 = data21.output;
+if(!((data24 === "") || (data24 === "stdout"))){
+const err61 = {instancePath:instancePath+"/traces/output",schemaPath:"#/properties/traces/properties/output/enum",keyword:"enum",params:{allowedValues: schema31.properties.traces.properties.output.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.traces.properties.output.enum,parentSchema:schema31.properties.traces.properties.output,data:data24};
 if(vErrors === null){
 vErrors = [err61];
 }
@@ -797,9 +794,9 @@
 }
 errors++;
 }
-if((typeof data25 == "number") && (isFinite(data25))){
-if(data25 > 86400000 || isNaN(data25)){
-const err62 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.stop.properties.drainMs,data:data25};
+}
+else {
+const err62 = {instancePath:instancePath+"/traces",schemaPath:"#/properties/traces/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.traces.type,parentSchema:schema31.properties.traces,data:data21};
 if(vErrors === null){
 vErrors = [err62];
 }
@@ -808,8 +805,14 @@
 }
 errors++;
 }
-if(data25 < 1 || isNaN(data25)){
-const err63 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.stop.properties.drainMs,data:data25};
+let data25 = data.stop;
+if(data25 && typeof data25 == "object" && !Array.isArray(data25)){
+if(data25.drainMs === undefined){
+data25.drainMs = 30000;
+}
+for(const key7 in data25){
+if(!(key7 === "drainMs")){
+const err63 = {instancePath:instancePath+"/stop",schemaPath:"#/properties/stop/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key7},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.stop,data:data25};
 if(vErrors === null){
 vErrors = [err63];
 }
@@ -819,9 +822,9 @@
 errors++;
 }
 }
-}
-else {
-const err64 = {instancePath:instancePath+"/stop",schemaPath:"#/properties/stop/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.stop.type,parentSchema:schema31.properties.stop,data:data24};
+let data26 = data25.drainMs;
+if(!(((typeof data26 == "number") && (!(data26 % 1) && !isNaN(data26))) && (isFinite(data26)))){
+const err64 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.stop.properties.drainMs.type,parentSchema:schema31.properties.stop.properties.drainMs,data:data26};
 if(vErrors === null){
 vErrors = [err64];
 }
@@ -830,9 +833,9 @@
 }
 errors++;
 }
-}
-else {
-const err65 = {instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.type,parentSchema:schema31,data};
+if((typeof data26 == "number") && (isFinite(data26))){
+if(data26 > 86400000 || isNaN(data26)){
+const err65 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.stop.properties.drainMs,data:data26};
 if(vErrors === null){
 vErrors = [err65];
 }
@@ -841,6 +844,39 @@
 }
 errors++;
 }
+if(data26 < 1 || isNaN(data26)){
+const err66 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.stop.properties.drainMs,data:data26};
+if(vErrors === null){
+vErrors = [err66];
+}
+else {
+vErrors.push(err66);
+}
+errors++;
+}
+}
+}
+else {
+const err67 = {instancePath:instancePath+"/stop",schemaPath:"#/properties/stop/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.stop.type,parentSchema:schema31.properties.stop,data:data25};
+if(vErrors === null){
+vErrors = [err67];
+}
+else {
+vErrors.push(err67);
+}
+errors++;
+}
+}
+else {
+const err68 = {instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.type,parentSchema:schema31,data};
+if(vErrors === null){
+vErrors = [err68];
+}
+else {
+vErrors.push(err68);
+}
+errors++;
+}
 validate20.errors = vErrors;
 return errors === 0;
 }
