Keep the view of entries in the store, and watch for views and configurations

Cause: entries had no agreed membership and did not hear of a new manifest. StoreWatch is the one waiting watch of a process; after a failure it lists once. changeKey is the compare-and-swap that both applies and view changes use; it reads back after a lost answer.

--- /dev/null
+++ b/src/membership/StoreWatch.ts
@@ -0,0 +1,114 @@
+import type { ResultAsync } from 'neverthrow';
+import Backoff from '../core/Backoff';
+import type StoreChanges from '../store/StoreChanges';
+import type StoreError from '../store/StoreError';
+import type StoreItem from '../store/StoreItem';
+import keys from './keys';
+import readConfiguration from './readConfiguration';
+import readView from './readView';
+import type StoreWatchOptions from './StoreWatchOptions';
+
+const WAIT_MS = 30_000;
+const FIRST_RETRY_MS = 1_000;
+const RETRY_LIMIT_MS = 30_000;
+
+/**
+ * The one waiting watch of a process. It brings new views, configurations and
+ * lease keys from the platform's key-value service; after a failure it lists
+ * everything once and goes on from there. Nothing older is ever adopted.
+ */
+export default class StoreWatch {
+  private readonly backoff: Backoff;
+
+  private readonly readers: ReadonlyMap<string, (value: string) => boolean>;
+
+  private readonly present = new Set<string>();
+
+  /** The revision that is known; undefined before the first listing and after a failure. */
+  private revision: number | undefined;
+
+  private unread = 0;
+
+  private constructor(private readonly options: StoreWatchOptions) {
+    this.backoff = Backoff.of(FIRST_RETRY_MS, RETRY_LIMIT_MS, options.random);
+    this.readers = new Map([
+      [
+        keys.view,
+        (value: string) =>
+          readView(value)
+            .map((view) => options.views.adopt(view))
+            .isOk(),
+      ],
+      [
+        keys.manifest,
+        (value: string) =>
+          readConfiguration(value)
+            .map((configuration) => options.configurations.adopt(configuration))
+            .isOk(),
+      ],
+    ]);
+  }
+
+  /** Creates a watch that does not run yet. */
+  static create(options: StoreWatchOptions): StoreWatch {
+    return new StoreWatch(options);
+  }
+
+  /** Whether the last call to the store was answered. */
+  get reachable(): boolean {
+    return this.revision !== undefined;
+  }
+
+  /** Number of values met that could not be read. They were passed over. */
+  get unreadable(): number {
+    return this.unread;
+  }
+
+  /** Watches until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const changes = await this.next(signal);
+      if (signal.aborted) return;
+      if (changes.isOk()) {
+        this.backoff.reset();
+        this.take(changes.value);
+        continue;
+      }
+      this.revision = undefined;
+      await this.options.timer.sleep(this.backoff.next(), signal);
+    }
+  }
+
+  private next(signal: AbortSignal): ResultAsync<StoreChanges, StoreError> {
+    const { store } = this.options;
+    return this.revision === undefined
+      ? store.list('')
+      : store.watch('', this.revision, WAIT_MS, signal);
+  }
+
+  private take(changes: StoreChanges): void {
+    const isListing = this.revision === undefined;
+    this.revision = changes.revision;
+    if (isListing) this.present.clear();
+    changes.deleted.filter(isEntry).forEach((key) => this.present.delete(incarnationOf(key)));
+    const arrived = changes.items.filter(({ key }) => isEntry(key));
+    arrived.forEach(({ key }) => this.present.add(incarnationOf(key)));
+    changes.items.forEach((item) => this.read(item));
+    if (isListing || arrived.length > 0 || changes.deleted.some(isEntry)) {
+      this.options.onPresent(new Set(this.present));
+    }
+  }
+
+  private read({ key, value }: StoreItem): void {
+    const reader = this.readers.get(key);
+    if (reader && !reader(value)) this.unread += 1;
+  }
+}
+
+function isEntry(key: string): boolean {
+  return key.startsWith(keys.entries);
+}
+
+function incarnationOf(key: string): string {
+  return key.slice(keys.entries.length);
+}
--- /dev/null
+++ b/src/membership/StoreWatchOptions.ts
@@ -0,0 +1,16 @@
+import type Random from '../core/Random';
+import type TimerService from '../core/TimerService';
+import type Versioned from '../core/Versioned';
+import type { Configuration, View } from '../gen/magnoliakeel/v1/peer_pb';
+import type Store from '../store/Store';
+
+/** What the watch on the store works with and feeds. */
+export default interface StoreWatchOptions {
+  readonly store: Store;
+  readonly timer: TimerService;
+  readonly random: Random;
+  readonly views: Versioned<View>;
+  readonly configurations: Versioned<Configuration>;
+  /** Told the incarnations whose lease keys the store holds, after each change of them. */
+  readonly onPresent: (incarnations: ReadonlySet<string>) => void;
+}
--- /dev/null
+++ b/src/membership/keys.ts
@@ -0,0 +1,8 @@
+/** The keys that entries use in the platform's key-value service. */
+const keys = {
+  view: 'view',
+  manifest: 'manifest',
+  /** Each live entry holds the key of this prefix and its incarnation, under its lease. */
+  entries: 'entries/',
+} as const;
+export default keys;
--- /dev/null
+++ b/src/membership/readConfiguration.ts
@@ -0,0 +1,33 @@
+import { create } from '@bufbuild/protobuf';
+import { err, ok, Result } from 'neverthrow';
+import { ConfigurationSchema, type Configuration } from '../gen/magnoliakeel/v1/peer_pb';
+
+const parse = Result.fromThrowable((value: string): unknown => JSON.parse(value), String);
+
+/** Reads the key `manifest` of the store; the error says what is wrong with it. */
+export default function readConfiguration(value: string): Result<Configuration, string> {
+  return parse(value).andThen((stored) => {
+    if (!isStored(stored)) return err('a version above 0 and a manifest are missing');
+    return ok(
+      create(ConfigurationSchema, {
+        version: BigInt(stored.version),
+        manifest: JSON.stringify(stored.manifest),
+      }),
+    );
+  });
+}
+
+interface StoredManifest {
+  readonly version: number;
+  readonly manifest: object;
+}
+
+function isStored(value: unknown): value is StoredManifest {
+  if (typeof value !== 'object' || value === null) return false;
+  const { version, manifest } = value as Partial<StoredManifest>;
+  return Number.isSafeInteger(version) && Number(version) > 0 && isObject(manifest);
+}
+
+function isObject(value: unknown): boolean {
+  return typeof value === 'object' && value !== null;
+}
--- /dev/null
+++ b/src/membership/readView.ts
@@ -0,0 +1,8 @@
+import { fromJsonString } from '@bufbuild/protobuf';
+import { Result } from 'neverthrow';
+import { ViewSchema, type View } from '../gen/magnoliakeel/v1/peer_pb';
+
+/** Reads a view as the store holds it, protobuf JSON; the error says what is wrong with it. */
+export default function readView(value: string): Result<View, string> {
+  return Result.fromThrowable(() => fromJsonString(ViewSchema, value), String)();
+}
--- /dev/null
+++ b/test/membership/watch.test.ts
@@ -0,0 +1,73 @@
+import { expect, test } from 'vitest';
+import Random from '../../src/core/Random';
+import changeKey from '../../src/store/changeKey';
+import MembershipCase from '../support/MembershipCase';
+import outcome from '../support/outcome';
+
+function manifest(version: number, applyId: string): string {
+  return JSON.stringify({ version, applyId, manifest: { note: applyId }, appliedAt: '' });
+}
+
+/** Applies as an operator's tool does: each apply has an id that it knows its own write by. */
+function apply({ engine, timer }: MembershipCase, applyId: string) {
+  return changeKey({
+    store: engine.client(applyId),
+    timer,
+    random: Random.fromSeed(applyId.length),
+    key: 'manifest',
+    attempts: 5,
+    decide: (item) => {
+      const stored = JSON.parse(item?.value ?? '{"version":0}');
+      return stored.applyId === applyId ? undefined : manifest(stored.version + 1, applyId);
+    },
+  }).map((item) => item?.value);
+}
+
+test('an apply takes effect once although its answer is lost', async () => {
+  const it = new MembershipCase();
+  it.engine.setFaults({ answerLost: true });
+  const applied = outcome(apply(it, 'first'));
+  await it.timer.advance(1_000);
+  expect([await applied, it.engine.calls().first?.put]).toMatchInlineSnapshot(`
+    [
+      "{\\version\\:1,\\applyId\\:\\first\\,\\manifest\\:{\\note\\:\\first\\},\\appliedAt\\:\\\\}",
+      1,
+    ]
+  `);
+});
+
+test('racing applies both take effect, one after the other', async () => {
+  const it = new MembershipCase();
+  const applied = Promise.all(['one', 'other'].map((id) => outcome(apply(it, id))));
+  await it.timer.advance(1_000);
+  expect(await applied).toMatchInlineSnapshot(`
+    [
+      "{\\version\\:1,\\applyId\\:\\one\\,\\manifest\\:{\\note\\:\\one\\},\\appliedAt\\:\\\\}",
+      "{\\version\\:2,\\applyId\\:\\other\\,\\manifest\\:{\\note\\:\\other\\},\\appliedAt\\:\\\\}",
+    ]
+  `);
+});
+
+test('adopts newer configurations and never an older or unreadable one', async () => {
+  const it = new MembershipCase();
+  const { configurations, watch } = it.start('a');
+  const seen: string[] = [];
+  const write = async (value: string): Promise<void> => {
+    await it.engine.put('manifest', value);
+    await it.timer.advance(1_000);
+    const { version, manifest: text } = configurations.current;
+    seen.push(`${version} ${text}, unreadable ${watch.unreadable}`);
+  };
+  await write(manifest(2, 'second'));
+  await write(manifest(1, 'first'));
+  await write('{"version":');
+  await write(manifest(3, 'third'));
+  expect(seen).toMatchInlineSnapshot(`
+    [
+      "2 {"note":"second"}, unreadable 0",
+      "2 {"note":"second"}, unreadable 0",
+      "2 {"note":"second"}, unreadable 1",
+      "3 {"note":"third"}, unreadable 1",
+    ]
+  `);
+});
--- /dev/null
+++ b/test/support/MembershipCase.ts
@@ -0,0 +1,83 @@
+import { create } from '@bufbuild/protobuf';
+import Random from '../../src/core/Random';
+import Versioned from '../../src/core/Versioned';
+import {
+  ConfigurationSchema,
+  MemberSchema,
+  ViewSchema,
+} from '../../src/gen/magnoliakeel/v1/peer_pb';
+import Membership from '../../src/membership/Membership';
+import StoreWatch from '../../src/membership/StoreWatch';
+import Engine from '../../tools/platform/Engine';
+import ManualTimer from './ManualTimer';
+
+/** Entries with their memberships and watches on one stand-in of the store. */
+export default class MembershipCase {
+  static readonly leaseMs = 9_000;
+
+  readonly timer = ManualTimer.create();
+
+  readonly engine = Engine.create(this.timer);
+
+  /** Incarnations that every entry suspects. */
+  readonly suspected = new Set<string>();
+
+  /** Starts an entry; the incarnation is the name of its client of the store. */
+  start(incarnation: string, instance = incarnation) {
+    const { timer, engine, suspected } = this;
+    const store = engine.client(incarnation);
+    const random = Random.fromSeed([...incarnation].reduce((sum, c) => sum + c.charCodeAt(0), 0));
+    const views = Versioned.of(create(ViewSchema), ({ number }) => number);
+    const configurations = Versioned.of(create(ConfigurationSchema), ({ version }) => version);
+    const membership = Membership.create({
+      store,
+      timer,
+      random,
+      self: create(MemberSchema, { instance, incarnation }),
+      views,
+      isSuspected: (other) => suspected.has(other),
+      retentionMs: () => 600_000,
+      leaseMs: MembershipCase.leaseMs,
+    });
+    const onPresent = (present: ReadonlySet<string>): void => membership.observe(present);
+    const watch = StoreWatch.create({ store, timer, random, views, configurations, onPresent });
+    const stop = new AbortController();
+    watch.run(stop.signal).catch(() => undefined);
+    const ended = membership.run(stop.signal);
+    return { membership, views, configurations, watch, ended, stop: () => stop.abort() };
+  }
+
+  /** Starts several entries at once and lets them join. */
+  async startAll(...incarnations: string[]) {
+    const entries = incarnations.map((incarnation) => this.start(incarnation));
+    await this.timer.advance(5_000);
+    return entries;
+  }
+
+  /** Cuts an entry off from the store for longer than its lease. */
+  async lapse(incarnation: string): Promise<void> {
+    this.engine.setFaults({ down: true }, incarnation);
+    await this.timer.advance(MembershipCase.leaseMs + 5_000);
+  }
+
+  /** Calls of all entries made in the next while, by kind. */
+  async callsDuring(ms: number): Promise<string> {
+    const before = this.totals();
+    await this.timer.advance(ms);
+    const kinds = Object.entries(this.totals());
+    const made = kinds.map(([kind, count]) => `${kind} ${count - (before[kind] ?? 0)}`);
+    return made
+      .filter((text) => !text.endsWith(' 0'))
+      .sort()
+      .join(', ');
+  }
+
+  private totals(): Record<string, number> {
+    const counts = Object.values(this.engine.calls()).flatMap((calls) => Object.entries(calls));
+    const totals: Record<string, number> = {};
+    counts.forEach(([kind, count]) => {
+      totals[kind] = (totals[kind] ?? 0) + count;
+    });
+    return totals;
+  }
+}
