--- a/src/link/KeepAlive.ts
+++ b/src/link/KeepAlive.ts
@@ -47,7 +47,7 @@
     const keepAlive = new KeepAlive(link, timer, limits, owner);
     if (link.closed.aborted) return keepAlive;
     link.closed.addEventListener('abort', () => keepAlive.stop(), { once: true });
-    keepAlive.beatLater();
+    keepAlive.beatLater(limits.intervalMs);
     keepAlive.checkLater(limits.suspectMs);
     return keepAlive;
   }
@@ -58,17 +58,19 @@
     this.check?.cancel();
   }
 
-  private beatLater(): void {
-    const { link, timer, limits } = this;
-    const dueMs = link.lastSentAt + limits.intervalMs - timer.now();
-    this.beat = timer.after(Math.max(0, dueMs), () => this.beatIfSilent());
+  private beatLater(delayMs: number): void {
+    this.beat = this.timer.after(delayMs, () => this.beatIfSilent());
   }
 
   private beatIfSilent(): void {
     const { link, timer, limits } = this;
-    const silentMs = timer.now() - link.lastSentAt;
-    if (silentMs >= limits.intervalMs) link.send(this.owner.heartbeat());
-    if (!link.closed.aborted) this.beatLater();
+    const leftMs = link.lastSentAt + limits.intervalMs - timer.now();
+    if (leftMs > 0) {
+      this.beatLater(leftMs);
+      return;
+    }
+    link.send(this.owner.heartbeat());
+    if (!link.closed.aborted) this.beatLater(limits.intervalMs);
   }
 
   private checkLater(delayMs: number): void {
@@ -92,6 +94,7 @@
       return;
     }
     this.suspect(silentMs >= limits.suspectMs);
+    if (link.closed.aborted) return;
     this.checkLater(this.suspecting ? limits.intervalMs : limits.suspectMs - silentMs);
   }
 
--- a/test/support/ManualTimer.ts
+++ b/test/support/ManualTimer.ts
@@ -80,6 +80,11 @@
     this.time = target;
   }
 
+  /** Moves the time without running anything, as when this process itself is stopped for so long. */
+  jump(ms: number): void {
+    this.time += ms;
+  }
+
   /** Lets promise jobs and what the event loop has ready run, without moving the time. */
   static async settle(): Promise<void> {
     for (let round = 0; round < SETTLE_ROUNDS; round += 1) {
