--- a/test/daemon/runDaemon.test.ts
+++ b/test/daemon/runDaemon.test.ts
@@ -2,37 +2,31 @@
 import runDaemon from '../../src/daemon/runDaemon';
 import RecordingTerminal from '../support/RecordingTerminal';
 
-async function run(line: string): Promise<readonly unknown[]> {
+async function run(line: string): Promise<string> {
   const terminal = new RecordingTerminal();
   const argv = line.split(' ').filter(Boolean);
   const code = await runDaemon(argv, terminal, new AbortController().signal);
-  return [code, ...terminal.lines];
+  return [code, ...terminal.lines].join('\n');
 }
 
 test('checking settings without mistakes ends with ok', async () => {
   expect(await run('--check --config examples/entry.yaml')).toMatchInlineSnapshot(`
-    [
-      0,
-      "out: examples/entry.yaml: settings of role entry, no mistakes found",
-    ]
+    "0
+    out: examples/entry.yaml: settings of role entry, no mistakes found"
   `);
 });
 
 test('mistakes in the settings are printed and end with their exit code', async () => {
   expect(await run('--config examples/manifest.yaml')).toMatchInlineSnapshot(`
-    [
-      3,
-      "err: examples/manifest.yaml:3:1 role: found nothing, expected "entry" or "sidecar"",
-    ]
+    "3
+    err: examples/manifest.yaml:3:1 role: found nothing, expected "entry" or "sidecar""
   `);
 });
 
 test('a settings file that is not there is a finding', async () => {
   expect(await run('--config examples/none.yaml')).toMatchInlineSnapshot(`
-    [
-      3,
-      "err: examples/none.yaml:1:1: cannot be read: there is no such file",
-    ]
+    "3
+    err: examples/none.yaml:1:1: cannot be read: there is no such file"
   `);
 });
 
@@ -40,36 +34,24 @@
   const lines = ['', '--confg x', '--config', '--config a --config b', '--config a b', '--zzzzzzz'];
   expect(await Promise.all(lines.map(run))).toMatchInlineSnapshot(`
     [
-      [
-        2,
-        "err: magnoliakeeld: the option --config is missing
+      "2
+    err: magnoliakeeld: the option --config is missing
     Run \`magnoliakeeld --help\` for its use.",
-      ],
-      [
-        2,
-        "err: magnoliakeeld: unknown option --confg, did you mean --config?
+      "2
+    err: magnoliakeeld: unknown option --confg, did you mean --config?
     Run \`magnoliakeeld --help\` for its use.",
-      ],
-      [
-        2,
-        "err: magnoliakeeld: the option --config needs a value
+      "2
+    err: magnoliakeeld: the option --config needs a value
     Run \`magnoliakeeld --help\` for its use.",
-      ],
-      [
-        2,
-        "err: magnoliakeeld: the option --config is given more than once
+      "2
+    err: magnoliakeeld: the option --config is given more than once
     Run \`magnoliakeeld --help\` for its use.",
-      ],
-      [
-        2,
-        "err: magnoliakeeld: the argument "b" is not expected
+      "2
+    err: magnoliakeeld: the argument "b" is not expected
     Run \`magnoliakeeld --help\` for its use.",
-      ],
-      [
-        2,
-        "err: magnoliakeeld: unknown option --zzzzzzz
+      "2
+    err: magnoliakeeld: unknown option --zzzzzzz
     Run \`magnoliakeeld --help\` for its use.",
-      ],
     ]
   `);
 });
--- a/test/settings/loadManifest.test.ts
+++ b/test/settings/loadManifest.test.ts
@@ -52,42 +52,9 @@
 
 test('defaults are filled in', () => {
   const text = 'services: [{ name: a }]\nteams: [{ name: t }]';
-  expect(loadManifest(text, 'm.yaml').unwrapOr(undefined)).toMatchInlineSnapshot(`
-    {
-      "services": [
-        {
-          "eject": {
-            "failureShare": 0.5,
-            "maxShare": 0.3,
-            "minTasks": 20,
-            "probationMs": 5000,
-            "windowMs": 10000,
-          },
-          "idempotent": false,
-          "jobTimeoutMs": 120000,
-          "maxOutputBytes": 65536,
-          "maxTaskBytes": 65536,
-          "maxTasks": 320,
-          "name": "a",
-          "queue": {
-            "maxTasks": 100000,
-          },
-          "retentionMs": 600000,
-          "retryBudget": 0.1,
-          "timeoutMs": 10000,
-        },
-      ],
-      "system": {
-        "defaultTeam": "default",
-      },
-      "teams": [
-        {
-          "name": "t",
-          "share": 1,
-        },
-      ],
-    }
-  `);
+  expect(JSON.stringify(loadManifest(text, 'm.yaml').unwrapOr(undefined))).toMatchInlineSnapshot(
+    `"{"services":[{"name":"a","maxTasks":320,"maxTaskBytes":65536,"maxOutputBytes":65536,"timeoutMs":10000,"jobTimeoutMs":120000,"retentionMs":600000,"retryBudget":0.1,"idempotent":false,"queue":{"maxTasks":100000},"eject":{"failureShare":0.5,"minTasks":20,"windowMs":10000,"probationMs":5000,"maxShare":0.3}}],"teams":[{"name":"t","share":1}],"system":{"defaultTeam":"default"}}"`,
+  );
 });
 
 test('a mistake reached by an alias is placed at its anchor', () => {
--- a/test/settings/loadSettings.test.ts
+++ b/test/settings/loadSettings.test.ts
@@ -54,58 +54,10 @@
 });
 
 test('defaults are filled in', () => {
-  expect(loadSettings(ENTRY, 'a.yaml').unwrapOr(undefined)).toMatchInlineSnapshot(`
-    {
-      "advertise": "127.0.0.1:7000",
-      "cluster": "c",
-      "dispatch": {
-        "policy": "credits",
-      },
-      "heartbeat": {
-        "closeMs": 10000,
-        "intervalMs": 1000,
-        "suspectMs": 3000,
-      },
-      "instance": "e1",
-      "limits": {
-        "bodyBytes": 4194304,
-        "bodyTimeoutMs": 10000,
-        "connections": 2000,
-        "headerBytes": 16384,
-        "headerTimeoutMs": 5000,
-        "recordBytes": 268435456,
-      },
-      "listen": {
-        "callers": "127.0.0.1:0",
-        "operators": "127.0.0.1:0",
-        "peers": "127.0.0.1:7000",
-      },
-      "log": {
-        "level": "info",
-      },
-      "peers": [],
-      "recovery": {
-        "clockSkewMs": 30000,
-        "witnessMs": 3000,
-      },
-      "role": "entry",
-      "stop": {
-        "drainMs": 30000,
-      },
-      "store": {
-        "address": "127.0.0.1:2400",
-        "callsPerSecond": 20,
-        "leaseMs": 5000,
-        "timeoutMs": 2000,
-      },
-      "traces": {
-        "otlp": "",
-        "output": "",
-        "sample": 0,
-      },
-      "zone": "a",
-    }
-  `);
+  const settings = loadSettings(ENTRY, 'a.yaml').unwrapOr(undefined);
+  expect(JSON.stringify(settings)).toMatchInlineSnapshot(
+    `"{"role":"entry","cluster":"c","instance":"e1","zone":"a","listen":{"callers":"127.0.0.1:0","peers":"127.0.0.1:7000","operators":"127.0.0.1:0"},"store":{"address":"127.0.0.1:2400","leaseMs":5000,"timeoutMs":2000,"callsPerSecond":20},"peers":[],"limits":{"bodyBytes":4194304,"headerBytes":16384,"bodyTimeoutMs":10000,"headerTimeoutMs":5000,"connections":2000,"recordBytes":268435456},"heartbeat":{"intervalMs":1000,"suspectMs":3000,"closeMs":10000},"recovery":{"witnessMs":3000,"clockSkewMs":30000},"dispatch":{"policy":"credits"},"log":{"level":"info"},"traces":{"sample":0,"otlp":"","output":""},"stop":{"drainMs":30000},"advertise":"127.0.0.1:7000"}"`,
+  );
 });
 
 test('unreadable files and misplaced keys are findings', () => {
@@ -123,60 +75,34 @@
     'a bare word': 'entry',
     'a tag of another language': `${SIDECAR}log: !!python/none x\n`,
   };
-  const found = Object.entries(cases).map(([name, text]) => [name, ...findings(text)]);
-  expect(found).toMatchInlineSnapshot(`
-    [
-      [
-        "an empty file",
-        "a.yaml:1:1: found an empty document, expected a mapping",
-      ],
-      [
-        "only comments",
-        "a.yaml:1:1: found an empty document, expected a mapping",
-      ],
-      [
-        "a list",
-        "a.yaml:1:1 role: found nothing, expected "entry" or "sidecar"",
-      ],
-      [
-        "a broken mapping",
-        "a.yaml:2:1: cannot be read as YAML: Flow sequence in block collection must be sufficiently indented and end with a ]",
-      ],
-      [
-        "a tab for indentation",
-        "a.yaml:2:1: cannot be read as YAML: Tabs are not allowed as indentation",
-      ],
-      [
-        "a key given twice",
-        "a.yaml:7:1: found a key a second time, expected it once",
-        "a.yaml:8:8 links: found "none", expected a whole number from 1 to 1024",
-      ],
-      [
-        "an unresolved alias",
-        "a.yaml:7:6: found the alias "other", expected one that is defined before",
-      ],
-      [
-        "a key of the prototype",
-        "a.yaml:7:1 __proto__: found an unknown key, expected one of role, cluster, instance, zone, listen, entries, links, ledger, backend, heartbeat, log, traces, stop",
-      ],
-      [
-        "no role",
-        "a.yaml:1:1 role: found nothing, expected "entry" or "sidecar"",
-      ],
-      [
-        "two documents",
-        "a.yaml:7:1: found a second document, expected one",
-      ],
-      [
-        "a bare word",
-        "a.yaml:1:1 role: found nothing, expected "entry" or "sidecar"",
-      ],
-      [
-        "a tag of another language",
-        "a.yaml:7:6: cannot be read as YAML: Unresolved tag: tag:yaml.org,2002:python/none",
-        "a.yaml:7:20 log: found "x", expected a mapping",
-      ],
-    ]
+  const found = Object.entries(cases).map(([name, text]) => [name, ...findings(text)].join('\n  '));
+  expect(found.join('\n')).toMatchInlineSnapshot(`
+    "an empty file
+      a.yaml:1:1: found an empty document, expected a mapping
+    only comments
+      a.yaml:1:1: found an empty document, expected a mapping
+    a list
+      a.yaml:1:1 role: found nothing, expected "entry" or "sidecar"
+    a broken mapping
+      a.yaml:2:1: cannot be read as YAML: Flow sequence in block collection must be sufficiently indented and end with a ]
+    a tab for indentation
+      a.yaml:2:1: cannot be read as YAML: Tabs are not allowed as indentation
+    a key given twice
+      a.yaml:7:1: found a key a second time, expected it once
+      a.yaml:8:8 links: found "none", expected a whole number from 1 to 1024
+    an unresolved alias
+      a.yaml:7:6: found the alias "other", expected one that is defined before
+    a key of the prototype
+      a.yaml:7:1 __proto__: found an unknown key, expected one of role, cluster, instance, zone, listen, entries, links, ledger, backend, heartbeat, log, traces, stop
+    no role
+      a.yaml:1:1 role: found nothing, expected "entry" or "sidecar"
+    two documents
+      a.yaml:7:1: found a second document, expected one
+    a bare word
+      a.yaml:1:1 role: found nothing, expected "entry" or "sidecar"
+    a tag of another language
+      a.yaml:7:6: cannot be read as YAML: Unresolved tag: tag:yaml.org,2002:python/none
+      a.yaml:7:20 log: found "x", expected a mapping"
   `);
 });
 
