Send the age of the oldest task as a whole number

Cause: a heartbeat with a fraction in a whole-number field could not be serialized, and the link ended each second. Change: the age is rounded up. Conclusion: found by the demo.

--- a/src/dispatch/Dispatcher.ts
+++ b/src/dispatch/Dispatcher.ts
@@ -227,7 +227,7 @@
         service,
         idle: lane.pool.size,
         queued: lane.queue.length,
-        oldestWaitMs: oldest === undefined ? 0 : this.options.timer.now() - oldest,
+        oldestWaitMs: oldest === undefined ? 0 : Math.ceil(this.options.timer.now() - oldest),
         teams: [...lane.teamsRunning].map(([team, running]) => ({ team, running })),
       });
     });
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -83,6 +83,20 @@
     return this.isIn(this.options.views.current);
   }
 
+  /**
+   * Marks this entry as leaving in the view: it stays a member, so that it can
+   * finish its jobs, but owns no further ones. Gives up after some attempts.
+   */
+  async retire(): Promise<void> {
+    const { self } = this.options;
+    await this.changeView(async (stored) => {
+      if (!this.isIn(stored)) return undefined;
+      return stored.members.map((member) =>
+        member.incarnation === self.incarnation ? { ...member, leaving: true } : member,
+      );
+    });
+  }
+
   /** Takes note of the incarnations whose lease keys the store holds. */
   observe(present: ReadonlySet<string>): void {
     this.present = present;
--- a/src/membership/nextView.ts
+++ b/src/membership/nextView.ts
@@ -32,6 +32,10 @@
 function replaced(view: View, untilMs: bigint): PastView[] {
   if (view.number === 0n) return [];
   const { number, sinceMs, members } = view;
-  const incarnations = members.map(({ incarnation }) => incarnation);
-  return [create(PastViewSchema, { number, sinceMs, untilMs, incarnations })];
+  const namesOf = (isLeaving: boolean) =>
+    members
+      .filter((member) => member.leaving === isLeaving)
+      .map(({ incarnation }) => incarnation);
+  const past = { number, sinceMs, untilMs, incarnations: namesOf(false), leaving: namesOf(true) };
+  return [create(PastViewSchema, past)];
 }
--- a/tools/demo/main.ts
+++ b/tools/demo/main.ts
@@ -18,6 +18,7 @@
 } catch (error) {
   problems.push((error as Error).message);
 } finally {
+  if (process.env['VERBOSE']) cluster.processes.printAll();
   await cluster.stop();
 }
 problems.forEach((problem) => process.stdout.write(`problem: ${problem}\n`));
@@ -65,7 +66,7 @@
 
 async function submit(entry: string): Promise<DemoAnswer> {
   const tasks = Array.from({ length: TASKS }, (_, n) => ({ input: { ms: 50, output: { n } } }));
-  const url = `${cluster.callersOf(entry)}/v1/services/booking/jobs/${JOB}?wait=30000`;
+  const url = `${cluster.callersOf(entry)}/v1/services/booking/jobs/${JOB}?wait=8000`;
   const { body } = await request(url, {
     method: 'PUT',
     headers: { 'magnoliakeel-created': created },
--- a/tools/harness/Processes.ts
+++ b/tools/harness/Processes.ts
@@ -45,6 +45,13 @@
     return this.lines.get(name) ?? [];
   }
 
+  /** Prints all that the processes have printed, for finding a fault. */
+  printAll(): void {
+    this.lines.forEach((lines, name) => {
+      lines.forEach((line) => process.stdout.write(`${name}: ${line}\n`));
+    });
+  }
+
   /** Waits for a printed line and returns the pattern's first group. */
   async waitFor(name: string, pattern: RegExp, limitMs = 15_000): Promise<string> {
     const started = performance.now();
