Test the sidecar's credits, evidence and backend server

Entries that a test plays by hand now talk to a sidecar over the memory network; the announcement desk and the HTTP client are tested against the backend server stand-in on port 0.

--- /dev/null
+++ b/test/sidecarEvidence.test.ts
@@ -0,0 +1,236 @@
+import { create } from '@bufbuild/protobuf';
+import { expect, it } from 'vitest';
+import {
+  AdoptSchema,
+  ConfigurationSchema,
+  ReconcileSchema,
+} from '../src/gen/magnoliakeel/v1/peer_pb';
+import FakeEntry from './support/FakeEntry';
+import SidecarCase from './support/SidecarCase';
+
+/** Neither heartbeats nor renewals are due while time passes. */
+const quiet = {
+  heartbeat: { intervalMs: 1e7, suspectMs: 1e7, closeMs: 1e7 },
+  renewMs: 1e7,
+};
+
+it('records a start before it calls the backend server', async () => {
+  const run = await SidecarCase.open();
+  const bytes: number[] = [run.sidecar.ledgerBytes];
+  run.backend.onRun = () => bytes.push(run.sidecar.ledgerBytes);
+  run.entry('a').start('j/0');
+  await run.advance(1);
+  expect(bytes).toMatchInlineSnapshot(`
+    [
+      0,
+      950,
+    ]
+  `);
+});
+
+it('refuses a second start of an attempt, while it runs and after', async () => {
+  const run = await SidecarCase.open();
+  run.heard();
+  run.entry('a').start('j/0');
+  run.entry('a').start('j/0');
+  await run.advance(100);
+  run.entry('b').start('j/0');
+  await run.advance(100);
+  expect({ ...run.heard(), starts: [...run.backend.starts] }).toMatchInlineSnapshot(`
+    {
+      "a": [
+        "refuse j/0 DUPLICATE",
+        "grant 2.2",
+        "done j/0 COMPLETED null 100 ms, credit 0.2",
+      ],
+      "b": [
+        "refuse j/0 DUPLICATE",
+        "grant 1.2",
+      ],
+      "starts": [
+        [
+          "j/0/0",
+          1,
+        ],
+      ],
+    }
+  `);
+});
+
+it('calls a second start a duplicate also with a stale credit', async () => {
+  const run = await SidecarCase.open();
+  run.heard();
+  const credit = run.entry('a').credits[0]!;
+  run.entry('a').start('j/0', { credit });
+  run.entry('a').start('j/0', { credit });
+  await run.advance(1);
+  expect(run.heard().a).toMatchInlineSnapshot(`
+    [
+      "refuse j/0 DUPLICATE",
+    ]
+  `);
+});
+
+it('refuses starts of owners outside the newest view', async () => {
+  const run = await SidecarCase.open();
+  run.heard();
+  run.entry('b').sendView(SidecarCase.view(2, 'b'));
+  run.entry('a').start('j/0');
+  run.entry('b').start('k/0', { owner: 'a' });
+  await run.advance(1);
+  expect({ ...run.heard(), starts: run.backend.starts.size }).toMatchInlineSnapshot(`
+    {
+      "a": [
+        "fenced view 2:",
+      ],
+      "b": [
+        "fenced view 2:",
+        "refuse k/0 FENCED",
+        "grant 1.2",
+        "grant 0.2 2.2",
+      ],
+      "starts": 0,
+    }
+  `);
+});
+
+it('names the jobs of a removed owner, moves them and reports to the new owner', async () => {
+  const run = await SidecarCase.open();
+  run.entry('a').start('j/0', { ms: 10, output: 'early' });
+  run.entry('a').start('j/1', { ms: 500, output: 'late' });
+  await run.advance(100);
+  run.heard();
+  run.entry('b').sendView(SidecarCase.view(2, 'b'));
+  await run.advance(1);
+  const adopt = create(AdoptSchema, { jobs: ['j', 'unknown'], owner: 'b', viewNumber: 2n });
+  run.entry('b').send({ case: 'adopt', value: adopt });
+  await run.advance(500);
+  expect(run.heard().b).toMatchInlineSnapshot(`
+    [
+      "fenced view 2: j",
+      "grant 0.3",
+      "adopted j/0 COMPLETED "early", j/1 running",
+      "grant 2.2",
+      "done j/1 COMPLETED "late" 500 ms, credit none",
+    ]
+  `);
+});
+
+it('ignores an adoption by an entry outside the view', async () => {
+  const run = await SidecarCase.open();
+  run.entry('a').start('j/0');
+  await run.advance(1);
+  run.heard();
+  const adopt = create(AdoptSchema, { jobs: ['j'], owner: 'x' });
+  run.entry('b').send({ case: 'adopt', value: adopt });
+  await run.advance(100);
+  expect(run.heard()).toMatchInlineSnapshot(`
+    {
+      "a": [
+        "done j/0 COMPLETED null 100 ms, credit 0.2",
+      ],
+      "b": [],
+    }
+  `);
+});
+
+it('does not go back to an older view', async () => {
+  const run = await SidecarCase.open();
+  run.entry('a').sendView(SidecarCase.view(3, 'ab'));
+  await run.advance(1);
+  run.entry('b').sendView(SidecarCase.view(2, 'b'));
+  await run.advance(1);
+  expect([run.sidecar.viewNumber, run.sidecar.linkCount]).toMatchInlineSnapshot(`
+    [
+      3n,
+      2,
+    ]
+  `);
+});
+
+it('says after a new link what it never started, and repeats results', async () => {
+  const run = await SidecarCase.open();
+  run.entry('a').start('j/0', { ms: 10 });
+  run.entry('a').start('j/1', { ms: 900 });
+  await run.advance(5);
+  run.network.cut('a', 's');
+  await run.advance(100);
+  run.network.join('a', 's');
+  await run.advance(500);
+  run.heard();
+  const tasks = ['j/0', 'j/1', 'j/2'].map(FakeEntry.task);
+  run.entry('a').send({ case: 'reconcile', value: create(ReconcileSchema, { tasks }) });
+  await run.advance(400);
+  expect(run.heard().a).toMatchInlineSnapshot(`
+    [
+      "reconciled not held: j/2",
+      "done j/0 COMPLETED null 10 ms, credit none",
+      "done j/1 COMPLETED null 900 ms, credit 2.2",
+    ]
+  `);
+});
+
+it('refuses starts while the ledger is full, and grants again when records expire', async () => {
+  const run = await SidecarCase.open({ ...quiet, ledgerBytes: 1500 });
+  run.heard();
+  run.entry('a').start('j/0', { ms: 10 });
+  run.entry('a').start('k/0', { ms: 10 });
+  await run.advance(20);
+  const full = run.heard();
+  await run.advance(620_000);
+  expect({ full, later: run.heard() }).toMatchInlineSnapshot(`
+    {
+      "full": {
+        "a": [
+          "refuse k/0 LEDGER_FULL",
+          "done j/0 COMPLETED null 10 ms, credit none",
+        ],
+        "b": [],
+      },
+      "later": {
+        "a": [
+          "grant 0.2 2.2",
+        ],
+        "b": [],
+      },
+    }
+  `);
+});
+
+it('keeps a record until creation, retention and skew have passed', async () => {
+  const run = await SidecarCase.open(quiet);
+  const manifest = JSON.stringify({ services: [{ name: 'booking', retentionMs: 60_000 }] });
+  const value = create(ConfigurationSchema, { version: 1n, manifest });
+  run.entry('a').send({ case: 'configuration', value });
+  run.entry('a').start('j/0', { ms: 10 });
+  await run.advance(60_500);
+  const kept = run.sidecar.ledgerBytes;
+  await run.advance(10_000);
+  expect({ kept, after: run.sidecar.ledgerBytes }).toMatchInlineSnapshot(`
+    {
+      "after": 0,
+      "kept": 954,
+    }
+  `);
+});
+
+it('puts a newer configuration in force and never an older one', async () => {
+  const run = await SidecarCase.open();
+  run.heard();
+  [2n, 1n, 3n].forEach((version) => {
+    const manifest = version === 3n ? 'not JSON' : '{}';
+    const value = create(ConfigurationSchema, { version, manifest });
+    run.entry('a').send({ case: 'configuration', value });
+  });
+  await run.advance(1);
+  expect(run.heard()).toMatchInlineSnapshot(`
+    {
+      "a": [
+        "inForce 2",
+      ],
+      "b": [
+        "inForce 2",
+      ],
+    }
+  `);
+});
--- /dev/null
+++ b/test/sidecarHttp.test.ts
@@ -0,0 +1,157 @@
+import { afterEach, expect, it } from 'vitest';
+import { request } from 'undici';
+import type Announcement from '../src/sidecar/Announcement';
+import BackendDesk from '../src/sidecar/BackendDesk';
+import UndiciBackendClient from '../src/sidecar/UndiciBackendClient';
+import BackendStandIn from '../tools/backend/BackendStandIn';
+import ManualTimer from './support/ManualTimer';
+
+const closers: (() => Promise<void>)[] = [];
+
+afterEach(async () => {
+  await Promise.all(closers.splice(0).map((close) => close()));
+});
+
+it('takes and renews an announcement', async () => {
+  const { put, events } = await openDesk();
+  expect([await put(announcement('127.0.0.1:4000')), events]).toMatchInlineSnapshot(`
+    [
+      "200 {"renewMs":1000}",
+      [
+        {
+          "address": "127.0.0.1:4000",
+          "connections": 1,
+          "service": "booking",
+          "slots": 1,
+        },
+      ],
+    ]
+  `);
+});
+
+it('says everything that is wrong with an announcement', async () => {
+  const { put } = await openDesk();
+  const answers = [
+    await put('{'),
+    await put({ slots: 0, extra: 1 }),
+    await put({ ...announcement('localhost:80'), slots: 2 }),
+    await put('x'.repeat(70_000)),
+  ];
+  expect(answers).toMatchInlineSnapshot(`
+    [
+      "400 {"errors":["body: must be object"]}",
+      "400 {"errors":["body: must have required property 'service'","body: must have required property 'address'","body: must have required property 'connections'","body: must NOT have additional properties","slots: must be >= 1"]}",
+      "400 {"errors":["address: must be \\"ip:port\\"","connections: must be at least slots"]}",
+      "400 {"errors":["the body exceeds 65536 bytes"]}",
+    ]
+  `);
+});
+
+it('lets the backend server leave, and knows no other path', async () => {
+  const { send, events } = await openDesk();
+  const answers = [await send('DELETE', '/v1/backend'), await send('PUT', '/'), await send('GET')];
+  expect([answers, events]).toMatchInlineSnapshot(`
+    [
+      [
+        "200 {}",
+        "404 {"errors":["there is only /v1/backend"]}",
+        "405 {"errors":["use PUT to announce or renew, DELETE to leave"]}",
+      ],
+      [
+        "withdraw",
+      ],
+    ]
+  `);
+});
+
+it('refuses announcements when the sidecar leaves', async () => {
+  const { put } = await openDesk({ isLeaving: true });
+  expect(await put(announcement('127.0.0.1:4000'))).toMatchInlineSnapshot(
+    `"503 {"errors":["the sidecar is leaving"]}"`,
+  );
+});
+
+it('tells completed tasks from failed ones', async () => {
+  const run = await openBackend();
+  expect([await run({ ms: 0, output: [1] }), await run({ ms: 0, fail: true })])
+    .toMatchInlineSnapshot(`
+    [
+      {
+        "ok": true,
+        "output": "{"ms":0,"output":[1]}",
+        "reason": "",
+      },
+      {
+        "ok": false,
+        "output": "{"ms":0,"error":"told to fail"}",
+        "reason": "backend server answered 500",
+      },
+    ]
+  `);
+});
+
+it('reports a closed connection as lost', async () => {
+  const run = await openBackend({ closeMidway: true });
+  expect(await run({ ms: 0 })).toMatchInlineSnapshot(`
+    {
+      "kind": "lost",
+      "reason": "other side closed",
+    }
+  `);
+});
+
+it('reports a refused connection as unsent', async () => {
+  const server = BackendStandIn.create(ManualTimer.create(), 1);
+  const address = await server.listen('127.0.0.1', 0);
+  await server.close();
+  const answer = await callOf(address)({ ms: 0 });
+  expect(answer).toMatchObject({ kind: 'unsent' });
+});
+
+async function openDesk({ isLeaving = false } = {}) {
+  const events: unknown[] = [];
+  const desk = BackendDesk.create({
+    announce: (backend) => {
+      events.push(backend);
+      return isLeaving ? undefined : 1000;
+    },
+    withdraw: () => events.push('withdraw'),
+  });
+  const address = await desk.listen('127.0.0.1:0');
+  closers.push(() => desk.close());
+  const send = async (method: 'PUT' | 'DELETE' | 'GET', path = '/v1/backend', body?: string) => {
+    const res = await request(`http://${address}${path}`, { method, body });
+    return [res.statusCode, await res.body.text()].join(' ');
+  };
+  const put = (value: unknown) =>
+    send('PUT', '/v1/backend', typeof value === 'string' ? value : JSON.stringify(value));
+  return { send, put, events };
+}
+
+async function openBackend(faults: object = {}) {
+  const server = BackendStandIn.create(ManualTimer.create(), 1);
+  const address = await server.listen('127.0.0.1', 0);
+  closers.push(() => server.close());
+  const body = JSON.stringify(faults);
+  await request(`http://${address}/faults`, { method: 'PUT', body });
+  return callOf(address);
+}
+
+function callOf(address: string) {
+  const client = UndiciBackendClient.create();
+  return async (input: object) => {
+    const call = { task: 'j/0/0', timeoutMs: 1000, traceparent: '' };
+    const bytes = Buffer.from(JSON.stringify(input));
+    const res = await client.run(
+      announcement(address),
+      { ...call, input: bytes },
+      new AbortController().signal,
+    );
+    if (res.isErr()) return res.error;
+    return { ...res.value, output: Buffer.from(res.value.output).toString() };
+  };
+}
+
+function announcement(address: string): Announcement {
+  return { service: 'booking', address, slots: 1, connections: 1 };
+}
--- /dev/null
+++ b/test/sidecarTasks.test.ts
@@ -0,0 +1,194 @@
+import { create } from '@bufbuild/protobuf';
+import { expect, it } from 'vitest';
+import { CancelSchema } from '../src/gen/magnoliakeel/v1/peer_pb';
+import FakeEntry from './support/FakeEntry';
+import SidecarCase from './support/SidecarCase';
+
+it('reports a timeout at once and keeps the slot until the backend server answers', async () => {
+  const run = await SidecarCase.open();
+  run.heard();
+  run.entry('a').start('j/0', { ms: 800, timeoutMs: 100 });
+  await run.advance(101);
+  const atTimeout = run.heard().a;
+  await run.advance(700);
+  expect({ atTimeout, atEnd: run.heard().a }).toMatchInlineSnapshot(`
+    {
+      "atEnd": [
+        "grant 0.2",
+      ],
+      "atTimeout": [
+        "done j/0 TIMED_OUT - 100 ms, credit none",
+      ],
+    }
+  `);
+});
+
+it('ends a running task that is cancelled by its owner only', async () => {
+  const run = await SidecarCase.open();
+  run.heard();
+  run.entry('a').start('j/0', { ms: 800 });
+  run.entry('a').start('k/0', { ms: 800 });
+  await run.advance(10);
+  const cancel = (job: string) =>
+    ({ case: 'cancel', value: create(CancelSchema, { tasks: [FakeEntry.task(job)] }) }) as const;
+  run.entry('a').send(cancel('j/0'));
+  run.entry('b').send(cancel('k/0'));
+  await run.advance(10);
+  expect(run.heard()).toMatchInlineSnapshot(`
+    {
+      "a": [
+        "done j/0 CANCELLED - 10 ms, credit 0.2",
+      ],
+      "b": [],
+    }
+  `);
+});
+
+it('reports a task as lost when the connection ended without an answer', async () => {
+  const run = await SidecarCase.open();
+  run.heard();
+  run.backend.error = { kind: 'lost', reason: 'connection reset' };
+  run.entry('a').start('j/0');
+  await run.advance(1);
+  run.entry('a').start('j/0');
+  await run.advance(1);
+  expect(run.heard().a).toMatchInlineSnapshot(`
+    [
+      "done j/0 LOST - 0 ms, credit 0.2",
+      "refuse j/0 DUPLICATE",
+      "grant 2.2",
+    ]
+  `);
+});
+
+it('refuses a task as not run when the backend server cannot be reached, and takes it later', async () => {
+  const run = await SidecarCase.open();
+  run.heard();
+  run.backend.error = { kind: 'unsent', reason: 'connection refused' };
+  run.entry('a').start('j/0');
+  await run.advance(1);
+  run.backend.error = undefined;
+  run.announce();
+  await run.advance(1);
+  run.entry('a').start('j/0');
+  await run.advance(100);
+  expect(run.heard().a).toMatchInlineSnapshot(`
+    [
+      "withdraw 0 1 2 3",
+      "refuse j/0 BACKEND_GONE",
+      "grant 0.3 2.3",
+      "done j/0 COMPLETED null 100 ms, credit 0.4",
+    ]
+  `);
+});
+
+it('fails a task whose output is too large', async () => {
+  const run = await SidecarCase.open();
+  run.heard();
+  run.entry('a').start('j/0', { output: 'x'.repeat(70_000) });
+  await run.advance(100);
+  expect(run.heard().a).toMatchInlineSnapshot(`
+    [
+      "done j/0 FAILED - 100 ms, credit 0.2",
+    ]
+  `);
+});
+
+it('takes no starts while the backend server leaves, and finishes those in flight', async () => {
+  const run = await SidecarCase.open();
+  run.heard();
+  const spare = run.entry('a').credits[1]!;
+  run.entry('a').start('j/0', { ms: 50 });
+  await run.advance(1);
+  run.sidecar.withdrawBackend();
+  run.entry('a').start('j/1', { credit: spare });
+  await run.advance(50);
+  expect(run.heard().a).toMatchInlineSnapshot(`
+    [
+      "withdraw 0 1 2 3",
+      "refuse j/1 BACKEND_GONE",
+      "done j/0 COMPLETED null 50 ms, credit none",
+    ]
+  `);
+});
+
+it('leaves: withdraws at once, refuses starts, finishes those in flight, says goodbye', async () => {
+  const run = await SidecarCase.open();
+  run.heard();
+  const spare = run.entry('a').credits[1]!;
+  run.entry('a').start('j/0', { ms: 50 });
+  await run.advance(1);
+  run.leaving.abort();
+  run.entry('a').start('j/1', { credit: spare });
+  await run.advance(300);
+  expect({ ...run.heard(), ended: run.ended }).toMatchInlineSnapshot(`
+    {
+      "a": [
+        "withdraw 0 1 2 3 leaving",
+        "refuse j/1 LEAVING",
+        "done j/0 COMPLETED null 50 ms, credit none",
+        "goodbye",
+      ],
+      "b": [
+        "withdraw 0 1 2 3 leaving",
+        "goodbye",
+      ],
+      "ended": true,
+    }
+  `);
+});
+
+it('reports what still runs as lost when the time for leaving is over', async () => {
+  const run = await SidecarCase.open();
+  run.heard();
+  run.entry('a').start('j/0', { ms: 60_000, timeoutMs: 60_000 });
+  await run.advance(1);
+  run.leaving.abort();
+  await run.advance(2300);
+  expect({ a: run.heard().a, ended: run.ended }).toMatchInlineSnapshot(`
+    {
+      "a": [
+        "withdraw 0 1 2 3 leaving",
+        "done j/0 LOST - 2001 ms, credit none",
+        "goodbye",
+      ],
+      "ended": true,
+    }
+  `);
+});
+
+it('links to members that it learns of, and drops those that go', async () => {
+  const run = await SidecarCase.open({ listening: 'ab' });
+  await run.listen('c', SidecarCase.view(2, 'bc'));
+  run.entry('a').sendView(SidecarCase.view(2, 'bc'));
+  await run.advance(500);
+  const links = ['a', 'b', 'c'].map((name) => run.entry(name).link?.closed.aborted === false);
+  expect(links).toMatchInlineSnapshot(`
+    [
+      false,
+      true,
+      true,
+    ]
+  `);
+});
+
+it('links to no more members than the settings ask for', async () => {
+  const run = await SidecarCase.open({ listening: 'abcd', links: 2 });
+  await run.advance(500);
+  expect(run.sidecar.linkCount).toBe(2);
+});
+
+it('closes a link that has been silent for too long and dials again', async () => {
+  const run = await SidecarCase.open();
+  const { link } = run.entry('a');
+  run.network.halfOpen('a', 's', 'one');
+  await run.advance(5600);
+  run.network.join('a', 's');
+  await run.advance(20_000);
+  expect([link?.closed.aborted, run.entry('a').link?.peer.session]).toMatchInlineSnapshot(`
+    [
+      true,
+      5n,
+    ]
+  `);
+});
--- /dev/null
+++ b/test/support/FakeBackend.ts
@@ -0,0 +1,61 @@
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+import type TimerService from '../../src/core/TimerService';
+import type Announcement from '../../src/sidecar/Announcement';
+import type BackendAnswer from '../../src/sidecar/BackendAnswer';
+import type BackendCall from '../../src/sidecar/BackendCall';
+import type BackendClient from '../../src/sidecar/BackendClient';
+import type BackendError from '../../src/sidecar/BackendError';
+
+interface Input {
+  readonly ms: number;
+  readonly output?: unknown;
+  readonly fail?: boolean;
+}
+
+/** A backend server in memory: tasks take the time that they ask for. */
+export default class FakeBackend implements BackendClient {
+  /** Every start seen, with how often. */
+  readonly starts = new Map<string, number>();
+
+  running = 0;
+
+  /** Set to make every call end with this error at once. */
+  error: BackendError | undefined;
+
+  /** Set to look at things at the moment of a call. */
+  onRun: (task: string) => void = () => undefined;
+
+  readonly forget = () => undefined;
+
+  private constructor(private readonly timer: TimerService) {}
+
+  /** Creates a backend server without faults. */
+  static create(timer: TimerService): FakeBackend {
+    return new FakeBackend(timer);
+  }
+
+  run(
+    _backend: Announcement,
+    call: BackendCall,
+    signal: AbortSignal,
+  ): ResultAsync<BackendAnswer, BackendError> {
+    this.onRun(call.task);
+    if (this.error) return new ResultAsync(Promise.resolve(err(this.error)));
+    this.starts.set(call.task, (this.starts.get(call.task) ?? 0) + 1);
+    return new ResultAsync(this.work(call, signal));
+  }
+
+  private async work(
+    call: BackendCall,
+    signal: AbortSignal,
+  ): Promise<Result<BackendAnswer, BackendError>> {
+    const input = JSON.parse(Buffer.from(call.input).toString()) as Input;
+    this.running += 1;
+    await this.timer.sleep(input.ms, signal);
+    this.running -= 1;
+    if (signal.aborted) return err({ kind: 'lost', reason: 'aborted' });
+    const output = Buffer.from(JSON.stringify(input.output ?? null));
+    const reason = input.fail ? 'told to fail' : '';
+    return ok({ ok: !input.fail, output, reason });
+  }
+}
--- a/tools/backend/BackendStandIn.ts
+++ b/tools/backend/BackendStandIn.ts
@@ -109,7 +109,7 @@
     const { faults } = this;
     const ms = faults.delayMs + input.ms * faults.slowFactor;
     if (faults.hang) await this.hang(closed);
-    else await this.timer.sleep(faults.closeMidway ? ms / 2 : ms, closed);
+    else if (ms > 0) await this.timer.sleep(faults.closeMidway ? ms / 2 : ms, closed);
     if (closed.aborted) {
       this.counts.aborted += 1;
       return;
