Deliver messages that share a frame with a link's hello

What a process sent in the turn in which a link opened was lost: the frame that begins with the hello was read for the hello alone. An entry sends its view at that moment, so sidecars never learnt it and handed out no credits. The rest of the first frame is now read like every other frame.

--- a/src/link/ConnectNetwork.ts
+++ b/src/link/ConnectNetwork.ts
@@ -109,11 +109,13 @@
     const incoming = frames[Symbol.asyncIterator]();
     const limit = this.timer.after(HELLO_TIMEOUT_MS, () => stop.abort());
     try {
-      const peer = helloOf(await incoming.next());
+      const first = await incoming.next();
+      const peer = helloOf(first);
       const objection = peer ? objectionTo(peer, hello) : 'the peer sent no hello';
       if (peer && objection === undefined) {
         const reset = () => stop.abort();
-        return ok(StreamLink.open({ timer: this.timer, peer, incoming, outgoing, reset }));
+        const parts = { timer: this.timer, peer, first: first.value, incoming, outgoing, reset };
+        return ok(StreamLink.open(parts));
       }
       stop.abort();
       return err({ kind: 'broken', reason: objection ?? '' });
--- a/src/link/PeerServer.ts
+++ b/src/link/PeerServer.ts
@@ -145,14 +145,16 @@
   ): AsyncGenerator<Frame, void, void> {
     const own = this.hello();
     const incoming = frames[Symbol.asyncIterator]();
-    const peer = helloOf(await incoming.next());
+    const first = await incoming.next();
+    const peer = helloOf(first);
     if (!peer) throw new ConnectError('the link began without a hello', Code.InvalidArgument);
     const objection = objectionTo(peer, own);
     if (objection !== undefined) throw new ConnectError(objection, Code.FailedPrecondition);
     const reset = () => context.values.get(streamKey)?.close(constants.NGHTTP2_CANCEL);
     const outgoing = FrameQueue.create(reset);
     outgoing.send({ case: 'hello', value: own });
-    this.serve(StreamLink.open({ timer: this.timer, peer, incoming, outgoing, reset }));
+    const { timer } = this;
+    this.serve(StreamLink.open({ timer, peer, first: first.value, incoming, outgoing, reset }));
     yield* outgoing.frames();
   }
 
--- a/src/link/StreamLink.ts
+++ b/src/link/StreamLink.ts
@@ -13,7 +13,9 @@
   readonly timer: TimerService;
   /** The peer's hello, already checked. */
   readonly peer: Hello;
-  /** Frames of the peer that follow its hello. */
+  /** The frame that began with the peer's hello, which may carry the first messages too. */
+  readonly first?: Frame;
+  /** Frames of the peer that follow. */
   readonly incoming: AsyncIterator<Frame>;
   /** What is written to the stream. */
   readonly outgoing: FrameQueue;
@@ -43,6 +45,7 @@
   /** Makes a link of a stream on which both hellos have been exchanged, and starts to read it. */
   static open(parts: Parts): StreamLink {
     const link = new StreamLink(parts);
+    if (parts.first) link.inbox.put(messagesOf(parts.first).slice(1));
     link.receive().catch(() => link.abort());
     return link;
   }
--- a/test/link/network.test.ts
+++ b/test/link/network.test.ts
@@ -42,6 +42,11 @@
     expect(read).toEqual([names('far', 500), names('near', 500)]);
   });
 
+  it('delivers what the listener sends as the link opens', async () => {
+    await start({ link: async (link) => sendGrants(link, 'first', 2) });
+    expect(await take(await current.dial(), 3)).toEqual(names('first', 2));
+  });
+
   it('delivers what was sent before an orderly end', async () => {
     const { served } = await start();
     const link = await current.dial();
