Free a cancelled task's slot only when the backend server has stopped

A cancelled call was aborted on this side alone, so the slot went to the next task while the backend server still ran the old one. Each running task has its own connection.

--- a/src/sidecar/BackendClient.ts
+++ b/src/sidecar/BackendClient.ts
@@ -8,7 +8,8 @@
 export default interface BackendClient {
   /**
    * Hands over one task. Ends when the backend server has answered or its
-   * connection has closed, never earlier; the signal closes the connection.
+   * connection has closed, never earlier. The signal asks it to stop, by ending
+   * this side of the connection; a backend server may finish the task all the same.
    */
   run(
     backend: Announcement,
--- a/src/sidecar/UndiciBackendClient.ts
+++ b/src/sidecar/UndiciBackendClient.ts
@@ -1,9 +1,9 @@
 import { ResultAsync } from 'neverthrow';
-import { Pool } from 'undici';
 import type Announcement from './Announcement';
 import type BackendAnswer from './BackendAnswer';
 import type BackendCall from './BackendCall';
 import type BackendClient from './BackendClient';
+import BackendConnection from './BackendConnection';
 import type BackendError from './BackendError';
 
 /** Errors of a connection that was never there, so that no request can have left on it. */
@@ -14,9 +14,14 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
-/** Reaches a backend server by HTTP, one request a task, within its connections. */
+/**
+ * Reaches a backend server by HTTP, one request a task. Each running task has
+ * a connection of its own, so there are never more than the slots, which an
+ * announcement bounds by its connections.
+ */
 export default class UndiciBackendClient implements BackendClient {
-  private readonly pools = new Map<string, Pool>();
+  /** Idle connections of the backend servers in use, by address; the last used is the last in the list. */
+  private readonly idle = new Map<string, BackendConnection[]>();
 
   private constructor() {}
 
@@ -30,51 +35,34 @@
     call: BackendCall,
     signal: AbortSignal,
   ): ResultAsync<BackendAnswer, BackendError> {
-    return ResultAsync.fromPromise(post(this.pool(backend), call, signal), errorOf);
+    return ResultAsync.fromPromise(this.post(backend.address, call, signal), errorOf);
   }
 
   forget(backend: Announcement): void {
-    const pool = this.pools.get(backend.address);
-    this.pools.delete(backend.address);
-    pool?.close().catch(() => undefined);
+    this.idle.get(backend.address)?.forEach((connection) => connection.close());
+    this.idle.delete(backend.address);
   }
 
-  private pool(backend: Announcement): Pool {
-    const known = this.pools.get(backend.address);
-    if (known) return known;
-    const pool = new Pool(`http://${backend.address}`, {
-      connections: backend.connections,
-      // The timeouts of tasks are the sidecar's, and do not end the request.
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
-    this.pools.set(backend.address, pool);
-    return pool;
+  private async post(
+    address: string,
+    call: BackendCall,
+    signal: AbortSignal,
+  ): Promise<BackendAnswer> {
+    const idle = this.idle.get(address) ?? [];
+    this.idle.set(address, idle);
+    const connection = idle.pop() ?? BackendConnection.to(address);
+    let isReusable = false;
+    try {
+      const answer = await connection.post(call, signal);
+      isReusable = !signal.aborted && this.idle.get(address) === idle;
+      return answer;
+    } finally {
+      if (isReusable) idle.push(connection);
+      else connection.close();
+    }
   }
 }
 
-async function post(pool: Pool, call: BackendCall, signal: AbortSignal): Promise<BackendAnswer> {
-  const res = await pool.request({
-    method: 'POST',
-    path: '/tasks',
-    headers: headersOf(call),
-    body: call.input,
-    signal,
-  });
-  const output = new Uint8Array(await res.body.arrayBuffer());
-  const ok = res.statusCode >= 200 && res.statusCode < 300;
-  return { ok, output, reason: ok ? '' : `backend server answered ${res.statusCode}` };
-}
-
-function headersOf(call: BackendCall): Record<string, string> {
-  const headers = {
-    'content-type': 'application/json',
-    'x-task': call.task,
-    'x-timeout-ms': String(call.timeoutMs),
-  };
-  return call.traceparent ? { ...headers, traceparent: call.traceparent } : headers;
-}
-
 function errorOf(cause: unknown): BackendError {
   const { code, message } = cause as { code?: string; message?: string };
   const kind = code !== undefined && UNSENT_CODES.has(code) ? 'unsent' : 'lost';
--- a/test/sidecarHttp.test.ts
+++ b/test/sidecarHttp.test.ts
@@ -4,6 +4,7 @@
 import BackendDesk from '../src/sidecar/BackendDesk';
 import UndiciBackendClient from '../src/sidecar/UndiciBackendClient';
 import BackendStandIn from '../tools/backend/BackendStandIn';
+import type StandInCounts from '../tools/backend/StandInCounts';
 import ManualTimer from './support/ManualTimer';
 
 const closers: (() => Promise<void>)[] = [];
@@ -100,6 +101,18 @@
   `);
 });
 
+it('ends a cancelled call only when the backend server has closed', async () => {
+  const run = await openBackend({ hang: true });
+  const cancel = new AbortController();
+  const ended = run({ ms: 0 }, cancel.signal);
+  while ((await run.counts()).running === 0);
+  cancel.abort();
+  expect([await ended, await run.counts()]).toMatchObject([
+    { kind: 'lost' },
+    { running: 0, aborted: 1 },
+  ]);
+});
+
 it('reports a refused connection as unsent', async () => {
   const server = BackendStandIn.create(ManualTimer.create(), 1);
   const address = await server.listen('127.0.0.1', 0);
@@ -139,17 +152,18 @@
 
 function callOf(address: string) {
   const client = UndiciBackendClient.create();
-  return async (input: object) => {
+  const run = async (input: object, signal = new AbortController().signal) => {
     const call = { task: 'j/0/0', timeoutMs: 1000, traceparent: '' };
     const bytes = Buffer.from(JSON.stringify(input));
-    const res = await client.run(
-      announcement(address),
-      { ...call, input: bytes },
-      new AbortController().signal,
-    );
+    const res = await client.run(announcement(address), { ...call, input: bytes }, signal);
     if (res.isErr()) return res.error;
     return { ...res.value, output: Buffer.from(res.value.output).toString() };
   };
+  const counts = async () => {
+    const res = await request(`http://${address}/counts`);
+    return (await res.body.json()) as StandInCounts;
+  };
+  return Object.assign(run, { counts });
 }
 
 function announcement(address: string): Announcement {
