Cover a lease that ends while the watch is broken

Cause: no test failed when the listing after an outage kept lease keys that had ended meanwhile. Change: a test that does.

--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -73,6 +73,19 @@
   expect(viewText(a?.views.current)).toMatchInlineSnapshot(`"2: a b (1: a)"`);
 });
 
+test('a lease that ended while the watch was broken is noticed by the listing', async () => {
+  const it = new MembershipCase();
+  const [a] = await it.startAll('a', 'b');
+  it.suspected.add('b');
+  it.engine.setFaults({ down: true }, 'a');
+  await it.timer.advance(1_000);
+  it.engine.setFaults({ down: true }, 'b');
+  await it.engine.revokeLease('lease-2');
+  it.engine.setFaults({}, 'a');
+  await it.timer.advance(60_000);
+  expect(viewText(a?.views.current)).toMatchInlineSnapshot(`"3: a (1: a, 2: a b)"`);
+});
+
 test('a lapsed lease removes only with suspicion', async () => {
   const it = new MembershipCase();
   const [a] = await it.startAll('a', 'b');
