--- a/test/membership/watch.test.ts
+++ b/test/membership/watch.test.ts
@@ -28,10 +28,13 @@
   it.engine.setFaults({ answerLost: true });
   const applied = outcome(apply(it, 'first'));
   await it.timer.advance(1_000);
-  expect([await applied, it.engine.calls().first?.put]).toMatchInlineSnapshot(`
+  expect([await applied, it.engine.calls().first]).toMatchInlineSnapshot(`
     [
       "{\\version\\:1,\\applyId\\:\\first\\,\\manifest\\:{\\note\\:\\first\\},\\appliedAt\\:\\\\}",
-      1,
+      {
+        "get": 2,
+        "put": 1,
+      },
     ]
   `);
 });
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -153,11 +153,16 @@
     const put = store.put('k', 'v');
     await counted(engine, 'put', 1);
     await timer.advance(2_000);
-    const result = await outcome(put);
+    const result = await put;
     await timer.advance(3_000);
     expect([result, await outcome(engine.get('k'))]).toMatchInlineSnapshot(`
       [
-        "unavailable",
+        Err {
+          "error": {
+            "kind": "unavailable",
+            "reason": "timeout",
+          },
+        },
         "{key:k,value:v,revision:1}",
       ]
     `);
@@ -184,7 +189,14 @@
     const watch = store.watch('', 0, 30_000, caller.signal);
     await counted(engine, 'watch', 1);
     caller.abort();
-    expect(await outcome(watch)).toMatchInlineSnapshot(`"unavailable"`);
+    expect(await watch).toMatchInlineSnapshot(`
+      Err {
+        "error": {
+          "kind": "unavailable",
+          "reason": "aborted",
+        },
+      }
+    `);
   });
 
   test('switches faults and reads counts by its own calls', async () => {
