Drop starts that waited while a sidecar was stopped for long

A sidecar that was stopped for minutes ran the starts that had waited in its sockets, long after their owner had given them up. It now notices that it was held up for longer than a link may be silent, closes its links and lets the new sessions tell what was not run. Heartbeats come from the links' KeepAlive, so that the rule stands once.

--- a/src/sidecar/EntryPeer.ts
+++ b/src/sidecar/EntryPeer.ts
@@ -8,11 +8,6 @@
 
 /** A linked entry, as its sidecar sees it. */
 export default class EntryPeer {
-  /** Monotonic times of the last message in each direction. */
-  heardAt: number;
-
-  sentAt: number;
-
   /** True once the entry has said on this link which view it knows. */
   hasSentView = false;
 
@@ -33,10 +28,7 @@
     readonly link: Link,
     private readonly timer: TimerService,
     private readonly counters: SidecarCounters,
-  ) {
-    this.heardAt = timer.now();
-    this.sentAt = timer.now();
-  }
+  ) {}
 
   /** Creates the state of a link that has just opened. */
   static of(link: Link, timer: TimerService, counters: SidecarCounters): EntryPeer {
@@ -60,8 +52,6 @@
   /** Notes that a message came. */
   hear(message: PeerMessage): void {
     SidecarCounters.add(this.counters.received, message.case);
-    this.heardAt = this.timer.now();
-    this.suspected = false;
   }
 
   /** Notes what the entry said of its oldest waiting task. */
@@ -80,9 +70,9 @@
     this.leaving = true;
   }
 
-  /** Notes that nothing was heard of the entry for long. */
-  suspect(): void {
-    this.suspected = true;
+  /** Notes whether the entry has been silent for long. */
+  suspect(suspected: boolean): void {
+    this.suspected = suspected;
   }
 
   /** Notes that a view was confirmed to this entry. */
@@ -96,8 +86,12 @@
   }
 
   send(message: PeerMessage): void {
-    SidecarCounters.add(this.counters.sent, message.case);
-    this.sentAt = this.timer.now();
+    this.countSent(message.case);
     this.link.send(message);
   }
+
+  /** Counts a message to this entry. */
+  countSent(kind: PeerMessage['case']): void {
+    SidecarCounters.add(this.counters.sent, kind);
+  }
 }
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -11,7 +11,9 @@
   type Hello,
   type View,
 } from '../gen/magnoliakeel/v1/peer_pb';
+import KeepAlive from '../link/KeepAlive';
 import type Link from '../link/Link';
+import PROTOCOL_VERSION from '../link/PROTOCOL_VERSION';
 import type PeerMessage from '../link/PeerMessage';
 import type Announcement from './Announcement';
 import BackendLease from './BackendLease';
@@ -29,7 +31,6 @@
 import isMember from './isMember';
 import messageHandlers from './messageHandlers';
 
-const PROTOCOL = 1;
 const EXPIRE_INTERVAL_MS = 10_000;
 /** How long entries get to read the last messages and close their links. */
 const LINGER_MS = 200;
@@ -63,6 +64,9 @@
 
   private isLeaving = false;
 
+  /** Time of the last sign that this process runs. */
+  private beatAt = 0;
+
   private constructor(private readonly opts: SidecarOptions) {
     const { entries, slots, view } = this;
     this.ledger = Ledger.create({
@@ -157,7 +161,8 @@
   /** Works until the signal aborts, then leaves: no new starts, tasks in flight are awaited. */
   async run(signal: AbortSignal): Promise<void> {
     const { timer, heartbeat } = this.opts;
-    const beats = timer.every(heartbeat.intervalMs / 2, () => this.beat());
+    this.beatAt = timer.now();
+    const beats = timer.every(heartbeat.intervalMs, () => this.beat());
     const expiry = timer.every(EXPIRE_INTERVAL_MS, () => this.expire());
     this.dialler.retarget();
     await aborted(signal);
@@ -185,7 +190,7 @@
     const service = this.lease.current?.service;
     return create(HelloSchema, {
       ...{ cluster, instance, incarnation, zone, session },
-      protocol: PROTOCOL,
+      protocol: PROTOCOL_VERSION,
       role: Role.SIDECAR,
       services: service === undefined ? [] : [service],
     });
@@ -200,7 +205,7 @@
     }
     this.opened(peer);
     for await (const message of link.messages()) {
-      if (link.closed.aborted) break;
+      if (link.closed.aborted || this.isHeldUp()) break;
       peer.hear(message);
       this.handle(peer, message);
     }
@@ -223,6 +228,10 @@
   private opened(peer: EntryPeer): void {
     this.opts.counters.links += 1;
     this.opts.log?.(`linked to entry ${peer.link.peer.instance}`);
+    KeepAlive.start(peer.link, this.opts.timer, this.opts.heartbeat, {
+      heartbeat: () => this.heartbeatTo(peer),
+      suspected: (suspected) => peer.suspect(suspected),
+    });
     const { version } = this.services;
     if (version > 0n) peer.send({ case: 'inForce', value: create(InForceSchema, { version }) });
     this.credits.spread();
@@ -277,23 +286,26 @@
     if (this.lease.current?.address === backend.address) this.lease.end();
   }
 
+  /**
+   * After this process has been held up for long, what waits on its links is
+   * out of date: the links are closed, and the new ones tell what was not run.
+   */
   private beat(): void {
-    const { timer, heartbeat } = this.opts;
-    const now = timer.now();
-    this.entries.all().forEach((peer) => {
-      const silence = now - peer.heardAt;
-      if (silence > heartbeat.closeMs) peer.link.close();
-      else if (silence > heartbeat.suspectMs) peer.suspect();
-      if (now - peer.sentAt >= heartbeat.intervalMs) this.sendHeartbeat(peer);
-    });
+    if (this.isHeldUp()) this.entries.all().forEach((peer) => peer.link.close());
+    this.beatAt = this.opts.timer.now();
+  }
+
+  private isHeldUp(): boolean {
+    return this.opts.timer.now() - this.beatAt > this.opts.heartbeat.closeMs;
   }
 
-  private sendHeartbeat(peer: EntryPeer): void {
+  private heartbeatTo(peer: EntryPeer): PeerMessage {
+    peer.countSent('heartbeat');
     const value = create(HeartbeatSchema, {
       configurationVersion: this.services.version,
       viewNumber: this.view.number,
     });
-    peer.send({ case: 'heartbeat', value });
+    return { case: 'heartbeat', value };
   }
 
   private expire(): void {
