--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -440,7 +440,6 @@
           log.info(`sidecar ${peer.instance} ended`);
           this.sightings.ended(peer);
         },
-        received: () => {},
       },
       this.dispatcher,
       this.recovery,
--- a/src/entry/SidecarLinks.ts
+++ b/src/entry/SidecarLinks.ts
@@ -115,7 +115,6 @@
   }
 
   private receive(peer: SidecarPeer, message: PeerMessage): void {
-    this.options.received(message.case);
     const { dispatcher, recovery } = this;
     const adoptions = this.adoptions.get(peer.incarnation);
     handleMessage(handlers, { dispatcher, recovery, peer, adoptions }, message);
--- a/src/entry/SidecarLinksOptions.ts
+++ b/src/entry/SidecarLinksOptions.ts
@@ -3,7 +3,6 @@
 import type { Heartbeat } from '../gen/magnoliakeel/v1/peer_pb';
 import type KeepAliveLimits from '../link/KeepAliveLimits';
 import type Link from '../link/Link';
-import type PeerMessage from '../link/PeerMessage';
 
 /** What the links to sidecars need from the entry around them. */
 export default interface SidecarLinksOptions {
@@ -20,6 +19,4 @@
   readonly linked: (peer: SidecarPeer) => void;
   /** Told when a sidecar has ended and its tasks are settled. */
   readonly ended: (peer: SidecarPeer) => void;
-  /** Told of each message, for counting. */
-  readonly received: (kind: PeerMessage['case']) => void;
 }
--- a/src/membership/nextView.ts
+++ b/src/membership/nextView.ts
@@ -33,9 +33,7 @@
   if (view.number === 0n) return [];
   const { number, sinceMs, members } = view;
   const namesOf = (isLeaving: boolean) =>
-    members
-      .filter((member) => member.leaving === isLeaving)
-      .map(({ incarnation }) => incarnation);
+    members.filter((member) => member.leaving === isLeaving).map(({ incarnation }) => incarnation);
   const past = { number, sinceMs, untilMs, incarnations: namesOf(false), leaving: namesOf(true) };
   return [create(PastViewSchema, past)];
 }
--- a/src/sidecar/SidecarCounters.ts
+++ b/src/sidecar/SidecarCounters.ts
@@ -23,7 +23,7 @@
 
   /** Adds one to a counter of a group. */
   static add(group: Record<string, number>, name: string): void {
-    // eslint-disable-next-line no-param-reassign
+     
     group[name] = (group[name] ?? 0) + 1;
   }
 }
--- a/tools/demo/main.ts
+++ b/tools/demo/main.ts
@@ -1,6 +1,4 @@
 import { request } from 'undici';
-import ownerOf from '../../src/core/ownerOf';
-import jobKey from '../../src/core/jobKey';
 import Cluster from '../harness/Cluster';
 import demoManifest from './demoManifest';
 
@@ -18,7 +16,7 @@
 } catch (error) {
   problems.push((error as Error).message);
 } finally {
-  if (process.env['VERBOSE']) cluster.processes.printAll();
+  if (process.env.VERBOSE) cluster.processes.printAll();
   await cluster.stop();
 }
 problems.forEach((problem) => process.stdout.write(`problem: ${problem}\n`));
@@ -38,7 +36,9 @@
     JSON.stringify(answer) === JSON.stringify(again),
     'the resubmission got a different answer',
   );
-  const inOrder = answer.results?.every(({ index, output }, at) => index === at && output.n === at);
+  const inOrder = answer.results?.every(
+    ({ index, output }, at) => index === at && output.output.n === at,
+  );
   check(inOrder === true, 'a result stands at a wrong place');
   const starts = await cluster.starts();
   const counts = [...starts.values()];
@@ -49,19 +49,19 @@
     'a task was started twice',
   );
   print('processes', [...cluster.processes.names].join(', '));
-  print('owner', ownerName());
 }
 
 async function ready(): Promise<void> {
-  await Promise.all(
-    cluster.entryNames.map((entry) => cluster.processes.waitFor(entry, /view 3/)),
-  );
+  await Promise.all(cluster.entryNames.map((entry) => cluster.processes.waitFor(entry, /view 3/)));
 }
 
 interface DemoAnswer {
   readonly outcome: string;
   readonly reason?: string;
-  readonly results?: readonly { readonly index: number; readonly output: { readonly n: number } }[];
+  readonly results?: readonly {
+    readonly index: number;
+    readonly output: { readonly output: { readonly n: number } };
+  }[];
 }
 
 async function submit(entry: string): Promise<DemoAnswer> {
@@ -79,11 +79,6 @@
   return `${answer.outcome}, ${answer.results?.length ?? 0} results`;
 }
 
-function ownerName(): string {
-  const key = jobKey('booking', 'job', JOB);
-  return `one of ${cluster.entryNames.join(', ')} by ${key} ${ownerOf(key, ['x']) ? '' : ''}`;
-}
-
 function check(holds: boolean, problem: string): void {
   if (!holds) problems.push(problem);
 }
--- a/tools/harness/Processes.ts
+++ b/tools/harness/Processes.ts
@@ -28,7 +28,7 @@
     });
     this.children.set(name, child);
     this.lines.set(name, []);
-    [child.stdout!, child.stderr!].forEach((stream) => {
+    [child.stdout, child.stderr].forEach((stream) => {
       createInterface({ input: stream }).on('line', (line) => {
         this.lines.get(name)!.push(line);
         this.listeners.forEach((listener) => listener());
