--- a/src/sidecar/Dialler.ts
+++ b/src/sidecar/Dialler.ts
@@ -106,7 +106,7 @@
     while (!upkeep.stop.signal.aborted) {
       if (await this.dial(address, upkeep.stop.signal)) backoff.reset();
       if (upkeep.stop.signal.aborted) return;
-       
+
       upkeep.nap = new AbortController();
       await timer.sleep(backoff.next(), upkeep.nap.signal);
     }
--- a/src/sidecar/SidecarCounters.ts
+++ b/src/sidecar/SidecarCounters.ts
@@ -23,7 +23,6 @@
 
   /** Adds one to a counter of a group. */
   static add(group: Record<string, number>, name: string): void {
-     
     group[name] = (group[name] ?? 0) + 1;
   }
 }
