Answer every bad request, and no status that a balancer re-sends

Cause: three requests that anyone can send ended the whole entry process or lost the refusal: a body nested 100,000 deep and the targets "//" and "http://[" raised errors that nothing caught, and a chunked body over the limit got a reset connection in place of its 413. A caller waiting while the entry left got a connection that stayed open, or was cut at the end of the drain time. Node's own refusals (400, 408, 431) had no body. 502 and 504 for work that may have run are statuses that balancers re-send.

Change: the callers' server catches all errors and answers `unknown`, reads oversize bodies without keeping them, collects all mistakes of a request with their places, refuses unreadable requests in the common form, ends waits with an answer at the end of the drain time, spreads every time to come back, and checks completed answers for wholeness. `failed` is now 422, `unknown` 424.

Conclusion: see docs/design/callers.md.

--- a/src/callers/CallerServerOptions.ts
+++ b/src/callers/CallerServerOptions.ts
@@ -1,3 +1,5 @@
+import type Random from '../core/Random';
+import type TimerService from '../core/TimerService';
 import type { Answer } from '../gen/magnoliakeel/v1/peer_pb';
 import type EntrySettings from '../settings/EntrySettings';
 import type Manifest from '../settings/Manifest';
@@ -6,10 +8,14 @@
 /** What the callers' interface needs from the entry around it. */
 export default interface CallerServerOptions {
   readonly limits: EntrySettings['limits'];
+  readonly timer: TimerService;
+  /** Spreads the times at which refused callers come back. */
+  readonly random: Random;
   /** The manifest in force; undefined before the first. */
   readonly manifest: () => Manifest | undefined;
-  /** Wall-clock time in milliseconds. */
-  readonly wall: () => number;
   readonly isLeaving: () => boolean;
+  /** The answer to a submission; the signal tells that nobody waits for it any more. */
   readonly submit: (submission: CallerSubmission, gone: AbortSignal) => Promise<Answer>;
+  /** Told of an error that is a fault of this program. */
+  readonly failed: (error: unknown) => void;
 }
--- /dev/null
+++ b/src/callers/errorBody.ts
@@ -0,0 +1,15 @@
+import type RequestError from './RequestError';
+import type ResponseBody from './ResponseBody';
+
+/** The outcome and the JSON body of a refusal. */
+export default function errorBody(
+  { status, reason, findings }: RequestError,
+  retryAfterMs: number,
+): Pick<ResponseBody, 'outcome' | 'body'> {
+  const outcome = status === UNAVAILABLE ? 'not-run' : 'invalid';
+  const retry = retryAfterMs > 0 ? { retryAfterMs } : {};
+  const body = Buffer.from(JSON.stringify({ outcome, reason, findings, ...retry }));
+  return { outcome, body };
+}
+
+const UNAVAILABLE = 503;
--- /dev/null
+++ b/src/callers/findBodyMistake.ts
@@ -0,0 +1,18 @@
+import type { IncomingMessage } from 'node:http';
+import type RequestError from './RequestError';
+
+/** What the headers already tell against a request's body, before any of it is read. */
+export default function findBodyMistake(
+  { headers }: IncomingMessage,
+  limitBytes: number,
+): RequestError | undefined {
+  const encoding = headers['content-encoding'];
+  if (encoding !== undefined && encoding !== 'identity') {
+    const reason = `header Content-Encoding: found "${encoding}", expected none`;
+    return { status: 415, reason };
+  }
+  const declared = Number(headers['content-length'] ?? 0);
+  if (declared <= limitBytes) return undefined;
+  const reason = `body: ${declared} bytes announced, expected at most ${limitBytes}`;
+  return { status: 413, reason };
+}
--- a/src/callers/outcomeTable.ts
+++ b/src/callers/outcomeTable.ts
@@ -1,13 +1,17 @@
 import { Outcome } from '../gen/magnoliakeel/v1/peer_pb';
 import type OutcomeRow from './OutcomeRow';
 
-/** How each outcome appears to callers. This table is the only place that knows. */
+/**
+ * How each outcome appears to callers. This table is the only place that knows.
+ * Of the statuses that balancers re-send by themselves, only 503 occurs, and
+ * only for what was not run (`docs/design/callers.md`).
+ */
 const outcomeTable: Record<Outcome, OutcomeRow> = {
-  [Outcome.UNSPECIFIED]: { status: 500, name: 'unknown' },
+  [Outcome.UNSPECIFIED]: { status: 424, name: 'unknown' },
   [Outcome.COMPLETED]: { status: 200, name: 'completed' },
-  [Outcome.FAILED]: { status: 502, name: 'failed' },
+  [Outcome.FAILED]: { status: 422, name: 'failed' },
   [Outcome.NOT_RUN]: { status: 503, name: 'not-run' },
-  [Outcome.UNKNOWN]: { status: 504, name: 'unknown' },
+  [Outcome.UNKNOWN]: { status: 424, name: 'unknown' },
   [Outcome.PENDING]: { status: 202, name: 'pending' },
   [Outcome.CONFLICT]: { status: 409, name: 'conflict' },
   [Outcome.ABSENT]: { status: 404, name: 'absent' },
--- a/src/callers/parseJob.ts
+++ b/src/callers/parseJob.ts
@@ -5,36 +5,35 @@
 import type CallerRequest from './CallerRequest';
 import type CallerSubmission from './CallerSubmission';
 import digestOf from './digestOf';
+import findService from './findService';
 import parseCommon from './parseCommon';
 import parseCreated from './parseCreated';
 import parseTasks from './parseTasks';
 import type RequestError from './RequestError';
+import RequestFindings from './RequestFindings';
 
 /** Reads the submission of a job: `PUT /v1/services/{service}/jobs/{jobId}`. */
 export default function parseJob(
   req: CallerRequest,
   manifest: Manifest,
 ): Result<CallerSubmission, RequestError> {
+  const service = findService(req, manifest);
+  if (service.isErr()) return err(service.error);
   const id = req.names[1]!;
-  const common = parseCommon(req, manifest);
-  if (common.isErr()) return err(common.error);
-  const created = parseCreated(id, req.headers);
-  if (created.isErr()) return err(created.error);
-  const inputs = parseTasks(req.body, common.value.service);
-  if (inputs.isErr()) return err(inputs.error);
-  const { service, team, deadlineMs, waitMs, traceparent } = common.value;
+  const findings = RequestFindings.create();
+  const common = parseCommon(req, manifest, service.value, findings);
+  const createdMs = parseCreated('id', id, req.headers, findings);
+  const inputs = parseTasks(req.body, service.value, findings);
+  if (!findings.isEmpty) return err(findings.toError());
   const submission = create(SubmissionSchema, {
+    ...common,
     action: Action.SUBMIT,
-    service: service.name,
+    service: service.value.name,
     kind: 'job',
     id,
-    team,
-    createdMs: BigInt(created.value),
-    digest: digestOf(inputs.value),
-    inputs: inputs.value,
-    deadlineMs,
-    waitMs,
-    traceparent,
+    createdMs: BigInt(createdMs),
+    digest: digestOf(inputs),
+    inputs,
   });
   return ok({ submission, keyed: true });
 }
--- a/src/callers/parseJobQuery.ts
+++ b/src/callers/parseJobQuery.ts
@@ -1,25 +1,28 @@
 import { create } from '@bufbuild/protobuf';
 import { err, ok } from 'neverthrow';
 import { type Action, SubmissionSchema } from '../gen/magnoliakeel/v1/peer_pb';
+import findService from './findService';
 import parseCommon from './parseCommon';
 import parseCreated from './parseCreated';
+import RequestFindings from './RequestFindings';
 import type Route from './Route';
 
 /** Makes the parser of requests that ask about a job by its id or cancel it. */
 export default function parseJobQuery(action: Action): Route['parse'] {
   return (req, manifest) => {
+    const service = findService(req, manifest);
+    if (service.isErr()) return err(service.error);
     const id = req.names[1]!;
-    const common = parseCommon(req, manifest);
-    if (common.isErr()) return err(common.error);
-    const created = parseCreated(id, req.headers);
-    if (created.isErr()) return err(created.error);
-    const { service, waitMs, traceparent } = common.value;
+    const findings = RequestFindings.create();
+    const { waitMs, traceparent } = parseCommon(req, manifest, service.value, findings);
+    const createdMs = parseCreated('id', id, req.headers, findings);
+    if (!findings.isEmpty) return err(findings.toError());
     const submission = create(SubmissionSchema, {
       action,
-      service: service.name,
+      service: service.value.name,
       kind: 'job',
       id,
-      createdMs: BigInt(created.value),
+      createdMs: BigInt(createdMs),
       waitMs,
       traceparent,
     });
--- a/src/callers/parseSingleRequest.ts
+++ b/src/callers/parseSingleRequest.ts
@@ -6,10 +6,12 @@
 import type CallerRequest from './CallerRequest';
 import type CallerSubmission from './CallerSubmission';
 import digestOf from './digestOf';
+import findService from './findService';
 import headerOf from './headerOf';
 import parseCommon from './parseCommon';
 import parseCreated from './parseCreated';
 import type RequestError from './RequestError';
+import RequestFindings from './RequestFindings';
 
 /** Reads a single request: `POST /v1/services/{service}/requests`. */
 export default function parseSingleRequest(
@@ -17,39 +19,44 @@
   manifest: Manifest,
   nowMs: number,
 ): Result<CallerSubmission, RequestError> {
-  const common = parseCommon(req, manifest);
-  if (common.isErr()) return err(common.error);
-  const { service, team, deadlineMs, traceparent } = common.value;
-  if (req.body.length > service.maxTaskBytes) {
-    const reason = `body: it has ${req.body.length} bytes, expected at most ${service.maxTaskBytes}`;
+  const found = findService(req, manifest);
+  if (found.isErr()) return err(found.error);
+  const service = found.value;
+  const { length } = req.body;
+  if (length > service.maxTaskBytes) {
+    const reason = `body: found ${length} bytes, expected at most ${service.maxTaskBytes}`;
     return err({ status: 413, reason });
   }
+  const findings = RequestFindings.create();
+  const common = parseCommon(req, manifest, service, findings);
   const key = headerOf(req.headers, 'idempotency-key');
-  const created = key === undefined ? ok(nowMs) : parseCreated(key, req.headers);
-  if (created.isErr()) return err(created.error);
-  const idempotent = parseIdempotent(req, service.idempotent);
-  if (idempotent.isErr()) return err(idempotent.error);
+  const createdMs =
+    key === undefined ? nowMs : parseCreated('header Idempotency-Key', key, req.headers, findings);
+  const idempotent = parseIdempotent(req, service.idempotent, findings);
+  if (!findings.isEmpty) return err(findings.toError());
   const submission = create(SubmissionSchema, {
+    ...common,
     action: Action.SUBMIT,
     service: service.name,
     kind: 'request',
     id: key ?? randomUUID(),
-    team,
-    createdMs: BigInt(created.value),
+    createdMs: BigInt(createdMs),
     digest: digestOf([req.body]),
     inputs: [req.body],
-    idempotent: idempotent.value,
-    deadlineMs,
-    waitMs: deadlineMs || service.jobTimeoutMs,
-    traceparent,
+    idempotent,
+    waitMs: Math.min(common.deadlineMs || service.jobTimeoutMs, service.jobTimeoutMs),
   });
   return ok({ submission, keyed: key !== undefined });
 }
 
-function parseIdempotent(req: CallerRequest, fallback: boolean): Result<boolean, RequestError> {
+function parseIdempotent(
+  req: CallerRequest,
+  fallback: boolean,
+  findings: RequestFindings,
+): boolean {
   const mark = headerOf(req.headers, 'magnoliakeel-idempotent');
-  if (mark === undefined) return ok(fallback);
-  if (mark === 'true' || mark === 'false') return ok(mark === 'true');
-  const reason = `header Magnoliakeel-Idempotent: found "${mark}", expected true or false`;
-  return err({ status: 400, reason });
+  if (mark === undefined) return fallback;
+  if (mark === 'true' || mark === 'false') return mark === 'true';
+  findings.add('header Magnoliakeel-Idempotent', `found "${mark}", expected true or false`);
+  return false;
 }
--- a/src/callers/parseTasks.ts
+++ b/src/callers/parseTasks.ts
@@ -1,44 +1,79 @@
-import { err, ok, type Result } from 'neverthrow';
 import type ServiceConfig from '../settings/ServiceConfig';
-import type RequestError from './RequestError';
+import parseJson from './parseJson';
+import type RequestFindings from './RequestFindings';
 
 /** Reads a job's body, `{"tasks": [{"input": ...}, ...]}`, into the tasks' inputs as JSON text. */
 export default function parseTasks(
   body: Buffer,
   service: ServiceConfig,
-): Result<Uint8Array[], RequestError> {
+  findings: RequestFindings,
+): Uint8Array[] {
   const parsed = parseJson(body);
-  if (parsed.isErr()) return err(parsed.error);
-  const tasks = isObject(parsed.value) ? parsed.value.tasks : undefined;
-  if (!Array.isArray(tasks)) return bad('body', 'expected an object with an array "tasks"');
-  if (tasks.length === 0) return bad('tasks', 'found none, expected at least one');
-  if (tasks.length > service.maxTasks) {
-    return bad('tasks', `found ${tasks.length}, expected at most ${service.maxTasks}`);
-  }
-  const wrong = tasks.findIndex((task) => !isObject(task) || task.input === undefined);
-  if (wrong >= 0) return bad(`tasks[${wrong}]`, 'expected an object with an "input"');
-  const inputs = tasks.map((task) => Buffer.from(JSON.stringify(task.input)));
-  const large = inputs.findIndex((input) => input.length > service.maxTaskBytes);
-  if (large < 0) return ok(inputs);
-  const found = inputs[large]!.length;
-  return bad(
-    `tasks[${large}].input`,
-    `found ${found} bytes, expected at most ${service.maxTaskBytes}`,
-  );
+  if (parsed.isErr()) {
+    findings.add('body', parsed.error);
+    return [];
+  }
+  if (!isObject(parsed.value)) {
+    findings.add('body', `found ${kindOf(parsed.value)}, expected an object with "tasks"`);
+    return [];
+  }
+  const { tasks, ...others } = parsed.value;
+  Object.keys(others).forEach((key) => {
+    findings.add(key.slice(0, MAX_NAME), 'found an unknown key, expected "tasks" alone');
+  });
+  if (!Array.isArray(tasks)) {
+    findings.add('tasks', `found ${kindOf(tasks)}, expected a list`);
+    return [];
+  }
+  if (tasks.length === 0 || tasks.length > service.maxTasks) {
+    findings.add('tasks', `found ${tasks.length}, expected 1 to ${service.maxTasks}`);
+    return [];
+  }
+  return tasks.map((task, index) => parseTask(task, `tasks[${index}]`, service, findings));
+}
+
+function parseTask(
+  task: unknown,
+  place: string,
+  { maxTaskBytes }: ServiceConfig,
+  findings: RequestFindings,
+): Uint8Array {
+  if (!isObject(task)) {
+    findings.add(place, `found ${kindOf(task)}, expected an object with "input"`);
+    return NOTHING;
+  }
+  if (task.input === undefined) {
+    findings.add(`${place}.input`, 'found nothing, expected any JSON value');
+    return NOTHING;
+  }
+  const input = textOf(task.input);
+  if (!input) findings.add(`${place}.input`, 'it is nested too deeply');
+  else if (input.length > maxTaskBytes) {
+    const reason = `found ${input.length} bytes, expected at most ${maxTaskBytes}`;
+    findings.add(`${place}.input`, reason);
+  }
+  return input ?? NOTHING;
 }
 
-function parseJson(body: Buffer): Result<unknown, RequestError> {
+/** The value as JSON text; undefined when it is nested too deeply to be written. */
+function textOf(value: unknown): Uint8Array | undefined {
   try {
-    return ok(JSON.parse(body.toString('utf8')));
-  } catch (error) {
-    return bad('body', `not well-formed JSON: ${(error as Error).message}`);
+    return Buffer.from(JSON.stringify(value));
+  } catch {
+    return undefined;
   }
 }
 
+const NOTHING = new Uint8Array();
+const MAX_NAME = 64;
+
 function isObject(value: unknown): value is Record<string, unknown> {
   return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
 
-function bad(place: string, reason: string): Result<never, RequestError> {
-  return err({ status: 400, reason: `${place}: ${reason}` });
+function kindOf(value: unknown): string {
+  if (value === undefined) return 'nothing';
+  if (value === null) return 'null';
+  if (Array.isArray(value)) return 'a list';
+  return typeof value === 'object' ? 'an object' : `a ${typeof value}`;
 }
--- a/src/callers/readBody.ts
+++ b/src/callers/readBody.ts
@@ -2,27 +2,34 @@
 import { err, ok, type Result } from 'neverthrow';
 import type RequestError from './RequestError';
 
-/** Reads a request's whole body, but never keeps more than the limit in memory. */
-export default async function readBody(
+/**
+ * Reads a request's whole body, but never keeps more than the limit in memory.
+ * The rest of a larger one is read and thrown away, so that its sender gets to
+ * see the refusal.
+ */
+export default function readBody(
   req: IncomingMessage,
   limitBytes: number,
 ): Promise<Result<Buffer, RequestError>> {
-  const declared = Number(req.headers['content-length'] ?? 0);
-  if (declared > limitBytes) return err(tooLarge(limitBytes));
-  const chunks: Buffer[] = [];
-  let length = 0;
-  try {
-    for await (const chunk of req) {
-      length += (chunk as Buffer).length;
-      if (length > limitBytes) return err(tooLarge(limitBytes));
-      chunks.push(chunk as Buffer);
-    }
-  } catch {
-    return err({ status: 400, reason: 'body: it was cut off before its end' });
-  }
-  return ok(Buffer.concat(chunks));
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    const take = (chunk: Buffer) => {
+      length += chunk.length;
+      if (length <= limitBytes) {
+        chunks.push(chunk);
+        return;
+      }
+      req.off('data', take);
+      chunks.length = 0;
+      req.resume();
+      resolve(err({ status: 413, reason: `body: larger than the limit of ${limitBytes} bytes` }));
+    };
+    req.on('data', take);
+    req.on('end', () => resolve(ok(Buffer.concat(chunks))));
+    req.on('error', () => resolve(err(CUT_OFF)));
+    req.on('close', () => resolve(err(CUT_OFF)));
+  });
 }
 
-function tooLarge(limitBytes: number): RequestError {
-  return { status: 413, reason: `body: it is larger than the limit of ${limitBytes} bytes` };
-}
+const CUT_OFF: RequestError = { status: 400, reason: 'body: it was cut off before its end' };
--- a/src/callers/respond.ts
+++ b/src/callers/respond.ts
@@ -6,33 +6,38 @@
   type TaskResult,
 } from '../gen/magnoliakeel/v1/peer_pb';
 import outcomeTable from './outcomeTable';
+import sendBody from './sendBody';
 
 /** Writes an answer with its outcome, its length and, for a job, its number of tasks. */
 export default function respond(res: ServerResponse, submission: Submission, answer: Answer): void {
-  const { status, name } = outcomeTable[answer.outcome];
-  const isRequest = submission.kind === 'request' && answer.outcome === Outcome.COMPLETED;
-  const body = isRequest
-    ? Buffer.from(answer.results[0]!.output)
-    : Buffer.from(jobBody(submission, answer, name));
-  const headers: Record<string, string | number> = {
-    'Content-Type': 'application/json',
-    'Content-Length': body.length,
-    'Magnoliakeel-Outcome': name,
-  };
-  if (answer.size > 0) headers['Magnoliakeel-Count'] = answer.size;
-  if (answer.retryAfterMs > 0) headers['Retry-After'] = Math.ceil(answer.retryAfterMs / 1000);
-  res.writeHead(status, headers);
-  res.end(body);
+  const whole = inOrder(answer);
+  const { status, name } = outcomeTable[whole.outcome];
+  const isOutput = submission.kind === 'request' && whole.outcome === Outcome.COMPLETED;
+  const body = isOutput
+    ? Buffer.from(whole.results[0]!.output)
+    : Buffer.from(bodyOf(submission, whole, name));
+  if (whole.size > 0) res.setHeader('Magnoliakeel-Count', whole.size);
+  sendBody(res, { status, outcome: name, body, retryAfterMs: whole.retryAfterMs });
 }
 
-function jobBody({ id, service }: Submission, answer: Answer, outcome: string): string {
+/** The answer with its results in order; a completed one that lacks some, or has one twice, is none. */
+function inOrder(answer: Answer): Answer {
+  if (answer.outcome !== Outcome.COMPLETED) return answer;
+  const results = [...answer.results].sort((a, b) => a.index - b.index);
+  const isWhole = results.length === answer.size && results.every(({ index }, at) => index === at);
+  if (isWhole) return { ...answer, results };
+  const reason = 'the results did not arrive whole; ask for the answer again';
+  return { ...answer, outcome: Outcome.UNKNOWN, results: [], reason };
+}
+
+function bodyOf({ id, service, kind }: Submission, answer: Answer, outcome: string): string {
   const { size, finished, reason, retryAfterMs } = answer;
-  const head = { id, service, outcome, size };
+  const head = { ...(kind === 'job' ? { id } : {}), service, outcome, size };
   if (answer.outcome !== Outcome.COMPLETED) {
     const retry = retryAfterMs > 0 ? { retryAfterMs } : {};
     return JSON.stringify({ ...head, finished, ...(reason ? { reason } : {}), ...retry });
   }
-  const results = [...answer.results].sort((a, b) => a.index - b.index).map(resultBody);
+  const results = answer.results.map(resultBody);
   return `${JSON.stringify(head).slice(0, -1)},"results":[${results.join(',')}]}`;
 }
 
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -210,8 +210,8 @@
   private async finishCallers(): Promise<void> {
     const { timer, settings } = this.options;
     const deadline = timer.now() + settings.stop.drainMs;
-    const closed = this.callers.close();
-    await Promise.race([closed, timer.sleep(settings.stop.drainMs)]);
+    const closed = this.callers.close(settings.stop.drainMs);
+    await Promise.race([closed, timer.sleep(settings.stop.drainMs + LINGER_MS)]);
     while (this.jobs.open > 0 && timer.now() < deadline) await timer.sleep(DRAIN_POLL_MS);
   }
 
@@ -468,13 +468,15 @@
   }
 
   private createCallerServer(): CallerServer {
-    const { settings, timer } = this.options;
+    const { settings, timer, random, log } = this.options;
     return CallerServer.create({
       limits: settings.limits,
       manifest: () => this.manifest.current,
-      wall: () => timer.wall(),
+      timer,
+      random,
       isLeaving: () => this.leaving,
       submit: (submission, gone) => this.submit(submission, gone),
+      failed: (error) => log.warn(`internal error: ${(error as Error).stack ?? error}`),
     });
   }
 
--- /dev/null
+++ b/test/callers/answers.test.ts
@@ -0,0 +1,178 @@
+import { expect, test } from 'vitest';
+import outcomeTable from '../../src/callers/outcomeTable';
+import { Outcome } from '../../src/gen/magnoliakeel/v1/peer_pb';
+import CallerCase from '../support/CallerCase';
+
+const REQUESTS = '/v1/services/booking/requests';
+const output = (text: string) => Buffer.from(text);
+
+test('each outcome has its status, name, headers and body', async () => {
+  const start = await CallerCase.start();
+  const outcomes = Object.keys(outcomeTable).map(Number) as Outcome[];
+  const results = [{ index: 0, output: output('{"free":true}'), runMs: 40 }];
+  const sent: string[] = [];
+  for (const outcome of outcomes) {
+    const init = { outcome, size: 1, finished: 1, reason: 'why' };
+    const isDone = outcome === Outcome.COMPLETED;
+    start.submit = async () => CallerCase.answer(isDone ? { ...init, results } : init);
+    sent.push(`${Outcome[outcome]}: ${await start.send()}`);
+  }
+  expect(sent.join('\n\n')).toMatchInlineSnapshot(`
+    "UNSPECIFIED: 424 unknown
+    content-length=122
+    magnoliakeel-count=1
+    {"id":"0192d0c8-0000-7000-8000-000000000000","service":"booking","outcome":"unknown","size":1,"finished":1,"reason":"why"}
+
+    COMPLETED: 200 completed
+    content-length=154
+    magnoliakeel-count=1
+    {"id":"0192d0c8-0000-7000-8000-000000000000","service":"booking","outcome":"completed","size":1,"results":[{"index":0,"runMs":40,"output":{"free":true}}]}
+
+    FAILED: 422 failed
+    content-length=121
+    magnoliakeel-count=1
+    {"id":"0192d0c8-0000-7000-8000-000000000000","service":"booking","outcome":"failed","size":1,"finished":1,"reason":"why"}
+
+    NOT_RUN: 503 not-run
+    content-length=122
+    magnoliakeel-count=1
+    {"id":"0192d0c8-0000-7000-8000-000000000000","service":"booking","outcome":"not-run","size":1,"finished":1,"reason":"why"}
+
+    UNKNOWN: 424 unknown
+    content-length=122
+    magnoliakeel-count=1
+    {"id":"0192d0c8-0000-7000-8000-000000000000","service":"booking","outcome":"unknown","size":1,"finished":1,"reason":"why"}
+
+    PENDING: 202 pending
+    content-length=122
+    magnoliakeel-count=1
+    {"id":"0192d0c8-0000-7000-8000-000000000000","service":"booking","outcome":"pending","size":1,"finished":1,"reason":"why"}
+
+    CONFLICT: 409 conflict
+    content-length=123
+    magnoliakeel-count=1
+    {"id":"0192d0c8-0000-7000-8000-000000000000","service":"booking","outcome":"conflict","size":1,"finished":1,"reason":"why"}
+
+    ABSENT: 404 absent
+    content-length=121
+    magnoliakeel-count=1
+    {"id":"0192d0c8-0000-7000-8000-000000000000","service":"booking","outcome":"absent","size":1,"finished":1,"reason":"why"}
+
+    EXPIRED: 410 expired
+    content-length=122
+    magnoliakeel-count=1
+    {"id":"0192d0c8-0000-7000-8000-000000000000","service":"booking","outcome":"expired","size":1,"finished":1,"reason":"why"}
+
+    CANCELLED: 410 cancelled
+    content-length=124
+    magnoliakeel-count=1
+    {"id":"0192d0c8-0000-7000-8000-000000000000","service":"booking","outcome":"cancelled","size":1,"finished":1,"reason":"why"}
+
+    INVALID: 400 invalid
+    content-length=122
+    magnoliakeel-count=1
+    {"id":"0192d0c8-0000-7000-8000-000000000000","service":"booking","outcome":"invalid","size":1,"finished":1,"reason":"why"}"
+  `);
+});
+
+test('a time to come back goes out in whole seconds and in milliseconds, spread', async () => {
+  const start = await CallerCase.start();
+  const init = { outcome: Outcome.NOT_RUN, reason: 'the queue is full', retryAfterMs: 4000 };
+  start.submit = async () => CallerCase.answer(init);
+  const sent = await Promise.all([start.send(), start.send(), start.send()]);
+  const spread = sent.map((text) => text.match(/retry-after=\d+|"retryAfterMs":\d+/g)!.join(' '));
+  expect(spread).toMatchInlineSnapshot(`
+    [
+      "retry-after=6 "retryAfterMs":6000",
+      "retry-after=6 "retryAfterMs":5251",
+      "retry-after=5 "retryAfterMs":4579",
+    ]
+  `);
+});
+
+test('results go out in the order of their tasks, text that is no JSON as a string', async () => {
+  const start = await CallerCase.start();
+  const results = [2, 0, 1].map((index) => ({ index, runMs: index, output: output(`r${index}`) }));
+  results[1]!.output = output('{ "n": 0 }');
+  start.submit = async () =>
+    CallerCase.answer({ outcome: Outcome.COMPLETED, size: 3, finished: 3, results });
+  expect(await start.send()).toMatchInlineSnapshot(`
+    "200 completed
+    content-length=222
+    magnoliakeel-count=3
+    {"id":"0192d0c8-0000-7000-8000-000000000000","service":"booking","outcome":"completed","size":3,"results":[{"index":0,"runMs":0,"output":{ "n": 0 }},{"index":1,"runMs":1,"output":"r1"},{"index":2,"runMs":2,"output":"r2"}]}"
+  `);
+});
+
+test.each([
+  ['lacks a result', [0, 2]],
+  ['has a result twice', [0, 1, 1]],
+  ['has a result too many', [0, 1, 2, 3]],
+])('a completed answer that %s does not go out as completed', async (_what, indexes) => {
+  const start = await CallerCase.start();
+  const results = indexes.map((index) => ({ index, output: output('1') }));
+  start.submit = async () => CallerCase.answer({ outcome: Outcome.COMPLETED, size: 3, results });
+  expect((await start.send()).split('\n')[0]).toBe('424 unknown');
+});
+
+test('the answer to a single request is its output as it is', async () => {
+  const start = await CallerCase.start();
+  const results = [{ index: 0, output: output('{ "swap": 7 }') }];
+  start.submit = async () => CallerCase.answer({ outcome: Outcome.COMPLETED, size: 1, results });
+  expect(await start.send(REQUESTS, { method: 'POST', body: '{}' })).toMatchInlineSnapshot(`
+    "200 completed
+    content-length=13
+    magnoliakeel-count=1
+    { "swap": 7 }"
+  `);
+});
+
+test('a request reaches the entry with its key, mark, team and times', async () => {
+  const start = await CallerCase.start();
+  const headers = {
+    'idempotency-key': 'swap-7',
+    'magnoliakeel-created': '1764670000000',
+    'magnoliakeel-idempotent': 'true',
+    'magnoliakeel-team': 'web',
+    'magnoliakeel-deadline-ms': '1500',
+    traceparent: '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01',
+  };
+  await start.send(REQUESTS, { method: 'POST', body: '{"swap":7}', headers });
+  const { $typeName, inputs, ...fields } = start.submissions[0]!;
+  expect([inputs.map(String), fields]).toMatchInlineSnapshot(`
+    [
+      [
+        "{"swap":7}",
+      ],
+      {
+        "action": 1,
+        "createdMs": 1764670000000n,
+        "deadlineMs": 1500,
+        "digest": "3ucfWjrGWaPO1NNwaZ8ZqoqRFuSt0hFxyWAkoWonjXs",
+        "id": "swap-7",
+        "idempotent": true,
+        "kind": "request",
+        "service": "booking",
+        "team": "web",
+        "traceparent": "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01",
+        "waitMs": 1500,
+      },
+    ]
+  `);
+});
+
+test('a wait is cut to the time that a job may take', async () => {
+  const start = await CallerCase.start();
+  await start.send(`${CallerCase.JOB}?wait=86400000`);
+  await start.send(`${CallerCase.JOB}?wait=70`, { method: 'GET' });
+  expect(start.submissions.map(({ waitMs }) => waitMs)).toEqual([60_000, 70]);
+});
+
+test('another body has another digest, the same body the same', async () => {
+  const start = await CallerCase.start();
+  for (const body of [CallerCase.tasks(1, 2), CallerCase.tasks(12), CallerCase.tasks(1, 2)]) {
+    await start.send(undefined, { body });
+  }
+  const [one, other, again] = start.submissions.map(({ digest }) => digest);
+  expect([one === other, one === again]).toEqual([false, true]);
+});
