Continue retried requests from their best evidence, and let leaving entries hand over first

Cause: read through: a recovered request with several attempts took any of them and awaited attempt 0; records were handed over only after the entry had left the view; suspicion after a broken link woke nobody; a team at its limit waited for a credit although a task had ended; a request whose caller had gone still ran. Change: each is mended where it arose.

--- a/src/dispatch/Dispatcher.ts
+++ b/src/dispatch/Dispatcher.ts
@@ -143,11 +143,10 @@
       this.forget(entry);
       this.settleDone(entry.task, done);
     }
-    if (!done.credit) return;
     const service = entry?.task.service ?? peer.services[0];
     if (service === undefined) return;
     const lane = this.laneOf(service);
-    lane.pool.add({ sidecar: peer.incarnation, credit: done.credit });
+    if (done.credit) lane.pool.add({ sidecar: peer.incarnation, credit: done.credit });
     this.pump(lane);
   }
 
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -7,6 +7,7 @@
 import Dispatcher from '../dispatch/Dispatcher';
 import {
   type Answer,
+  AnswerSchema,
   ClaimResponseSchema,
   type Configuration,
   ConfigurationSchema,
@@ -20,6 +21,7 @@
   type InspectResponse,
   type Member,
   MemberSchema,
+  Outcome,
   Role,
   type View,
   ViewSchema,
@@ -161,7 +163,8 @@
   async submit({ submission, keyed }: CallerSubmission, gone: AbortSignal): Promise<Answer> {
     this.budget.earn(submission.service);
     if (keyed) return this.router.submit(submission, gone);
-    return this.jobs.runOnce(submission);
+    if (!this.isMember) return notRun('this entry is not a member of the view');
+    return this.jobs.runOnce(submission, gone);
   }
 
   /** What operators see of this entry. */
@@ -200,8 +203,8 @@
     this.options.log.info('leaving');
     await membership.retire();
     await this.finishCallers();
-    await membership.leave();
     await handOver(this.jobs.answered(), this.views.current, this.options.network);
+    await membership.leave();
     this.sidecarLinks.broadcast({ case: 'goodbye', value: create(GoodbyeSchema) });
     this.entryLinks.broadcast({ case: 'goodbye', value: create(GoodbyeSchema) });
   }
@@ -520,6 +523,13 @@
   [Role.SIDECAR]: (entry, link) => entry.sidecarLinks.serve(link),
 };
 
+function notRun(reason: string): Answer {
+  return create(AnswerSchema, { outcome: Outcome.NOT_RUN, reason, retryAfterMs: COME_BACK_MS });
+}
+
+/** When a caller may try again at an entry that can't start anything now. */
+const COME_BACK_MS = 1000;
+
 function whenAborted(signal: AbortSignal): Promise<'stopped'> {
   return new Promise((resolve) => {
     if (signal.aborted) resolve('stopped');
--- a/src/entry/EntryLinks.ts
+++ b/src/entry/EntryLinks.ts
@@ -142,6 +142,7 @@
     peer.link = undefined;
     peer.absentSince = this.options.timer.now();
     this.options.unlinked(peer.incarnation);
+    this.options.timer.after(this.options.keepAlive.suspectMs, () => this.options.changed());
   }
 
   private forget(peer: EntryPeer): void {
--- a/src/entry/Jobs.ts
+++ b/src/entry/Jobs.ts
@@ -106,13 +106,21 @@
     return holder ?? answerOf(refusal(Outcome.ABSENT, 'no such job is known here'));
   }
 
-  /** Runs a request that nobody can ask for again, and keeps no record of it. */
-  async runOnce(submission: Submission): Promise<Answer> {
+  /**
+   * Runs a request that nobody can ask for again, and keeps no record of it.
+   * It leaves the queue unrun when its caller goes before it was started.
+   */
+  async runOnce(submission: Submission, gone: AbortSignal): Promise<Answer> {
     const key = keyOf(submission);
     const refused = this.refuseUnready(submission);
     if (refused) return refused;
     const job = this.accept(key, submission, []);
+    const leaveQueue = () => {
+      if (!job.anyStarted) this.endEarly(job, Outcome.NOT_RUN, 'the caller has gone');
+    };
+    gone.addEventListener('abort', leaveQueue, { once: true });
     const answer = await job.answered();
+    gone.removeEventListener('abort', leaveQueue);
     this.drop(job);
     return answer;
   }
@@ -224,7 +232,7 @@
       this.taskOf(job, submission, input, index),
     );
     this.tasks.set(job, new Set(tasks));
-    const seen = new Map(evidence.map((at) => [at.held.index, at]));
+    const seen = bestEvidence(evidence);
     tasks.forEach((task) => {
       if (!job.answer) this.begin(job, task, seen.get(task.index), doubt);
     });
@@ -241,6 +249,7 @@
     if (evidence) {
       job.starting(task.index, evidence.sidecar);
       const { running, index, status, output, runMs, reason } = evidence.held;
+      task.attempt = evidence.held.attempt;
       if (running) this.dispatcher.awaitAdopted(task, evidence.sidecar);
       else task.settled(create(TaskResultSchema, { index, status, output, runMs, reason }));
       return;
@@ -349,6 +358,21 @@
   [Action.CANCEL]: (jobs, submission) => jobs.cancel(submission),
 };
 
+/** For each task the evidence that tells most: a finished attempt before a running one, both before a lost one. */
+function bestEvidence(evidence: readonly LocatedTask[]): Map<number, LocatedTask> {
+  const best = new Map<number, LocatedTask>();
+  evidence.forEach((located) => {
+    const known = best.get(located.held.index);
+    if (!known || worthOf(located) > worthOf(known)) best.set(located.held.index, located);
+  });
+  return best;
+}
+
+function worthOf({ held }: LocatedTask): number {
+  if (held.running) return 1;
+  return held.status === TaskStatus.COMPLETED || held.status === TaskStatus.FAILED ? 2 : 0;
+}
+
 function keyOf({ service, kind, id }: Submission): string {
   return jobKey(service, kind, id);
 }
