--- a/src/entry/inspectEntry.ts
+++ b/src/entry/inspectEntry.ts
@@ -6,12 +6,12 @@
   SidecarStatusSchema,
   TaskPlaceSchema,
 } from '../gen/magnoliakeel/v1/peer_pb';
-import type Entry from './Entry';
 import type EntryOptions from './EntryOptions';
+import type InspectedEntry from './InspectedEntry';
 
 /** Describes an entry for operators, with one job's record where a key is given. */
 export default function inspectEntry(
-  entry: Entry,
+  entry: InspectedEntry,
   { settings, incarnation }: EntryOptions,
   leaving: boolean,
   key: string,
