Come up without the store, and say in one line what keeps a process from starting

Cause: an entry started while the store was down never used the addresses of its peers, so it had no view and no configuration until the store came back, and nothing told the operator why. A taken port was reported twice in one line and in Node's words. After SIGTERM a SIGINT did nothing (and the other way round).

Change: an entry asks the entries of its setting `peers` until it knows the view and the configuration. One line tells when the store stops answering and one when it answers again. Problems with listening are in words.

--- /dev/null
+++ b/src/core/listenProblem.ts
@@ -0,0 +1,11 @@
+/** Why an address could not be listened on, in words, from the error of Node. */
+export default function listenProblem(error: Error): string {
+  const code = (error as NodeJS.ErrnoException).code ?? '';
+  return problems[code] ?? error.message;
+}
+
+const problems: Readonly<Record<string, string>> = {
+  EADDRINUSE: 'the port is taken by another process',
+  EADDRNOTAVAIL: 'this machine does not have the address',
+  EACCES: 'not permitted',
+};
--- a/src/daemon/magnoliakeeld.ts
+++ b/src/daemon/magnoliakeeld.ts
@@ -5,8 +5,13 @@
 
 // The first signal stops the process in good order; a second one ends it at once.
 const stop = new AbortController();
-process.once('SIGTERM', () => stop.abort());
-process.once('SIGINT', () => stop.abort());
+function stopOnce(): void {
+  process.off('SIGTERM', stopOnce);
+  process.off('SIGINT', stopOnce);
+  stop.abort();
+}
+process.on('SIGTERM', stopOnce);
+process.on('SIGINT', stopOnce);
 
 try {
   process.exitCode = await runDaemon(process.argv.slice(2), processTerminal, stop.signal);
--- a/src/daemon/runDaemon.ts
+++ b/src/daemon/runDaemon.ts
@@ -52,13 +52,22 @@
   `  ${exitCodes.removed}  the other entries removed this one, as after a long pause; start it again`,
 ].join('\n');
 
+const HELP_SIGNALS = [
+  '  SIGTERM, SIGINT  stop in good order: nothing new is taken, what runs is finished, within stop.drainMs',
+  '  a second one     end at once',
+].join('\n');
+
 function createCli(): CAC {
   const cli = cac(NAME)
     .usage('--config <file> [--check]')
     .option('--config <file>', 'Settings of this process, in YAML')
     .option('--check', 'Check the settings, print what is wrong and exit')
     .version(version);
-  return cli.help((sections) => [...sections, { title: 'Exit codes', body: HELP_EXIT_CODES }]);
+  return cli.help((sections) => [
+    ...sections,
+    { title: 'Signals', body: HELP_SIGNALS },
+    { title: 'Exit codes', body: HELP_EXIT_CODES },
+  ]);
 }
 
 function findMissingConfig(options: Readonly<Record<string, unknown>>): string | undefined {
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -2,6 +2,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import CallerServer from '../callers/CallerServer';
 import type CallerSubmission from '../callers/CallerSubmission';
+import listenProblem from '../core/listenProblem';
 import ownerOf from '../core/ownerOf';
 import Versioned from '../core/Versioned';
 import Dispatcher from '../dispatch/Dispatcher';
@@ -42,6 +43,7 @@
 import handOver from './handOver';
 import inspectEntry from './inspectEntry';
 import Jobs from './Jobs';
+import learnFromPeers from './learnFromPeers';
 import ManifestView from './ManifestView';
 import RetryBudget from './RetryBudget';
 import Router from './Router';
@@ -131,7 +133,7 @@
     if (peers.isErr()) return err(`${listen.peers}: ${peers.error.reason}`);
     this.listener = peers.value;
     const callers = await this.callers.listen(listen.callers);
-    if (callers.isErr()) return err(`${listen.callers}: ${callers.error.message}`);
+    if (callers.isErr()) return err(`${listen.callers}: ${listenProblem(callers.error)}`);
     this.addresses = { callers: callers.value, peers: peers.value.address };
     return ok(this.addresses);
   }
@@ -145,7 +147,7 @@
     const stop = new AbortController();
     const membership = this.createMembership();
     const watch = this.createWatch(membership);
-    const watching = watch.run(stop.signal);
+    const watching = Promise.all([watch.run(stop.signal), this.learn(stop.signal)]);
     const unsubscribe = this.subscribe();
     const sweep = this.options.timer.every(SWEEP_MS, () => this.sweep());
     const ended = await Promise.race([membership.run(stop.signal), whenAborted(signal)]);
@@ -172,6 +174,17 @@
     return inspectEntry(this, this.options, this.leaving, req.job);
   }
 
+  private learn(signal: AbortSignal): Promise<void> {
+    const { timer, random, network, settings } = this.options;
+    const { views, configurations } = this;
+    const hello = () => this.hello();
+    const addresses = settings.peers;
+    return learnFromPeers(
+      { timer, random, network, addresses, hello, views, configurations },
+      signal,
+    );
+  }
+
   private subscribe(): () => void {
     const unsubscribeView = this.views.subscribe((view) => this.viewChanged(view));
     const unsubscribe = this.configurations.subscribe((value) => {
@@ -497,6 +510,13 @@
     });
   }
 
+  private storeReached(failure: string | undefined): void {
+    const { log, settings } = this.options;
+    const { address } = settings.store;
+    if (failure === undefined) log.info(`store ${address} answers again`);
+    else log.warn(`store ${address} cannot be reached: ${failure}; going on with what is known`);
+  }
+
   private createWatch(membership: Membership): StoreWatch {
     const { store, timer, random } = this.options;
     return StoreWatch.create({
@@ -506,6 +526,7 @@
       views: this.views,
       configurations: this.configurations,
       onPresent: (present) => membership.observe(present),
+      onReach: (failure) => this.storeReached(failure),
     });
   }
 }
--- a/src/link/PeerServer.ts
+++ b/src/link/PeerServer.ts
@@ -21,6 +21,7 @@
 } from 'node:http2';
 import type { AddressInfo } from 'node:net';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
+import listenProblem from '../core/listenProblem';
 import type TimerService from '../core/TimerService';
 import { type Frame, type Hello, Peer } from '../gen/magnoliakeel/v1/peer_pb';
 import type CallError from './CallError';
@@ -94,7 +95,8 @@
     const { hostname, port } = new URL(`http://${address}`);
     const host = hostname.replace(/^\[|\]$/g, '');
     return new Promise((resolve) => {
-      const fail = (cause: Error) => resolve(err({ kind: 'unreachable', reason: cause.message }));
+      const fail = (cause: Error) =>
+        resolve(err({ kind: 'unreachable', reason: listenProblem(cause) }));
       this.server.once('error', fail);
       this.server.listen({ host, port: Number(port || DEFAULT_PORT) }, () => {
         this.server.off('error', fail);
--- a/src/membership/StoreWatch.ts
+++ b/src/membership/StoreWatch.ts
@@ -29,6 +29,8 @@
 
   private unread = 0;
 
+  private isFailing = false;
+
   private constructor(private readonly options: StoreWatchOptions) {
     this.backoff = Backoff.of(FIRST_RETRY_MS, RETRY_LIMIT_MS, options.random);
     this.readers = new Map([
@@ -71,14 +73,22 @@
       if (signal.aborted) return;
       if (changes.isOk()) {
         this.backoff.reset();
+        this.reached(undefined);
         this.take(changes.value);
         continue;
       }
+      this.reached(changes.error.reason);
       this.revision = undefined;
       await this.options.timer.sleep(this.backoff.next(), signal);
     }
   }
 
+  private reached(failure: string | undefined): void {
+    const isFailing = failure !== undefined;
+    if (isFailing !== this.isFailing) this.options.onReach?.(failure);
+    this.isFailing = isFailing;
+  }
+
   private next(signal: AbortSignal): ResultAsync<StoreChanges, StoreError> {
     const { store } = this.options;
     return this.revision === undefined
--- a/src/membership/StoreWatchOptions.ts
+++ b/src/membership/StoreWatchOptions.ts
@@ -13,4 +13,6 @@
   readonly configurations: Versioned<Configuration>;
   /** Told the incarnations whose lease keys the store holds, after each change of them. */
   readonly onPresent: (incarnations: ReadonlySet<string>) => void;
+  /** Told when the store stops answering, with the reason, and when it answers again. */
+  readonly onReach?: (failure: string | undefined) => void;
 }
--- a/test/daemon/runDaemon.test.ts
+++ b/test/daemon/runDaemon.test.ts
@@ -1,4 +1,7 @@
-import { expect, test } from 'vitest';
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { expect, onTestFinished, test } from 'vitest';
 import runDaemon from '../../src/daemon/runDaemon';
 import RecordingTerminal from '../support/RecordingTerminal';
 
@@ -55,3 +58,23 @@
     ]
   `);
 });
+
+test('checking settings with four mistakes prints four findings with their places', async () => {
+  const folder = await mkdtemp(path.join(tmpdir(), 'magnoliakeel-test-'));
+  onTestFinished(() => rm(folder, { recursive: true }));
+  const file = path.join(folder, 'entry.yaml');
+  const text = await readFile('examples/entry.yaml', 'utf8');
+  const wrong = text
+    .replace('10.0.1.10:8080', '10.0.1.10')
+    .replace('connections: 4000', 'conections: 4000')
+    .replace('level: info', 'level: loud')
+    .replace('sample: 0.001', 'sample: 2');
+  await writeFile(file, wrong);
+  expect((await run(`--check --config ${file}`)).replaceAll(folder, '')).toMatchInlineSnapshot(`
+    "3
+    err: /entry.yaml:9:12 listen.callers: found "10.0.1.10", expected an address "ip:port"
+    err: /entry.yaml:29:3 limits.conections: found an unknown key, expected "connections"
+    err: /entry.yaml:49:10 log.level: found "loud", expected one of "error", "warn", "info", "debug"
+    err: /entry.yaml:52:11 traces.sample: found 2, expected a share from 0 to 1"
+  `);
+});
