Run a whole system in one process, without a wall clock

Cause: faults at exact steps need the real entries, sidecars and membership in one place. Entry can listen to its peers alone. Wall time in ManualTimer is whole, as Date.now is.

--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -120,20 +120,25 @@
 
   /** Opens the listening addresses. The error says which could not be had and why. */
   async listen(): Promise<Result<EntryAddresses, string>> {
+    const peers = await this.listenToPeers();
+    if (peers.isErr()) return err(peers.error);
     const { listen } = this.options.settings;
-    const peers = await this.options.network.listen(
-      listen.peers,
-      () => this.hello(),
-      this.peerHandlers(),
-    );
-    if (peers.isErr()) return err(`${listen.peers}: ${peers.error.reason}`);
-    this.listener = peers.value;
     const callers = await this.callers.listen(listen.callers);
     if (callers.isErr()) return err(`${listen.callers}: ${callers.error.message}`);
-    this.addresses = { callers: callers.value, peers: peers.value.address };
+    this.addresses = { callers: callers.value, peers: peers.value };
     return ok(this.addresses);
   }
 
+  /** Opens the address for other processes only; for callers in this process, who use `submit`. */
+  async listenToPeers(): Promise<Result<string, string>> {
+    const { peers } = this.options.settings.listen;
+    const { network } = this.options;
+    const listener = await network.listen(peers, () => this.hello(), this.peerHandlers());
+    if (listener.isErr()) return err(`${peers}: ${listener.error.reason}`);
+    this.listener = listener.value;
+    return ok(listener.value.address);
+  }
+
   /**
    * Works until the signal aborts and then leaves: jobs are finished, their
    * records handed over. Ends with `removed` when the others removed it, as
--- a/test/support/ManualTimer.ts
+++ b/test/support/ManualTimer.ts
@@ -18,11 +18,11 @@
 
   private readonly entries = new Set<Entry>();
 
-  private constructor() {}
+  private constructor(private readonly rounds: number) {}
 
-  /** Creates a timer service at time 0. */
-  static create(): ManualTimer {
-    return new ManualTimer();
+  /** Creates a timer service at time 0; one round suffices where all waits are promise jobs. */
+  static create(rounds = SETTLE_ROUNDS): ManualTimer {
+    return new ManualTimer(rounds);
   }
 
   now(): number {
@@ -30,7 +30,7 @@
   }
 
   wall(): number {
-    return WALL_START + this.time;
+    return WALL_START + Math.floor(this.time);
   }
 
   after(delayMs: number, handler: () => void): Subscription {
@@ -70,12 +70,12 @@
   /** Moves the time, running what falls due in its order; promise jobs settle after each handler. */
   async advance(ms: number): Promise<void> {
     const target = this.time + ms;
-    await ManualTimer.settle();
+    await ManualTimer.settle(this.rounds);
     for (let next = this.due(target); next; next = this.due(target)) {
       this.entries.delete(next);
       this.time = Math.max(this.time, next.at);
       next.handler();
-      await ManualTimer.settle();
+      await ManualTimer.settle(this.rounds);
     }
     this.time = target;
   }
@@ -86,8 +86,8 @@
   }
 
   /** Lets promise jobs and what the event loop has ready run, without moving the time. */
-  static async settle(): Promise<void> {
-    for (let round = 0; round < SETTLE_ROUNDS; round += 1) {
+  static async settle(rounds = SETTLE_ROUNDS): Promise<void> {
+    for (let round = 0; round < rounds; round += 1) {
       await new Promise<void>((resolve) => {
         setImmediate(resolve);
       });
--- /dev/null
+++ b/test/support/SimulatedProcess.ts
@@ -0,0 +1,110 @@
+import type Subscription from '../../src/core/Subscription';
+import type TimerService from '../../src/core/TimerService';
+import type ManualTimer from './ManualTimer';
+import never from './never';
+
+/**
+ * One process of a simulated system: its timer service, and a gate for
+ * everything that comes to it from outside. While it is paused none of its
+ * code runs; what fell due or arrived runs at its resumption, in order.
+ */
+export default class SimulatedProcess implements TimerService {
+  private state: 'running' | 'paused' | 'dead' = 'running';
+
+  private late: (() => void)[] = [];
+
+  /** Aborts at the process's death. */
+  readonly death = new AbortController();
+
+  private constructor(private readonly base: ManualTimer) {}
+
+  /** Starts a process that lives on the timer. */
+  static start(base: ManualTimer): SimulatedProcess {
+    return new SimulatedProcess(base);
+  }
+
+  get isAlive(): boolean {
+    return this.state !== 'dead';
+  }
+
+  now(): number {
+    return this.base.now();
+  }
+
+  wall(): number {
+    return this.base.wall();
+  }
+
+  after(delayMs: number, handler: () => void): Subscription {
+    let cancelled = false;
+    const inner = this.base.after(delayMs, () => this.run(() => cancelled || handler()));
+    const cancel = () => {
+      cancelled = true;
+      inner.cancel();
+    };
+    return { cancel };
+  }
+
+  every(intervalMs: number, handler: () => void): Subscription {
+    let current: Subscription;
+    const again = () => {
+      current = this.after(intervalMs, again);
+      handler();
+    };
+    current = this.after(intervalMs, again);
+    return { cancel: () => current.cancel() };
+  }
+
+  sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      if (signal?.aborted) {
+        resolve();
+        return;
+      }
+      const subscription = this.after(delayMs, finish);
+      function finish(): void {
+        subscription.cancel();
+        signal?.removeEventListener('abort', finish);
+        resolve();
+      }
+      signal?.addEventListener('abort', finish, { once: true });
+    });
+  }
+
+  /** Stops the process as a stop signal would. */
+  pause(): void {
+    if (this.state === 'running') this.state = 'paused';
+  }
+
+  /** Continues it: what is late runs now, one after the other. */
+  resume(): void {
+    if (this.state !== 'paused') return;
+    this.state = 'running';
+    const { late } = this;
+    this.late = [];
+    late.forEach((handler) => this.after(0, handler));
+  }
+
+  /** Ends it: nothing of it runs any more. */
+  kill(): void {
+    this.state = 'dead';
+    this.late = [];
+    this.death.abort();
+  }
+
+  /** What comes from outside: resolves while the process runs, and never once it is dead. */
+  async pass<T>(value: PromiseLike<T>): Promise<T> {
+    const got = await value;
+    while (this.state === 'paused') {
+      await new Promise<void>((resolve) => {
+        this.late.push(resolve);
+      });
+    }
+    return this.isAlive ? got : never();
+  }
+
+  private run(handler: () => void): void {
+    if (this.state === 'running') handler();
+    if (this.state === 'paused') this.late.push(handler);
+  }
+}
--- /dev/null
+++ b/test/support/System.ts
@@ -0,0 +1,363 @@
+import { create } from '@bufbuild/protobuf';
+import { ResultAsync } from 'neverthrow';
+import digestOf from '../../src/callers/digestOf';
+import jobKey from '../../src/core/jobKey';
+import ownerOf from '../../src/core/ownerOf';
+import Random from '../../src/core/Random';
+import Entry from '../../src/entry/Entry';
+import {
+  Action,
+  Outcome,
+  SubmissionSchema,
+  type View,
+} from '../../src/gen/magnoliakeel/v1/peer_pb';
+import keys from '../../src/membership/keys';
+import type Manifest from '../../src/settings/Manifest';
+import Sidecar from '../../src/sidecar/Sidecar';
+import SidecarCounters from '../../src/sidecar/SidecarCounters';
+import type Store from '../../src/store/Store';
+import Engine from '../../tools/platform/Engine';
+import type Ask from './Ask';
+import type Happening from './Happening';
+import ManualTimer from './ManualTimer';
+import MemoryNetwork from './MemoryNetwork';
+import never from './never';
+import SimulatedBackend from './SimulatedBackend';
+import SimulatedProcess from './SimulatedProcess';
+
+/** How long a caller waits for one answer, and for its connection beyond that. */
+const WAIT_MS = 5000;
+const PATIENCE_MS = 12_000;
+const AGAIN_MS = 300;
+const RENEW_MS = 1000;
+const FINAL: ReadonlySet<string> = new Set([
+  'completed',
+  'failed',
+  'conflict',
+  'expired',
+  'cancelled',
+]);
+
+interface EntryRun {
+  readonly process: SimulatedProcess;
+  readonly incarnation: string;
+  readonly entry: Entry;
+  readonly stop: AbortController;
+}
+
+interface SidecarRun {
+  readonly process: SimulatedProcess;
+  readonly sidecar: Sidecar;
+  readonly stop: AbortController;
+}
+
+/**
+ * A whole system of the real code in one process, without a wall clock: entries,
+ * sidecars with their backend servers, the platform's stand-in, and callers.
+ */
+export default class System {
+  readonly timer = ManualTimer.create(1);
+
+  readonly network = MemoryNetwork.create(this.timer);
+
+  readonly engine = Engine.create(this.timer);
+
+  readonly happenings: Happening[] = [];
+
+  readonly logs: string[] = [];
+
+  readonly entries = new Map<string, EntryRun>();
+
+  readonly sidecars = new Map<string, SidecarRun>();
+
+  readonly backends = new Map<string, SimulatedBackend>();
+
+  /** Conversations of callers that are not over. */
+  open = 0;
+
+  private runs = 0;
+
+  private asks = 0;
+
+  private manifestVersion = 0;
+
+  private constructor(readonly slots: number) {}
+
+  /** Starts a system and lets it come to rest. */
+  static async start(entries = 3, sidecars = 3, slots = 4): Promise<System> {
+    const system = new System(slots);
+    await system.configure();
+    for (let n = 1; n <= entries; n += 1) await system.startEntry(`e${n}`);
+    for (let n = 1; n <= sidecars; n += 1) system.startSidecar(`s${n}`);
+    await system.timer.advance(2500);
+    return system;
+  }
+
+  /** Puts the next version of the manifest into the store. */
+  async configure(): Promise<void> {
+    this.manifestVersion += 1;
+    const value = { version: this.manifestVersion, manifest: MANIFEST };
+    await this.engine.put(keys.manifest, JSON.stringify(value));
+  }
+
+  /** Starts an entry's process, under a new incarnation. */
+  async startEntry(instance: string): Promise<void> {
+    const process = SimulatedProcess.start(this.timer);
+    this.runs += 1;
+    const incarnation = `${instance}-${this.runs}`;
+    const note = (line: string) => this.logs.push(`${this.timer.now()} ${incarnation}: ${line}`);
+    const entry = Entry.create({
+      ...{ incarnation, timer: process, random: Random.fromSeed(this.runs) },
+      settings: settingsOf(instance),
+      network: this.network.endpoint(instance),
+      store: gated(this.engine.client(instance), process),
+      log: { info: note, warn: note } as never,
+    });
+    const listening = await entry.listenToPeers();
+    if (listening.isErr()) throw new Error(listening.error);
+    const stop = new AbortController();
+    const run = { process, incarnation, entry, stop };
+    this.entries.set(instance, run);
+    entry.run(stop.signal).then((ended) => this.entryEnded(instance, run, ended), note);
+  }
+
+  /** Starts a sidecar's process; its backend server announces itself to it. */
+  startSidecar(instance: string): void {
+    const process = SimulatedProcess.start(this.timer);
+    this.runs += 1;
+    const backend =
+      this.backends.get(instance) ?? SimulatedBackend.start(instance, this.timer, this.happenings);
+    this.backends.set(instance, backend);
+    const incarnation = `${instance}-${this.runs}`;
+    const sidecar = Sidecar.create({
+      ...{ cluster: 'test', instance, incarnation, zone: 'z1', links: 16, timer: process },
+      random: Random.fromSeed(this.runs),
+      network: this.network.endpoint(instance),
+      client: backend.clientOf(process),
+      counters: SidecarCounters.create(),
+      entries: [1, 2, 3].map((n) => addressOf(`e${n}`)),
+      heartbeat: HEARTBEAT,
+      ...{ ledgerBytes: 10_000_000, skewMs: 30_000, renewMs: RENEW_MS, drainMs: 30_000 },
+      log: (line) => this.logs.push(`${this.timer.now()} ${incarnation}: ${line}`),
+    });
+    const stop = new AbortController();
+    const run = { process, sidecar, stop };
+    this.sidecars.set(instance, run);
+    sidecar.run(stop.signal).then(
+      () => this.isCurrent(instance, run) && this.kill(instance),
+      (cause) => this.logs.push(String(cause)),
+    );
+    this.keepAnnounced(instance, run, backend);
+  }
+
+  /** Stops what runs under the name at once. Backend servers are named like their sidecar. */
+  kill(instance: string): void {
+    this.processOf(instance).kill();
+    this.network.kill(instance);
+  }
+
+  /** Starts what was killed or has ended; nothing when it runs. */
+  async restart(instance: string): Promise<void> {
+    if (this.processOf(instance).isAlive) return;
+    if (this.entries.has(instance)) await this.startEntry(instance);
+    else this.startSidecar(instance);
+  }
+
+  /** Stops a process as a stop signal does. */
+  pause(instance: string): void {
+    this.processOf(instance).pause();
+    this.network.pause(instance);
+  }
+
+  /** Continues a paused process. */
+  resume(instance: string): void {
+    if (!this.processOf(instance).isAlive) return;
+    this.processOf(instance).resume();
+    this.network.resume(instance);
+  }
+
+  /** Tells a process to leave. */
+  leave(instance: string): void {
+    (this.entries.get(instance) ?? this.sidecars.get(instance))!.stop.abort();
+  }
+
+  /** Moves the time until the condition holds, and says whether it did within the limit. */
+  async until(condition: () => boolean, limitMs: number, stepMs = 1): Promise<boolean> {
+    const end = this.timer.now() + limitMs;
+    while (!condition() && this.timer.now() < end) await this.timer.advance(stepMs);
+    return condition();
+  }
+
+  /** The entry that owns an id among these entries, by instance. */
+  owner(kind: string, id: string, among = [...this.entries.keys()]): string {
+    const incarnations = among.map((name) => this.entries.get(name)!.incarnation);
+    const owner = ownerOf(jobKey('booking', kind, id), incarnations);
+    return among[incarnations.indexOf(owner!)]!;
+  }
+
+  /** The newest view that an entry knows. */
+  view(instance: string): View {
+    return this.entries.get(instance)!.entry.views.current;
+  }
+
+  /** Has a caller ask, in the background, until it is told something final. */
+  async call(ask: Ask): Promise<void> {
+    this.open += 1;
+    const names = [...this.entries.keys()];
+    const first = names.indexOf(ask.via);
+    let finals = 0;
+    for (let n = 0; ; n += 1) {
+      const answer = await this.askOnce(ask, names[(first + n) % names.length]!);
+      finals = answer.outcome === 'unknown' && answer.retryAfterMs === 0 ? finals + 1 : 0;
+      if (ask.once || FINAL.has(answer.outcome) || finals > 1) break;
+      await this.timer.sleep(answer.retryAfterMs || AGAIN_MS);
+    }
+    this.open -= 1;
+  }
+
+  /** Ends whatever runs. */
+  end(): void {
+    [...this.entries.values(), ...this.sidecars.values()].forEach(({ process }) => process.kill());
+  }
+
+  private async askOnce(ask: Ask, via: string): Promise<Extract<Happening, { kind: 'answered' }>> {
+    const { timer, happenings } = this;
+    this.asks += 1;
+    const { id, idempotent = false } = ask;
+    const expected = ask.tasks.map((_, index) => `${id}/${index}`);
+    const common = { id, ask: this.asks };
+    happenings.push({ kind: 'asked', at: timer.now(), ...common, expected, idempotent });
+    const gone = new AbortController();
+    const answer = await Promise.race([
+      this.answerOf(ask, this.entries.get(via)!, gone.signal),
+      timer.sleep(PATIENCE_MS).then(() => LOST),
+    ]);
+    gone.abort();
+    const answered = { kind: 'answered', at: timer.now(), ...common, ...answer } as const;
+    happenings.push(answered);
+    return answered;
+  }
+
+  private async answerOf(ask: Ask, run: EntryRun, gone: AbortSignal) {
+    const { process, entry, stop } = run;
+    if (!process.isAlive || stop.signal.aborted || !entry.isReady) return LOST;
+    const death = new Promise<undefined>((resolve) => {
+      process.death.signal.addEventListener('abort', () => resolve(undefined), { once: true });
+    });
+    const { submission } = { submission: this.submissionOf(ask) };
+    const asked = process
+      .pass(Promise.resolve())
+      .then(() => process.pass(entry.submit({ submission, keyed: true }, gone)));
+    const answer = await Promise.race([asked, death]);
+    if (!answer) return LOST;
+    const outputs = answer.results.map(({ output }) => Buffer.from(output).toString());
+    const outcome = Outcome[answer.outcome].toLowerCase().replace('_', '-');
+    return { outcome, outputs, retryAfterMs: answer.retryAfterMs };
+  }
+
+  private submissionOf({ id, kind, tasks, idempotent = false, action = 'submit' }: Ask) {
+    const inputs = tasks.map((ms, index) => Buffer.from(JSON.stringify({ id, index, ms })));
+    return create(SubmissionSchema, {
+      action: action === 'cancel' ? Action.CANCEL : Action.SUBMIT,
+      ...{ service: 'booking', kind, id, team: 'default', idempotent, inputs },
+      createdMs: this.createdOf(id),
+      digest: digestOf(inputs),
+      waitMs: WAIT_MS,
+    });
+  }
+
+  /** Every submission of an id carries the time of its first one. */
+  private createdOf(id: string): bigint {
+    const first = this.happenings.find((event) => event.kind === 'asked' && event.id === id);
+    return BigInt(this.timer.wall() - this.timer.now() + first!.at);
+  }
+
+  private keepAnnounced(instance: string, run: SidecarRun, backend: SimulatedBackend): void {
+    const address = `127.0.0.1:${instance.slice(1)}`;
+    const announcement = { service: 'booking', address, slots: this.slots, connections: 64 };
+    const beat = this.timer.every(RENEW_MS, () => announce());
+    const announce = async () => {
+      if (!run.process.isAlive) beat.cancel();
+      await run.process.pass(Promise.resolve());
+      if (backend.isAlive) run.sidecar.announce(announcement);
+    };
+    announce().catch(never);
+  }
+
+  private entryEnded(instance: string, run: EntryRun, ended: string): void {
+    this.logs.push(`${this.timer.now()} ${run.incarnation}: ended ${ended}`);
+    if (this.entries.get(instance) !== run || !run.process.isAlive) return;
+    this.kill(instance);
+    // As the platform does with a process that ended.
+    if (ended === 'removed') this.timer.after(RENEW_MS, () => this.restart(instance));
+  }
+
+  private isCurrent(instance: string, run: SidecarRun): boolean {
+    return this.sidecars.get(instance) === run && run.process.isAlive;
+  }
+
+  private processOf(instance: string): SimulatedProcess {
+    return (this.entries.get(instance) ?? this.sidecars.get(instance))!.process;
+  }
+}
+
+const LOST = { outcome: 'lost', outputs: [] as string[], retryAfterMs: 0 };
+
+const HEARTBEAT = { intervalMs: 1000, suspectMs: 3000, closeMs: 10_000 };
+
+const MANIFEST: Manifest = {
+  services: [
+    {
+      ...{ name: 'booking', maxTasks: 320, maxTaskBytes: 65_536, maxOutputBytes: 65_536 },
+      ...{ timeoutMs: 10_000, jobTimeoutMs: 30_000, retentionMs: 600_000, retryBudget: 0.1 },
+      ...{ idempotent: false, queue: { maxTasks: 1000 } },
+      eject: {
+        failureShare: 0.5,
+        minTasks: 20,
+        windowMs: 10_000,
+        probationMs: 5000,
+        maxShare: 0.3,
+      },
+    },
+  ],
+  teams: [],
+  system: { defaultTeam: 'default' },
+};
+
+function settingsOf(instance: string) {
+  const address = addressOf(instance);
+  return {
+    role: 'entry' as const,
+    ...{ cluster: 'test', instance, zone: 'z1', advertise: address, peers: [] },
+    listen: { callers: '127.0.0.1:0', peers: address, operators: '127.0.0.1:0' },
+    store: { address: '127.0.0.1:1', leaseMs: 5000, timeoutMs: 2000, callsPerSecond: 20 },
+    limits: {
+      ...{ bodyBytes: 1_000_000, headerBytes: 16_384, bodyTimeoutMs: 10_000 },
+      ...{ headerTimeoutMs: 5000, connections: 100, recordBytes: 10_000_000 },
+    },
+    heartbeat: HEARTBEAT,
+    recovery: { witnessMs: 3000, clockSkewMs: 30_000 },
+    dispatch: { policy: 'credits' as const },
+    log: { level: 'info' as const },
+    traces: { sample: 0, output: '' as const, otlp: '' },
+    stop: { drainMs: 30_000 },
+  };
+}
+
+function addressOf(instance: string): string {
+  return `10.0.0.${instance.slice(1)}:8081`;
+}
+
+/** The store as a process sees it: answers wait while the process is paused. */
+function gated(store: Store, process: SimulatedProcess): Store {
+  return new Proxy(store, {
+    get(target, name) {
+      const method = Reflect.get(target, name) as unknown;
+      if (typeof method !== 'function') return method;
+      return (...args: unknown[]) =>
+        new ResultAsync(
+          process.pass((method as (...a: unknown[]) => PromiseLike<never>).apply(target, args)),
+        );
+    },
+  });
+}
