Keep entries up when a request meets a fault, and read manifests with their defaults

A restarted entry without a configuration also called submissions with an id not run, which it can't know. Change: defaults are filled in where a manifest comes into force; what is none leaves the last one; a fault on a request is answered as unknown (500); without a configuration only a request without an id is called not run, others are unknown (504). Ruled out: answering faults as not run, since some of it may have run. Conclusion: a fault costs one request.

--- a/src/callers/CallerServer.ts
+++ b/src/callers/CallerServer.ts
@@ -3,6 +3,7 @@
 import type CallerServerOptions from './CallerServerOptions';
 import type CallerSubmission from './CallerSubmission';
 import type RequestError from './RequestError';
+import headerOf from './headerOf';
 import readBody from './readBody';
 import respond from './respond';
 import respondError from './respondError';
@@ -27,7 +28,9 @@
       noDelay: true,
     });
     this.server.maxConnections = limits.connections;
-    this.server.on('request', (req, res) => this.serve(req, res));
+    this.server.on('request', (req, res) => {
+      this.serve(req, res).catch((error: Error) => this.fail(res, error));
+    });
   }
 
   /** Creates the server without listening. */
@@ -70,6 +73,12 @@
     if (!gone.signal.aborted) respond(res, parsed.value.submission, answer);
   }
 
+  /** Answers a request on which a fault of this process showed; the others go on. */
+  private fail(res: http.ServerResponse, error: Error): void {
+    this.options.failed(error);
+    respondError(res, { status: 500, reason: 'internal error: this may have run or not' });
+  }
+
   private async parse(req: http.IncomingMessage): Promise<Result<CallerSubmission, RequestError>> {
     const url = new URL(req.url ?? '/', BASE_URL);
     const route = findRoute(req.method, url.pathname);
@@ -77,7 +86,7 @@
     const body = await readBody(req, this.options.limits.bodyBytes);
     if (body.isErr()) return err(body.error);
     const manifest = this.options.manifest();
-    if (!manifest) return err({ status: 503, reason: 'no configuration is in force yet' });
+    if (!manifest) return err(notReady(req));
     const names = namesIn(route.value, url.pathname);
     if (names.isErr()) return err(names.error);
     const caller = {
@@ -96,6 +105,12 @@
 /** Makes a request's path a whole URL; only the path and the query are read. */
 const BASE_URL = 'http://entry';
 
+/** What has an id may have been run for an earlier submission; only what has none is known not to have run. */
+function notReady({ method, headers }: http.IncomingMessage): RequestError {
+  const isNew = method === 'POST' && headerOf(headers, 'idempotency-key') === undefined;
+  return { status: isNew ? 503 : 504, reason: 'no configuration is in force yet' };
+}
+
 function findRoute(method: string | undefined, path: string): Result<Route, RequestError> {
   const candidates = routes.filter((route) => route.path.test(path));
   if (candidates.length === 0) return err({ status: 404, reason: `there is no path ${path}` });
--- a/src/callers/CallerServerOptions.ts
+++ b/src/callers/CallerServerOptions.ts
@@ -11,5 +11,7 @@
   /** Wall-clock time in milliseconds. */
   readonly wall: () => number;
   readonly isLeaving: () => boolean;
+  /** Told of a fault of this process that showed on a request. */
+  readonly failed: (error: Error) => void;
   readonly submit: (submission: CallerSubmission, gone: AbortSignal) => Promise<Answer>;
 }
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -471,12 +471,13 @@
   }
 
   private createCallerServer(): CallerServer {
-    const { settings, timer } = this.options;
+    const { settings, timer, log } = this.options;
     return CallerServer.create({
       limits: settings.limits,
       manifest: () => this.manifest.current,
       wall: () => timer.wall(),
       isLeaving: () => this.leaving,
+      failed: (error) => log.error(`internal error at a request: ${error.stack ?? error}`),
       submit: (submission, gone) => this.submit(submission, gone),
     });
   }
--- a/src/entry/ManifestView.ts
+++ b/src/entry/ManifestView.ts
@@ -1,4 +1,5 @@
 import type Versioned from '../core/Versioned';
+import validateManifest from '../gen/validateManifest';
 import type { Configuration } from '../gen/magnoliakeel/v1/peer_pb';
 import type Manifest from '../settings/Manifest';
 import type ServiceConfig from '../settings/ServiceConfig';
@@ -52,8 +53,19 @@
     return Math.max(0, ...[...this.services.values()].map(({ retentionMs }) => retentionMs));
   }
 
+  /** Puts a configuration in force, with its defaults filled in; what is no manifest leaves the last one. */
   private read(configuration: Configuration): void {
-    this.manifest = JSON.parse(configuration.manifest) as Manifest;
+    const manifest = parse(configuration.manifest);
+    if (!validateManifest(manifest)) return;
+    this.manifest = manifest as Manifest;
     this.manifest.services.forEach((service) => this.services.set(service.name, service));
   }
 }
+
+function parse(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- a/src/observe/createLogger.ts
+++ b/src/observe/createLogger.ts
@@ -1,7 +1,7 @@
 import { type ConsolaInstance, createConsola, type LogLevel } from 'consola';
 import JsonReporter from './JsonReporter';
 
-type LevelName = 'error' | 'warn' | 'info' | 'debug';
+type LevelName = 'error' | 'error' | 'warn' | 'info' | 'debug';
 
 const levels: Readonly<Record<LevelName, LogLevel>> = {
   error: 0,
--- /dev/null
+++ b/test/entry/manifestView.test.ts
@@ -0,0 +1,36 @@
+import { create } from '@bufbuild/protobuf';
+import { expect, test } from 'vitest';
+import Versioned from '../../src/core/Versioned';
+import ManifestView from '../../src/entry/ManifestView';
+import { ConfigurationSchema } from '../../src/gen/magnoliakeel/v1/peer_pb';
+
+function followed(...manifests: string[]): ManifestView {
+  const configurations = Versioned.of(create(ConfigurationSchema), ({ version }) => version);
+  const view = ManifestView.follow(configurations);
+  manifests.forEach((manifest, at) => {
+    configurations.adopt(create(ConfigurationSchema, { version: BigInt(at + 1), manifest }));
+  });
+  return view;
+}
+
+test('a manifest that names no teams has the defaults', () => {
+  const { current } = followed('{"services":[{"name":"booking"}]}');
+  expect([
+    current!.teams,
+    current!.system,
+    current!.services[0]!.timeoutMs,
+  ]).toMatchInlineSnapshot(`
+    [
+      [],
+      {
+        "defaultTeam": "default",
+      },
+      10000,
+    ]
+  `);
+});
+
+test('what is no manifest leaves the last one in force', () => {
+  const view = followed('{"services":[{"name":"booking"}]}', '{"services":1}', 'no JSON');
+  expect(view.offers('booking')).toBe(true);
+});
--- a/tools/backend/BackendStandIn.ts
+++ b/tools/backend/BackendStandIn.ts
@@ -4,6 +4,7 @@
 import type TimerService from '../../src/core/TimerService';
 import type StandInCounts from './StandInCounts';
 import type StandInFaults from './StandInFaults';
+import type StartRecorder from './StartRecorder';
 
 interface TaskInput {
   readonly ms: number;
@@ -42,15 +43,16 @@
   private constructor(
     private readonly timer: TimerService,
     private readonly slots: number,
+    private readonly recorder: StartRecorder | undefined,
   ) {
     this.server = createServer((req, res) => {
       this.serve(req, res).catch((err: unknown) => answer(res, 400, { error: String(err) }));
     });
   }
 
-  /** Creates a stand-in with a number of slots. */
-  static create(timer: TimerService, slots: number): BackendStandIn {
-    return new BackendStandIn(timer, slots);
+  /** Creates a stand-in with a number of slots, and where it reports each start if anywhere. */
+  static create(timer: TimerService, slots: number, recorder?: StartRecorder): BackendStandIn {
+    return new BackendStandIn(timer, slots, recorder);
   }
 
   /** Listens and returns the address in use. */
@@ -98,9 +100,11 @@
       answer(res, 503, { error: 'all slots are taken' });
       return;
     }
-    this.begin(String(req.headers['x-task']));
+    const task = String(req.headers['x-task']);
+    this.begin(task);
     const closed = new AbortController();
     res.once('close', () => closed.abort());
+    await this.recorder?.record(task, input.output);
     await this.run(input, res, closed.signal);
     this.end();
   }
--- a/tools/backend/main.ts
+++ b/tools/backend/main.ts
@@ -2,6 +2,7 @@
 import SystemTimer from '../../src/core/SystemTimer';
 import Announcer from './Announcer';
 import BackendStandIn from './BackendStandIn';
+import StartRecorder from './StartRecorder';
 
 interface Flags {
   readonly sidecar?: string;
@@ -10,6 +11,8 @@
   readonly connections: number;
   readonly listen: string;
   readonly drain: number;
+  readonly recorder?: string;
+  readonly name: string;
 }
 
 const DEFAULT_SLOTS = 8;
@@ -25,13 +28,17 @@
   .option('--connections <number>', 'Connections accepted', { default: DEFAULT_CONNECTIONS })
   .option('--listen <address>', 'Where tasks are taken, "ip:port"', { default: '127.0.0.1:0' })
   .option('--drain <ms>', 'Wait for running tasks when leaving', { default: DEFAULT_DRAIN_MS })
+  .option('--recorder <address>', 'Where each start is reported before it runs, "ip:port"')
+  .option('--name <name>', 'Name of this backend server in those reports', { default: 'backend' })
   .action(run);
 cli.help();
 cli.parse();
 
 async function run(flags: Flags): Promise<void> {
   const timer = SystemTimer.create();
-  const server = BackendStandIn.create(timer, flags.slots);
+  const recorder =
+    flags.recorder === undefined ? undefined : StartRecorder.to(flags.recorder, flags.name);
+  const server = BackendStandIn.create(timer, flags.slots, recorder);
   const [host = '', port] = flags.listen.split(':');
   const address = await server.listen(host, Number(port));
   process.stdout.write(`backend listening on ${address}\n`);
--- /dev/null
+++ b/tools/chaos/main.ts
@@ -0,0 +1,51 @@
+import { cac } from 'cac';
+import ChaosRun from './ChaosRun';
+import checkJournal from './checkJournal';
+import describeRun from './describeRun';
+
+interface Flags {
+  readonly seconds: number;
+  readonly seed: number;
+  readonly rolling: boolean;
+  readonly entries: number;
+  readonly backends: number;
+  readonly slots: number;
+  readonly callers: number;
+  readonly kinds: string;
+  readonly logs?: string;
+}
+
+const ZONES = 3;
+const CONNECTIONS = 64;
+const SEEDS = 1_000_000;
+
+const cli = cac('chaos');
+cli
+  .command('', 'Disturb a whole system under load and check what callers were promised')
+  .option('--seconds <number>', 'How long to disturb it', { default: 60 })
+  .option('--seed <number>', 'Seed of the schedule', { default: Date.now() % SEEDS })
+  .option('--rolling', 'Replace all processes one by one instead, in good order', {
+    default: false,
+  })
+  .option('--entries <number>', 'Entries', { default: 4 })
+  .option('--backends <number>', 'Sidecars, each with its backend server', { default: 8 })
+  .option('--slots <number>', 'Slots of each backend server', { default: 8 })
+  .option('--callers <number>', 'Callers at once', { default: 24 })
+  .option('--kinds <names>', 'Kinds of disruptions, separated by commas', { default: '' })
+  .option('--logs <folder>', 'Write what the processes print to files here')
+  .action(run);
+cli.help();
+cli.parse();
+
+async function run(flags: Flags): Promise<void> {
+  const { seconds, seed, rolling, entries, backends, slots, callers, logs } = flags;
+  const size = { entries, backends, slots, connections: CONNECTIONS, zones: ZONES };
+  const kinds = flags.kinds.split(',').filter((kind) => kind !== '');
+  process.stdout.write(`seed: ${seed}\n`);
+  const chaos = ChaosRun.create({ seconds, seed, rolling, callers, size, kinds, logs });
+  await chaos.run();
+  const { lines, kept } = describeRun(chaos, checkJournal(chaos.journal));
+  lines.forEach((line) => process.stdout.write(`${line}\n`));
+  process.stdout.write(kept ? 'All promises were kept.\n' : 'A promise was broken.\n');
+  process.exit(kept ? 0 : 1);
+}
--- a/tools/harness/Cluster.ts
+++ b/tools/harness/Cluster.ts
@@ -4,12 +4,16 @@
 import { request } from 'undici';
 import { stringify } from 'yaml';
 import type ClusterSize from './ClusterSize';
+import type ProcessWatch from './ProcessWatch';
 import Processes from './Processes';
 
-/** Settings that differ from the daemon's defaults, by role. */
+/** What differs from a plain cluster: settings by role, and who is told of processes and starts. */
 interface Overrides {
   readonly entry?: object;
   readonly sidecar?: object;
+  readonly watch?: ProcessWatch;
+  /** Address that backend servers report each start to before they run it, "ip:port". */
+  readonly recorder?: string;
 }
 
 /**
@@ -17,7 +21,7 @@
  * backend server stand-ins, each a process of its own on loopback.
  */
 export default class Cluster {
-  readonly processes = Processes.create();
+  readonly processes: Processes;
 
   private platformAddress = '';
 
@@ -27,11 +31,16 @@
 
   private readonly backends = new Map<string, string>();
 
+  /** Where the sidecars take announcements; kept over restarts. */
+  private readonly desks = new Map<string, string>();
+
   private constructor(
     readonly size: ClusterSize,
     private readonly folder: string,
     private readonly overrides: Overrides,
-  ) {}
+  ) {
+    this.processes = Processes.create(overrides.watch);
+  }
 
   /** Starts all processes and waits until every backend server has its sidecar linked. */
   static async start(
@@ -87,24 +96,37 @@
     this.peers.set(name, peers!);
   }
 
-  /** Starts a sidecar and its backend server, for the first time or again. */
+  /** Starts a sidecar and its backend server. */
   async startBackend(sidecar: string): Promise<void> {
+    await this.startSidecar(sidecar);
+    await this.startBackendServer(sidecar.replace('sidecar', 'backend'));
+    await this.processes.waitFor(sidecar, /offers/);
+  }
+
+  /** Starts a sidecar, for the first time or again at the same address for its backend server. */
+  async startSidecar(name: string): Promise<void> {
+    const backend = this.desks.get(name) ?? ANY;
     const settings = {
-      ...{ role: 'sidecar', cluster: 'local', instance: sidecar, zone: this.zoneOf(sidecar) },
-      listen: { backend: ANY, operators: ANY },
+      ...{ role: 'sidecar', cluster: 'local', instance: name, zone: this.zoneOf(name) },
+      listen: { backend, operators: ANY },
       entries: [...this.peers.values()],
       ...this.overrides.sidecar,
     };
-    await this.startDaemon(sidecar, settings);
-    const address = await this.processes.waitFor(sidecar, /backend server on ([\d.:]+)/);
-    const backend = sidecar.replace('sidecar', 'backend');
+    await this.startDaemon(name, settings);
+    this.desks.set(name, await this.processes.waitFor(name, /backend server on ([\d.:]+)/));
+  }
+
+  /** Starts a backend server beside its sidecar, for the first time or again. */
+  async startBackendServer(name: string): Promise<void> {
     const { slots, connections } = this.size;
-    this.processes.start(backend, 'backend', [
-      ...['--sidecar', address, '--slots', `${slots}`, '--connections', `${connections}`],
+    const desk = this.desks.get(name.replace('backend', 'sidecar'))!;
+    const { recorder } = this.overrides;
+    this.processes.start(name, 'backend', [
+      ...['--sidecar', desk, '--slots', `${slots}`, '--connections', `${connections}`],
+      ...(recorder === undefined ? [] : ['--recorder', recorder, '--name', name]),
     ]);
-    const listening = await this.processes.waitFor(backend, /listening on ([\d.:]+)/);
-    this.backends.set(backend, listening);
-    await this.processes.waitFor(sidecar, /offers/);
+    const listening = await this.processes.waitFor(name, /listening on ([\d.:]+)/);
+    this.backends.set(name, listening);
   }
 
   /** How often each task was started, over all backend servers. */
--- a/tools/harness/Processes.ts
+++ b/tools/harness/Processes.ts
@@ -1,5 +1,6 @@
 import { type ChildProcess, spawn } from 'node:child_process';
 import { createInterface } from 'node:readline';
+import type ProcessWatch from './ProcessWatch';
 
 /** The processes that a measuring program started. They are ended by id, and only these. */
 export default class Processes {
@@ -9,11 +10,11 @@
 
   private readonly listeners = new Set<() => void>();
 
-  private constructor() {}
+  private constructor(private readonly watch: ProcessWatch) {}
 
   /** Creates an empty set of processes. */
-  static create(): Processes {
-    return new Processes();
+  static create(watch: ProcessWatch = {}): Processes {
+    return new Processes(watch);
   }
 
   /** Names of the processes started and not ended. */
@@ -27,15 +28,18 @@
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.children.set(name, child);
-    this.lines.set(name, []);
+    const lines: string[] = [];
+    this.lines.set(name, lines);
     [child.stdout, child.stderr].forEach((stream) => {
       createInterface({ input: stream }).on('line', (line) => {
-        this.lines.get(name)!.push(line);
+        lines.push(line);
+        this.watch.printed?.(name, line);
         this.listeners.forEach((listener) => listener());
       });
     });
-    child.on('exit', () => {
+    child.on('exit', (code, signal) => {
       if (this.children.get(name) === child) this.children.delete(name);
+      this.watch.exited?.(name, code, signal);
       this.listeners.forEach((listener) => listener());
     });
   }
