--- a/src/dispatch/Dispatcher.ts
+++ b/src/dispatch/Dispatcher.ts
@@ -25,6 +25,8 @@
 import type DispatcherOptions from './DispatcherOptions';
 import EntryLoads from './EntryLoads';
 import type HeldCredit from './HeldCredit';
+import type Placement from './Placement';
+import pickers from './pickers';
 import type QueuedTask from './QueuedTask';
 import type SidecarPeer from './SidecarPeer';
 import TeamQueue from './TeamQueue';
@@ -242,6 +244,7 @@
         pool: CreditPool.create(),
         teamsRunning: new Map(),
         asking: undefined,
+        placed: 0,
       };
       this.lanes.set(service, lane);
     }
@@ -249,19 +252,43 @@
   }
 
   private pump(lane: Lane): void {
-    while (lane.queue.length > 0 && lane.pool.size > 0) {
+    while (lane.queue.length > 0 && this.mayPlace(lane)) {
       const task = lane.queue.shift((team) => this.mayRun(lane, team));
       if (!task) return;
-      const held = lane.pool.take((sidecar) => this.sidecars.get(sidecar)?.suspected ?? true);
-      if (!held) {
+      const place = this.place(lane);
+      if (!place) {
         lane.queue.pushFront(task);
         break;
       }
-      this.start(lane, task, held);
+      this.start(lane, task, place);
     }
     if (lane.queue.length > 0) this.borrow(lane);
   }
 
+  private mayPlace(lane: Lane): boolean {
+    return this.options.policy !== 'credits' || lane.pool.size > 0;
+  }
+
+  private place(lane: Lane): Placement | undefined {
+    const { policy } = this.options;
+    if (policy !== 'credits') return this.placeFreely(lane, policy);
+    return lane.pool.take((sidecar) => this.sidecars.get(sidecar)?.suspected ?? true);
+  }
+
+  private placeFreely(lane: Lane, policy: keyof typeof pickers): Placement | undefined {
+    const candidates = [...this.sidecars.values()]
+      .filter((peer) => peer.link && !peer.suspected && !peer.leaving)
+      .filter((peer) => peer.services.includes(lane.service))
+      .map(({ incarnation }) => ({
+        incarnation,
+        outstanding: this.bySidecar.get(incarnation)?.size ?? 0,
+      }));
+    if (candidates.length === 0) return undefined;
+    lane.placed += 1;
+    const picked = pickers[policy](candidates, lane.placed, this.options.random);
+    return { sidecar: picked.incarnation };
+  }
+
   private mayRun(lane: Lane, team: string): boolean {
     const limit = this.options.maxRunningOf(team);
     if (limit === undefined) return true;
@@ -269,7 +296,7 @@
     return here + this.loads.running(lane.service, team) < limit;
   }
 
-  private start(lane: Lane, task: QueuedTask, { sidecar, credit }: HeldCredit): void {
+  private start(lane: Lane, task: QueuedTask, { sidecar, credit }: Placement): void {
     const { timer, owner, viewNumber } = this.options;
     task.starting(sidecar);
     this.track({ task, sidecar });
@@ -292,7 +319,7 @@
   }
 
   private borrow(lane: Lane): void {
-    if (lane.asking !== undefined) return;
+    if (lane.asking !== undefined || this.options.policy !== 'credits') return;
     const entry = this.loads.mostIdle(lane.service);
     if (entry === undefined) return;
     const value = create(BorrowSchema, { service: lane.service, wanted: lane.queue.length });
@@ -305,6 +332,7 @@
 
   private startAgain(task: QueuedTask): void {
     task.notStarted();
+    if (!task.isWanted()) return;
     const lane = this.laneOf(task.service);
     lane.queue.pushFront(task);
     this.pump(lane);
@@ -327,7 +355,7 @@
   }
 
   private attemptLost(task: QueuedTask, reason: string): void {
-    if (task.retryable && this.options.mayRetry(task.service)) {
+    if (task.retryable && task.isWanted() && this.options.mayRetry(task.service)) {
       task.attempt += 1;
       const lane = this.laneOf(task.service);
       lane.queue.pushFront(task);
@@ -369,6 +397,8 @@
   readonly teamsRunning: Map<string, number>;
   /** The entry that was asked for credits and has not answered. */
   asking: string | undefined;
+  /** Tasks placed without a credit. */
+  placed: number;
 }
 
 /** A task with the sidecar that it was sent to. */
--- a/src/dispatch/DispatcherOptions.ts
+++ b/src/dispatch/DispatcherOptions.ts
@@ -1,9 +1,14 @@
+import type Random from '../core/Random';
 import type TimerService from '../core/TimerService';
 import type PeerMessage from '../link/PeerMessage';
+import type PolicyName from './PolicyName';
 
 /** What a dispatcher needs from the entry around it. */
 export default interface DispatcherOptions {
   readonly timer: TimerService;
+  readonly random: Random;
+  /** How a sidecar is found for a task. */
+  readonly policy: PolicyName;
   /** The incarnation of this entry, which its starts carry. */
   readonly owner: string;
   readonly viewNumber: () => bigint;
--- a/src/dispatch/QueuedTask.ts
+++ b/src/dispatch/QueuedTask.ts
@@ -18,6 +18,8 @@
   readonly queuedAt: number;
   /** Grows with each attempt of a retryable task; 0 for tasks of jobs. */
   attempt: number;
+  /** Whether its result can still matter. */
+  readonly isWanted: () => boolean;
   /** Told once a start is about to be sent to the sidecar named. */
   readonly starting: (sidecar: string) => void;
   /** Told once a start was proven not to have run, before the task is queued again. */
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -344,6 +344,8 @@
   private createDispatcher(): Dispatcher {
     return Dispatcher.create({
       timer: this.options.timer,
+      random: this.options.random,
+      policy: this.options.settings.dispatch.policy,
       owner: this.self,
       viewNumber: () => this.views.number,
       shareOf: (team) => this.manifest.shareOf(team),
--- a/src/entry/Jobs.ts
+++ b/src/entry/Jobs.ts
@@ -270,6 +270,7 @@
       retryable: submission.kind === REQUEST_KIND && submission.idempotent,
       queuedAt: this.options.timer.now(),
       attempt: 0,
+      isWanted: () => !job.answer,
       starting: (sidecar) => job.starting(index, sidecar),
       notStarted: () => job.notStarted(index),
       settled: (result) => {
--- a/src/link/FrameQueue.ts
+++ b/src/link/FrameQueue.ts
@@ -6,6 +6,7 @@
   type Message,
   MessageSchema,
 } from '../gen/magnoliakeel/v1/peer_pb';
+import MessageCounts from './MessageCounts';
 import type PeerMessage from './PeerMessage';
 import roughSize from './roughSize';
 
@@ -41,6 +42,7 @@
   /** Queues a message for this turn's frame. */
   send(message: PeerMessage): void {
     if (this.ended) return;
+    MessageCounts.ofProcess.add(message);
     this.waiting.push(create(MessageSchema, { kind: message }));
     this.waitingBytes += roughSize(message.value);
     if (this.waitingBytes > this.maxBytes) {
--- /dev/null
+++ b/src/link/MessageCounts.ts
@@ -0,0 +1,54 @@
+import { create, toBinary } from '@bufbuild/protobuf';
+import { MessageSchema, RefusalCause, TaskStatus } from '../gen/magnoliakeel/v1/peer_pb';
+import type PeerMessage from './PeerMessage';
+
+/** Messages of one kind. */
+interface KindCount {
+  messages: number;
+  /** Bytes on the wire, estimated from a sample. */
+  bytes: number;
+}
+
+/**
+ * Counts the messages that this process has sent on its links, by kind. Results
+ * and refusals are counted by status and cause. Bytes are taken from one
+ * message of sixteen, since encoding each one twice would cost too much.
+ */
+export default class MessageCounts {
+  /** The counts of this process. */
+  static readonly ofProcess = new MessageCounts();
+
+  private readonly kinds = new Map<string, KindCount>();
+
+  private constructor() {}
+
+  /** Counts a message that is sent. */
+  add(message: PeerMessage): void {
+    const kind = kindOf(message);
+    let count = this.kinds.get(kind);
+    if (!count) {
+      count = { messages: 0, bytes: 0 };
+      this.kinds.set(kind, count);
+    }
+    if (count.messages % SAMPLED_OF === 0) count.bytes += SAMPLED_OF * sizeOf(message);
+    count.messages += 1;
+  }
+
+  /** What was counted so far, by kind. */
+  all(): Record<string, KindCount> {
+    return Object.fromEntries([...this.kinds].map(([kind, count]) => [kind, { ...count }]));
+  }
+}
+
+const SAMPLED_OF = 16;
+
+function kindOf(message: PeerMessage): string {
+  if (message.case === 'refuse') return `refuse.${RefusalCause[message.value.cause]}`;
+  if (message.case === 'done') return `done.${TaskStatus[message.value.status]}`;
+  if (message.case === 'lend' && message.value.credits.length === 0) return 'lend.EMPTY';
+  return message.case;
+}
+
+function sizeOf(message: PeerMessage): number {
+  return toBinary(MessageSchema, create(MessageSchema, { kind: message })).length;
+}
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -279,6 +279,7 @@
   private closeBackend(backend: Announcement): void {
     this.opts.log?.(`backend server ${backend.address} takes no further tasks`);
     this.credits.withdraw(false);
+    this.tasks.startWaiting();
     this.opts.client.forget(backend);
   }
 
--- a/src/sidecar/Slots.ts
+++ b/src/sidecar/Slots.ts
@@ -72,6 +72,16 @@
     return true;
   }
 
+  /** Takes any slot without a task for one that came without a credit; undefined when all are busy. */
+  takeIdle(entry: string): number | undefined {
+    const number = this.slots.findIndex((slot, at) => at < this.limit && !slot.busy);
+    const slot = this.slots[number];
+    if (!slot) return undefined;
+    renew(slot);
+    Object.assign(slot, { busy: true, holder: entry });
+    return number;
+  }
+
   /** Frees a slot after its task. Its next credit belongs to nobody yet. */
   release(number: number): void {
     const slot = this.slots[number];
--- a/src/sidecar/Tasks.ts
+++ b/src/sidecar/Tasks.ts
@@ -55,6 +55,9 @@
 
   private readonly drained = new Set<() => void>();
 
+  /** Starts without a credit that wait for a free slot, oldest first. */
+  private waiting: WaitingStart[] = [];
+
   private isLeaving = false;
 
   private constructor(private readonly parts: TasksParts) {}
@@ -81,13 +84,20 @@
       this.takeBack(start.credit);
       return;
     }
-    this.run(peer, task, start, backend);
+    if (start.credit) {
+      this.parts.slots.take(start.credit, peer.incarnation);
+      this.run(peer, task, start, backend, start.credit.slot);
+      return;
+    }
+    this.waiting.push({ peer, start });
+    this.startWaiting();
   }
 
   /** Ends the calls of running tasks that their owner no longer wants. */
-  cancel(peer: EntryPeer, ids: TaskId[]): void {
+  cancel(from: EntryPeer, ids: TaskId[]): void {
+    this.cancelWaiting(from, new Set(ids.map(nameOf)));
     ids.forEach((id) => {
-      if (this.parts.ledger.job(id.job)?.owner !== peer.incarnation) return;
+      if (this.parts.ledger.job(id.job)?.owner !== from.incarnation) return;
       this.running.get(nameOf(id))?.call.abort();
     });
   }
@@ -102,6 +112,22 @@
   /** Refuses all further starts as leaving. */
   leave(): void {
     this.isLeaving = true;
+    this.startWaiting();
+  }
+
+  /** Starts what waits for a slot. What came on a link that has ended since is dropped unrun. */
+  startWaiting(): void {
+    this.waiting = this.waiting.filter(({ peer }) => !peer.link.closed.aborted);
+    while (this.waiting.length > 0) {
+      const { peer, start } = this.waiting[0]!;
+      const backend = this.parts.backend();
+      const cause = this.refusalOf(start.task!, start, backend);
+      const slot = cause === undefined ? this.parts.slots.takeIdle(peer.incarnation) : undefined;
+      if (cause === undefined && slot === undefined) return;
+      this.waiting.shift();
+      if (backend && slot !== undefined) this.run(peer, start.task!, start, backend, slot);
+      else this.refuse(peer, start.task!, cause ?? RefusalCause.BACKEND_GONE);
+    }
   }
 
   /** Resolves when no task is running. */
@@ -130,8 +156,7 @@
     if (this.isLeaving) return RefusalCause.LEAVING;
     if (backend?.service !== start.service) return RefusalCause.BACKEND_GONE;
     if (!isMember(this.parts.view.current, start.owner)) return RefusalCause.FENCED;
-    if (!start.credit || !this.parts.slots.isCurrent(start.credit))
-      return RefusalCause.STALE_CREDIT;
+    if (start.credit && !this.parts.slots.isCurrent(start.credit)) return RefusalCause.STALE_CREDIT;
     if (!this.parts.ledger.hasRoom) return RefusalCause.LEDGER_FULL;
     return undefined;
   }
@@ -145,9 +170,24 @@
     if (credit && this.parts.slots.end(credit)) this.parts.credits.spread();
   }
 
-  private run(peer: EntryPeer, id: TaskId, start: Start, backend: Announcement): void {
-    const { slot } = start.credit!;
-    this.parts.slots.take(start.credit!, peer.incarnation);
+  private cancelWaiting(from: EntryPeer, names: ReadonlySet<string>): void {
+    const isCancelled = ({ peer, start }: WaitingStart): boolean =>
+      peer === from && names.has(nameOf(start.task!));
+    const cancelled = this.waiting.filter(isCancelled);
+    this.waiting = this.waiting.filter((each) => !isCancelled(each));
+    cancelled.forEach(({ start: { task } }) => {
+      const result = resultOf(TaskStatus.CANCELLED, 'cancelled before it ran');
+      from.send({ case: 'done', value: create(DoneSchema, { task, ...result }) });
+    });
+  }
+
+  private run(
+    peer: EntryPeer,
+    id: TaskId,
+    start: Start,
+    backend: Announcement,
+    slot: number,
+  ): void {
     const task: RunningTask = {
       id,
       record: this.parts.ledger.record(id, start),
@@ -223,6 +263,7 @@
     if (!isReported) this.conclude(task, result, ridesBack ? credit : undefined);
     const user = this.parts.entries.get(task.user);
     if (credit && !ridesBack && user) this.parts.credits.grant(user, [credit]);
+    this.startWaiting();
   }
 
   private conclude(task: RunningTask, result: TaskResult, credit?: Credit): void {
@@ -243,6 +284,12 @@
   }
 }
 
+/** A start that came without a credit, on the link it came on. */
+interface WaitingStart {
+  readonly peer: EntryPeer;
+  readonly start: Start;
+}
+
 function nameOf(id: TaskId): string {
   return `${id.job}/${id.index}/${id.attempt}`;
 }
--- a/test/sidecarTasks.test.ts
+++ b/test/sidecarTasks.test.ts
@@ -174,3 +174,34 @@
     ]
   `);
 });
+
+it('queues starts without a credit until a slot is free', async () => {
+  const run = await SidecarCase.open({ listening: 'a', slots: 1 });
+  run.entry('a').credits = [];
+  run.heard();
+  ['j/0', 'k/0', 'l/0'].forEach((name) => run.entry('a').start(name, { ms: 50 }));
+  run.entry('a').send({
+    case: 'cancel',
+    value: create(CancelSchema, { tasks: [FakeEntry.task('k/0')] }),
+  });
+  await run.advance(120);
+  expect(run.heard()).toMatchInlineSnapshot(`
+    "a: done k/0 CANCELLED - 0 ms, credit none
+    a: done j/0 COMPLETED null 50 ms, credit 0.3
+    a: done l/0 COMPLETED null 50 ms, credit 0.5"
+  `);
+});
+
+it('drops waiting starts unrun when their link ends', async () => {
+  const run = await SidecarCase.open({ listening: 'a', slots: 1 });
+  run.entry('a').credits = [];
+  ['j/0', 'k/0'].forEach((name) => run.entry('a').start(name, { ms: 50 }));
+  await run.advance(10);
+  run.entry('a').link?.close();
+  await run.advance(200);
+  expect([...run.backend.starts.keys()]).toMatchInlineSnapshot(`
+    [
+      "j/0/0",
+    ]
+  `);
+});
--- /dev/null
+++ b/test/support/DispatcherCase.ts
@@ -0,0 +1,122 @@
+import { create } from '@bufbuild/protobuf';
+import Random from '../../src/core/Random';
+import Dispatcher from '../../src/dispatch/Dispatcher';
+import type DispatcherOptions from '../../src/dispatch/DispatcherOptions';
+import type QueuedTask from '../../src/dispatch/QueuedTask';
+import SidecarPeer from '../../src/dispatch/SidecarPeer';
+import {
+  DoneSchema,
+  GrantSchema,
+  HelloSchema,
+  RefuseSchema,
+  TaskStatus,
+} from '../../src/gen/magnoliakeel/v1/peer_pb';
+import type Link from '../../src/link/Link';
+import type PeerMessage from '../../src/link/PeerMessage';
+import ManualTimer from './ManualTimer';
+
+interface TaskInit extends Partial<QueuedTask> {
+  readonly count?: number;
+}
+
+/** A dispatcher between sidecars and other entries that a test plays. */
+export default class DispatcherCase {
+  readonly timer = ManualTimer.create();
+
+  readonly dispatcher: Dispatcher;
+
+  private readonly peers = new Map<string, SidecarPeer>();
+
+  private lines: string[] = [];
+
+  private generations = 0;
+
+  private constructor(options: Partial<DispatcherOptions>) {
+    this.dispatcher = Dispatcher.create({
+      ...{ timer: this.timer, random: Random.fromSeed(1), policy: 'credits', owner: 'a' },
+      ...{ viewNumber: () => 1n, shareOf: () => 1, maxRunningOf: () => undefined },
+      mayRetry: () => true,
+      sendToEntry: (entry, message) => this.note(entry, message),
+      ...options,
+    });
+  }
+
+  static of(options: Partial<DispatcherOptions> = {}): DispatcherCase {
+    return new DispatcherCase(options);
+  }
+
+  /** Opens the links of sidecars, a letter each. */
+  link(names: string): void {
+    [...names].forEach((name) => {
+      const hello = { instance: name, incarnation: name, zone: 'z1', services: ['booking'] };
+      const send = (message: PeerMessage) => this.note(name, message);
+      const link = { peer: create(HelloSchema, hello), send } as unknown as Link;
+      const peer = SidecarPeer.fromLink(link);
+      peer.link = link;
+      this.peers.set(name, peer);
+      this.dispatcher.linkOpened(peer);
+    });
+  }
+
+  peer(name: string): SidecarPeer {
+    return this.peers.get(name)!;
+  }
+
+  /** Has a sidecar grant credits for its first slots. */
+  grant(name: string, count: number): void {
+    this.generations += 1;
+    const generation = this.generations;
+    const credits = Array.from({ length: count }, (_, slot) => ({ slot, generation }));
+    const grant = create(GrantSchema, { service: 'booking', credits });
+    this.dispatcher.granted(this.peer(name), grant);
+  }
+
+  /** Queues the tasks of a job and returns them. */
+  enqueue(job: string, { count = 1, ...init }: TaskInit = {}): QueuedTask[] {
+    const tasks = Array.from({ length: count }, (_, index) => ({
+      ...{ job, index, service: 'booking', team: 'web', input: new Uint8Array(), digest: '' },
+      ...{ jobSize: count, createdMs: 0n, timeoutMs: 1000, traceparent: '', retryable: false },
+      ...{ queuedAt: this.timer.now(), attempt: 0, isWanted: () => true },
+      ...{ starting: () => undefined, notStarted: () => undefined },
+      settled: ({ status }: { status: TaskStatus }) =>
+        this.lines.push(`${job}/${index} ${TaskStatus[status]}`),
+      ...init,
+    }));
+    tasks.forEach((task) => this.dispatcher.enqueue(task));
+    return tasks;
+  }
+
+  /** Has a sidecar report a task as done; the credit of its slot comes along. */
+  done(name: string, job: string, index = 0, status = TaskStatus.COMPLETED, runMs = 1): void {
+    this.generations += 1;
+    const credit = { slot: 0, generation: this.generations };
+    const done = create(DoneSchema, { task: { job, index }, status, credit, runMs });
+    this.dispatcher.done(this.peer(name), done);
+  }
+
+  refuse(name: string, job: string, index = 0): void {
+    this.dispatcher.refused(this.peer(name), create(RefuseSchema, { task: { job, index } }));
+  }
+
+  /** What was sent and settled since the last call, a line each. */
+  take(): string {
+    const text = this.lines.join('\n');
+    this.lines = [];
+    return text;
+  }
+
+  private note(to: string, message: PeerMessage): boolean {
+    this.lines.push(`${to}: ${describe(message)}`);
+    return true;
+  }
+}
+
+function describe(message: PeerMessage): string {
+  if (message.case === 'start') {
+    const { task, credit } = message.value;
+    return `start ${task?.job}/${task?.index}${credit ? '' : ' without a credit'}`;
+  }
+  if (message.case === 'borrow') return `borrow ${message.value.wanted}`;
+  if (message.case === 'lend') return `lend ${message.value.credits.length}`;
+  return message.case;
+}
