Serve operators on their own listener: health, readiness, metrics, status, jobs and drain

Cause: operators had no way to ask a running process anything; listen.operators was read and not used. Change: every daemon listens there and logs the address. Entries also tell the status of the whole system and where a job is, from Inspect calls to the other members. Hello, Member and SidecarStatus carry the operators' address.

--- a/src/daemon/runEntry.ts
+++ b/src/daemon/runEntry.ts
@@ -5,6 +5,10 @@
 import Entry from '../entry/Entry';
 import ConnectNetwork from '../link/ConnectNetwork';
 import createLogger from '../observe/createLogger';
+import commonRoutes from '../operators/commonRoutes';
+import entryRoutes from '../operators/entryRoutes';
+import OperatorServer from '../operators/OperatorServer';
+import reachableAddress from '../operators/reachableAddress';
 import type EntrySettings from '../settings/EntrySettings';
 import HttpStore from '../store/HttpStore';
 import newIncarnation from './newIncarnation';
@@ -17,13 +21,16 @@
 ): Promise<ExitCode> {
   const log = createLogger(settings.log.level);
   const timer = SystemTimer.create();
+  const network = ConnectNetwork.create(timer);
+  const drained = new AbortController();
+  let operators = '';
   const entry = Entry.create({
     settings,
     timer,
     log,
+    network,
     incarnation: newIncarnation(settings.instance),
     random: Random.fromSeed(randomSeed()),
-    network: ConnectNetwork.create(timer),
     store: HttpStore.create({
       timer,
       url: `http://${settings.store.address}`,
@@ -31,7 +38,22 @@
       callsPerSecond: settings.store.callsPerSecond,
       timeoutMs: settings.store.timeoutMs,
     }),
+    operators: () => operators,
   });
+  const server = OperatorServer.create([
+    ...commonRoutes({
+      isReady: () => entry.isReady,
+      metrics: async () => '',
+      drain: () => drained.abort(),
+    }),
+    ...entryRoutes(entry, { timer, network }),
+  ]);
+  const opened = await server.listen(settings.listen.operators);
+  if (opened.isErr()) {
+    log.error(`cannot listen: ${settings.listen.operators}: ${opened.error.message}`);
+    return exitCodes.cannotListen;
+  }
+  operators = reachableAddress(opened.value, settings.advertise);
   const listening = await entry.listen();
   if (listening.isErr()) {
     log.error(`cannot listen: ${listening.error}`);
@@ -39,7 +61,9 @@
   }
   const { callers, peers } = listening.value;
   log.info(`entry ${settings.instance} listens for callers on ${callers}, for peers on ${peers}`);
-  const ended = await entry.run(signal);
+  log.info(`listening for operators on ${opened.value}`);
+  const ended = await entry.run(AbortSignal.any([signal, drained.signal]));
+  await server.close();
   log.info(`entry ${settings.instance} has ${ended === 'removed' ? 'been removed' : 'stopped'}`);
   return ended === 'removed' ? exitCodes.removed : exitCodes.ok;
 }
--- a/src/daemon/runSidecar.ts
+++ b/src/daemon/runSidecar.ts
@@ -4,6 +4,9 @@
 import SystemTimer from '../core/SystemTimer';
 import ConnectNetwork from '../link/ConnectNetwork';
 import createLogger from '../observe/createLogger';
+import commonRoutes from '../operators/commonRoutes';
+import OperatorServer from '../operators/OperatorServer';
+import reachableAddress from '../operators/reachableAddress';
 import type SidecarSettings from '../settings/SidecarSettings';
 import BackendDesk from '../sidecar/BackendDesk';
 import Sidecar from '../sidecar/Sidecar';
@@ -20,6 +23,8 @@
   const { cluster, instance, zone, entries, links, heartbeat } = settings;
   const log = createLogger(settings.log.level);
   const timer = SystemTimer.create();
+  const drained = new AbortController();
+  let operators = '';
   const sidecar = Sidecar.create({
     ...{ timer, cluster, instance, zone, entries, links, heartbeat },
     random: Random.fromSeed(randomSeed()),
@@ -31,12 +36,27 @@
     skewMs: settings.ledger.clockSkewMs,
     renewMs: settings.backend.renewMs,
     drainMs: settings.stop.drainMs,
+    operators: () => operators,
     log: (line) => log.info(line),
   });
+  const server = OperatorServer.create(
+    commonRoutes({
+      isReady: () => sidecar.isReady,
+      metrics: async () => '',
+      drain: () => drained.abort(),
+    }),
+  );
   const desk = BackendDesk.create({
     announce: (backend) => sidecar.announce(backend),
     withdraw: () => sidecar.withdrawBackend(),
   });
+  const opened = await server.listen(settings.listen.operators);
+  if (opened.isErr()) {
+    log.error(`cannot listen: ${settings.listen.operators}: ${opened.error.message}`);
+    return exitCodes.cannotListen;
+  }
+  operators = reachableAddress(opened.value);
+  log.info(`listening for operators on ${opened.value}`);
   try {
     const address = await desk.listen(settings.listen.backend);
     log.info(`sidecar ${instance} listens for its backend server on ${address}`);
@@ -44,8 +64,9 @@
     log.error(`cannot listen: ${settings.listen.backend}: ${(error as Error).message}`);
     return exitCodes.cannotListen;
   }
-  await sidecar.run(signal);
+  await sidecar.run(AbortSignal.any([signal, drained.signal]));
   await desk.close();
+  await server.close();
   log.info(`sidecar ${instance} has stopped`);
   return exitCodes.ok;
 }
--- a/src/dispatch/SidecarPeer.ts
+++ b/src/dispatch/SidecarPeer.ts
@@ -20,6 +20,9 @@
   /** The services of its backend servers. */
   services: readonly string[] = [];
 
+  /** Address of its operators' listener; empty when it told none. */
+  operators = '';
+
   private constructor(
     readonly incarnation: string,
     readonly instance: string,
@@ -28,9 +31,10 @@
 
   /** Creates the peer for the sidecar that opened a link. */
   static fromLink(link: Link): SidecarPeer {
-    const { incarnation, instance, zone, services } = link.peer;
+    const { incarnation, instance, zone, services, operators } = link.peer;
     const peer = new SidecarPeer(incarnation, instance, zone);
     peer.services = services;
+    peer.operators = operators;
     return peer;
   }
 }
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -103,6 +103,11 @@
     return new Entry(options);
   }
 
+  /** The name of this run of the process. */
+  get incarnation(): string {
+    return this.options.incarnation;
+  }
+
   /** Whether the view names this entry, so that it can own jobs. */
   get isMember(): boolean {
     return this.isIn(this.views.current);
@@ -278,6 +283,7 @@
       incarnation,
       zone: settings.zone,
       address: this.member().address,
+      operators: this.options.operators?.() ?? '',
     });
   }
 
@@ -289,6 +295,7 @@
       incarnation,
       address,
       zone: settings.zone,
+      operators: this.options.operators?.() ?? '',
     });
   }
 
--- a/src/entry/EntryOptions.ts
+++ b/src/entry/EntryOptions.ts
@@ -15,4 +15,6 @@
   readonly network: Network;
   readonly store: Store;
   readonly log: Pick<ConsolaInstance, 'info' | 'warn'>;
+  /** Address of this process's operators' listener, once it listens; it is told to other processes. */
+  readonly operators?: () => string;
 }
--- a/src/entry/Job.ts
+++ b/src/entry/Job.ts
@@ -7,6 +7,7 @@
   Outcome,
   type Submission,
   type TaskResult,
+  type TaskStatus,
 } from '../gen/magnoliakeel/v1/peer_pb';
 import judge from './judge';
 
@@ -79,6 +80,11 @@
     return this.places.some((place) => place !== undefined);
   }
 
+  /** How a task ended; undefined while it has not. */
+  statusOf(index: number): TaskStatus | undefined {
+    return this.results[index]?.status;
+  }
+
   /** Takes a task's result and finishes the job when nothing else can change its outcome. */
   settle(result: TaskResult): void {
     if (this.final || this.results[result.index]) return;
--- a/src/entry/inspectEntry.ts
+++ b/src/entry/inspectEntry.ts
@@ -12,13 +12,13 @@
 /** Describes an entry for operators, with one job's record where a key is given. */
 export default function inspectEntry(
   entry: Entry,
-  { settings, incarnation }: EntryOptions,
+  { settings, incarnation, operators }: EntryOptions,
   leaving: boolean,
   key: string,
 ): InspectResponse {
   const job = key ? entry.jobs.find(key) : undefined;
   const places = (job?.places ?? []).map((sidecar, index) =>
-    create(TaskPlaceSchema, { index, sidecar: sidecar ?? '' }),
+    create(TaskPlaceSchema, { index, sidecar: sidecar ?? '', status: job?.statusOf(index) }),
   );
   return create(InspectResponseSchema, {
     instance: settings.instance,
@@ -38,10 +38,13 @@
         configurationVersion: peer.configurationVersion,
         leaving: peer.leaving,
         suspected: peer.suspected || !peer.link,
+        operators: peer.operators,
+        linked: peer.link !== undefined,
       }),
     ),
     jobs: entry.jobs.size,
     job: job?.progress(),
     places,
+    operators: operators?.() ?? '',
   });
 }
--- /dev/null
+++ b/src/operators/OperatorServer.ts
@@ -0,0 +1,94 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { ResultAsync } from 'neverthrow';
+import type OperatorReply from './OperatorReply';
+import type OperatorRoute from './OperatorRoute';
+
+/**
+ * The operators' HTTP listener of a daemon, apart from the callers' one. It
+ * goes on answering while the process leaves, until it is closed.
+ */
+export default class OperatorServer {
+  private readonly server: Server;
+
+  private constructor(private readonly routes: readonly OperatorRoute[]) {
+    this.server = createServer({ headersTimeout: REQUEST_LIMIT_MS }, (req, res) => {
+      this.serve(req, res).catch(() => res.destroy());
+    });
+    this.server.requestTimeout = REQUEST_LIMIT_MS;
+    this.server.maxConnections = MAX_CONNECTIONS;
+  }
+
+  /** Creates the server without listening. */
+  static create(routes: readonly OperatorRoute[]): OperatorServer {
+    return new OperatorServer(routes);
+  }
+
+  /** Listens at "ip:port" and returns the address in use. */
+  listen(address: string): ResultAsync<string, Error> {
+    const { hostname, port } = new URL(`http://${address}`);
+    const host = hostname.replace(/^\[|\]$/g, '');
+    const listening = new Promise<string>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(Number(port || DEFAULT_PORT), host, () => {
+        resolve(`${hostname}:${(this.server.address() as AddressInfo).port}`);
+      });
+    });
+    return ResultAsync.fromPromise(listening, (error) => error as Error);
+  }
+
+  /** Stops listening and ends all connections. */
+  async close(): Promise<void> {
+    const closed = new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+    });
+    this.server.closeAllConnections();
+    await closed;
+  }
+
+  private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    req.resume();
+    const { status, body } = await this.answer(req);
+    const isText = typeof body === 'string';
+    const text = isText ? body : JSON.stringify(body);
+    res.writeHead(status, {
+      'Content-Type': isText ? TEXT_TYPE : 'application/json',
+      'Content-Length': Buffer.byteLength(text),
+    });
+    res.end(text);
+  }
+
+  private async answer(req: IncomingMessage): Promise<OperatorReply> {
+    const { pathname, searchParams } = new URL(req.url ?? '/', BASE_URL);
+    const matching = this.routes.filter(({ path }) => path.test(pathname));
+    if (matching.length === 0) return problem(404, `there is no path ${pathname}`);
+    const route = matching.find(({ method }) => method === req.method);
+    if (!route) return problem(405, `${pathname} takes ${matching.map(methodOf).join(', ')}`);
+    try {
+      const names = route.path.exec(pathname)!.slice(1).map(decodeURIComponent);
+      return await route.handle(names, searchParams);
+    } catch (error) {
+      return problem(500, String(error));
+    }
+  }
+}
+
+const REQUEST_LIMIT_MS = 5000;
+const MAX_CONNECTIONS = 256;
+
+/** A URL leaves this port out. */
+const DEFAULT_PORT = 80;
+
+/** The exposition format that scrapers expect; plain text to everybody else. */
+const TEXT_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
+
+/** Makes a request's path a whole URL; only the path and the query are read. */
+const BASE_URL = 'http://operators';
+
+function methodOf({ method }: OperatorRoute): string {
+  return method;
+}
+
+function problem(status: number, reason: string): OperatorReply {
+  return { status, body: { reason } };
+}
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -124,6 +124,11 @@
     return this.services.version;
   }
 
+  /** Whether it can be given tasks: linked, with a backend server announced and not leaving. */
+  get isReady(): boolean {
+    return !this.isLeaving && this.entries.size > 0 && this.lease.current !== undefined;
+  }
+
   /** Entries linked now. */
   get linkCount(): number {
     return this.entries.size;
@@ -193,6 +198,7 @@
       protocol: PROTOCOL_VERSION,
       role: Role.SIDECAR,
       services: service === undefined ? [] : [service],
+      operators: this.opts.operators?.() ?? '',
     });
   }
 
--- a/src/sidecar/SidecarOptions.ts
+++ b/src/sidecar/SidecarOptions.ts
@@ -35,6 +35,8 @@
   readonly renewMs: number;
   /** How long running tasks are awaited when the sidecar leaves. */
   readonly drainMs: number;
+  /** Address of this process's operators' listener, once it listens; it is told to entries. */
+  readonly operators?: () => string;
   /** Takes a line for each change of state. */
   readonly log?: (line: string) => void;
 }
--- a/tools/harness/Cluster.ts
+++ b/tools/harness/Cluster.ts
@@ -25,6 +25,8 @@
 
   private readonly peers = new Map<string, string>();
 
+  private readonly operators = new Map<string, string>();
+
   private readonly backends = new Map<string, string>();
 
   private constructor(
@@ -67,6 +69,11 @@
     return `http://${this.callers.get(entry)}`;
   }
 
+  /** Operators' address of an entry or a sidecar, "ip:port". */
+  operatorsOf(name: string): string {
+    return this.operators.get(name)!;
+  }
+
   /** Base address of a backend server stand-in. */
   backendAddress(backend: string): string {
     return `http://${this.backends.get(backend)}`;
@@ -143,6 +150,7 @@
     const file = path.join(this.folder, `${name}.yaml`);
     await writeFile(file, stringify(settings));
     this.processes.start(name, 'magnoliakeeld', ['--config', file]);
+    this.operators.set(name, await this.processes.waitFor(name, /for operators on ([\d.:]+)/));
   }
 
   private zoneOf(name: string): string {
