--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -223,8 +223,8 @@
   private async finishCallers(): Promise<void> {
     const { timer, settings } = this.options;
     const deadline = timer.now() + settings.stop.drainMs;
-    const closed = this.callers.close();
-    await Promise.race([closed, timer.sleep(settings.stop.drainMs)]);
+    const closed = this.callers.close(settings.stop.drainMs);
+    await Promise.race([closed, timer.sleep(settings.stop.drainMs + LINGER_MS)]);
     while (this.jobs.open > 0 && timer.now() < deadline) await timer.sleep(DRAIN_POLL_MS);
   }
 
@@ -485,14 +485,16 @@
   }
 
   private createCallerServer(): CallerServer {
-    const { settings, timer, log } = this.options;
+    const { settings, timer, random, log } = this.options;
     return CallerServer.create({
       limits: settings.limits,
       manifest: () => this.manifest.current,
-      wall: () => timer.wall(),
+      timer,
+      random,
       isLeaving: () => this.leaving,
-      failed: (error) => log.error(`internal error at a request: ${error.stack ?? error}`),
       submit: (submission, gone) => this.submit(submission, gone),
+      failed: (error) =>
+        log.error(`internal error at a request: ${(error as Error).stack ?? error}`),
     });
   }
 
--- a/test/support/ManualTimer.ts
+++ b/test/support/ManualTimer.ts
@@ -25,6 +25,11 @@
     return new ManualTimer(rounds);
   }
 
+  /** Whether anything waits for the time to move. */
+  get isAwaited(): boolean {
+    return this.entries.size > 0;
+  }
+
   now(): number {
     return this.time;
   }
