--- a/src/callers/CallerServer.ts
+++ b/src/callers/CallerServer.ts
@@ -6,7 +6,9 @@
 import type CallerServerOptions from './CallerServerOptions';
 import type CallerSubmission from './CallerSubmission';
 import findBodyMistake from './findBodyMistake';
+import headerOf from './headerOf';
 import readBody from './readBody';
+import refusal from './refusal';
 import refuseConnection from './refuseConnection';
 import type RequestError from './RequestError';
 import respond from './respond';
@@ -94,10 +96,14 @@
     const ahead = this.responses.get(req.socket);
     if (ahead && !ahead.writableFinished) this.pipelined.add(req.socket);
     this.responses.set(req.socket, res);
-    this.answer(req, res).catch((error) => {
-      this.options.failed(error);
-      res.destroy();
-    });
+    this.answer(req, res).catch((error) => this.fail(res, error));
+  }
+
+  /** Answers a request on which a fault of this process showed; the others go on. */
+  private fail(res: http.ServerResponse, error: unknown): void {
+    this.options.failed(error);
+    if (res.headersSent) res.destroy();
+    else this.refuse(res, refusal(Outcome.UNKNOWN, FAULT.reason));
   }
 
   private async answer(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
@@ -143,7 +149,7 @@
     const body = await readBody(req, this.options.limits.bodyBytes);
     if (body.isErr()) return err(body.error);
     const manifest = this.options.manifest();
-    if (!manifest) return err({ status: 503, reason: 'no configuration is in force yet' });
+    if (!manifest) return err(notReady(req));
     const names = namesIn(route.value, url.value.pathname);
     if (names.isErr()) return err(names.error);
     const caller = {
@@ -159,7 +165,8 @@
     // A body that was never asked for does not come; the next request can't be told from it.
     if (expectsContinue(res.req) && !res.req.complete) res.setHeader('Connection', 'close');
     const { random } = this.options;
-    const retryAfterMs = error.status === 503 ? Math.ceil(random.jitter(RETRY_AFTER_MS)) : 0;
+    const isPassing = error.outcome !== undefined;
+    const retryAfterMs = isPassing ? Math.ceil(random.jitter(RETRY_AFTER_MS)) : 0;
     respondError(res, error, retryAfterMs);
   }
 
@@ -229,6 +236,13 @@
   }
 }
 
+/** What has an id may have been run for an earlier submission; only what has none is known not to have run. */
+function notReady({ method, headers }: http.IncomingMessage): RequestError {
+  const isNew = method === 'POST' && headerOf(headers, 'idempotency-key') === undefined;
+  const outcome = isNew ? Outcome.NOT_RUN : Outcome.UNKNOWN;
+  return refusal(outcome, 'no configuration is in force yet');
+}
+
 function findRoute(method: string | undefined, path: string): Result<Route, RequestError> {
   const candidates = routes.filter((route) => route.path.test(path));
   if (candidates.length === 0) return err({ status: 404, reason: `there is no path ${path}` });
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -107,6 +107,11 @@
     return new Entry(options);
   }
 
+  /** The name of this run of the process. */
+  get incarnation(): string {
+    return this.options.incarnation;
+  }
+
   /** Whether the view names this entry, so that it can own jobs. */
   get isMember(): boolean {
     return this.isIn(this.views.current);
@@ -124,20 +129,25 @@
 
   /** Opens the listening addresses. The error says which could not be had and why. */
   async listen(): Promise<Result<EntryAddresses, string>> {
+    const peers = await this.listenToPeers();
+    if (peers.isErr()) return err(peers.error);
     const { listen } = this.options.settings;
-    const peers = await this.options.network.listen(
-      listen.peers,
-      () => this.hello(),
-      this.peerHandlers(),
-    );
-    if (peers.isErr()) return err(`${listen.peers}: ${peers.error.reason}`);
-    this.listener = peers.value;
     const callers = await this.callers.listen(listen.callers);
     if (callers.isErr()) return err(`${listen.callers}: ${listenProblem(callers.error)}`);
-    this.addresses = { callers: callers.value, peers: peers.value.address };
+    this.addresses = { callers: callers.value, peers: peers.value };
     return ok(this.addresses);
   }
 
+  /** Opens the address for other processes only; for callers in this process, who use `submit`. */
+  async listenToPeers(): Promise<Result<string, string>> {
+    const { peers } = this.options.settings.listen;
+    const { network } = this.options;
+    const listener = await network.listen(peers, () => this.hello(), this.peerHandlers());
+    if (listener.isErr()) return err(`${peers}: ${listener.error.reason}`);
+    this.listener = listener.value;
+    return ok(listener.value.address);
+  }
+
   /**
    * Works until the signal aborts and then leaves: jobs are finished, their
    * records handed over. Ends with `removed` when the others removed it, as
@@ -294,6 +304,7 @@
       incarnation,
       zone: settings.zone,
       address: this.member().address,
+      operators: this.options.operators?.() ?? '',
     });
   }
 
@@ -305,6 +316,7 @@
       incarnation,
       address,
       zone: settings.zone,
+      operators: this.options.operators?.() ?? '',
     });
   }
 
@@ -360,6 +372,8 @@
   private createDispatcher(): Dispatcher {
     return Dispatcher.create({
       timer: this.options.timer,
+      random: this.options.random,
+      policy: this.options.settings.dispatch.policy,
       owner: this.self,
       viewNumber: () => this.views.number,
       shareOf: (team) => this.manifest.shareOf(team),
@@ -492,7 +506,8 @@
       random,
       isLeaving: () => this.leaving,
       submit: (submission, gone) => this.submit(submission, gone),
-      failed: (error) => log.warn(`internal error: ${(error as Error).stack ?? error}`),
+      failed: (error) =>
+        log.error(`internal error at a request: ${(error as Error).stack ?? error}`),
     });
   }
 
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -124,6 +124,11 @@
     return this.services.version;
   }
 
+  /** Whether it can be given tasks: linked, with a backend server announced and not leaving. */
+  get isReady(): boolean {
+    return !this.isLeaving && this.entries.size > 0 && this.lease.current !== undefined;
+  }
+
   /** Entries linked now. */
   get linkCount(): number {
     return this.entries.size;
@@ -193,6 +198,7 @@
       protocol: PROTOCOL_VERSION,
       role: Role.SIDECAR,
       services: service === undefined ? [] : [service],
+      operators: this.opts.operators?.() ?? '',
     });
   }
 
@@ -279,6 +285,7 @@
   private closeBackend(backend: Announcement): void {
     this.opts.log?.(`backend server ${backend.address} takes no further tasks`);
     this.credits.withdraw(false);
+    this.tasks.startWaiting();
     this.opts.client.forget(backend);
   }
 
