Print the reasons of unknown answers in a chaos run

Cause: the errors' log method was missing from the entry's logger type, and a run did not say why answers were unknown. Change: both.

--- a/src/entry/EntryOptions.ts
+++ b/src/entry/EntryOptions.ts
@@ -14,5 +14,5 @@
   readonly random: Random;
   readonly network: Network;
   readonly store: Store;
-  readonly log: Pick<ConsolaInstance, 'info' | 'warn'>;
+  readonly log: Pick<ConsolaInstance, 'error' | 'info' | 'warn'>;
 }
--- a/tools/chaos/ChaosRun.ts
+++ b/tools/chaos/ChaosRun.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import Random from '../../src/core/Random';
 import SystemTimer from '../../src/core/SystemTimer';
 import Cluster from '../harness/Cluster';
@@ -110,6 +111,7 @@
 
   private async startCallers(): Promise<void> {
     const { callers } = this.options;
+    setMaxListeners(0, this.callersEnd.signal);
     const { timer, client, journal, cluster } = this;
     const runs = Array.from({ length: callers }, (_, number) => {
       const random = this.random(100 + number);
@@ -129,6 +131,7 @@
       return;
     }
     const stop = new AbortController();
+    setMaxListeners(0, stop.signal);
     const { kinds, seconds } = this.options;
     const random = this.random(2);
     const disruptor = Disruptor.create({ timer, random, cluster, supervisor, journal, kinds });
--- a/tools/chaos/Findings.ts
+++ b/tools/chaos/Findings.ts
@@ -7,6 +7,8 @@
   readonly finals: Readonly<Record<string, number>>;
   /** All answers by outcome, resubmissions too. */
   readonly answers: Readonly<Record<string, number>>;
+  /** Reasons of the answers "unknown", how often each was given. */
+  readonly doubts: Readonly<Record<string, number>>;
   readonly starts: number;
   /** Second starts of retryable requests, which are allowed and cost work. */
   readonly waste: number;
--- a/tools/chaos/checkJournal.ts
+++ b/tools/chaos/checkJournal.ts
@@ -22,6 +22,10 @@
     attempts: attempts.length,
     finals: countBy(works, ({ final }) => final ?? 'none'),
     answers: countBy(submitted, ({ outcome }) => outcome),
+    doubts: countBy(
+      submitted.filter(({ outcome }) => outcome === 'unknown'),
+      ({ reason }) => reason.replace(/task \d+/, 'task'),
+    ),
     starts: starts.length,
     waste: sum(repeated.filter(({ work }) => work.idempotent).map(({ repeats }) => repeats.length)),
     broken: {
--- a/tools/chaos/describeRun.ts
+++ b/tools/chaos/describeRun.ts
@@ -25,6 +25,9 @@
     `jobs: ${findings.jobs}, requests: ${findings.requests}, attempts: ${findings.attempts}`,
     `final answers: ${countsText(findings.finals)}`,
     `all answers: ${countsText(findings.answers)}`,
+    ...Object.entries(findings.doubts).map(
+      ([reason, count]) => `unknown ${count} times: ${reason}`,
+    ),
     `starts: ${findings.starts}, repeated for retryable requests: ${findings.waste}`,
     ...Object.entries(findings.broken).map(([promise, { length }]) => `${promise}: ${length}`),
     `longest wait after a disruption: ${findings.longestWaitMs} ms (${findings.longestWaitAfter})`,
