--- a/src/entry/EntryOptions.ts
+++ b/src/entry/EntryOptions.ts
@@ -14,7 +14,5 @@
   readonly random: Random;
   readonly network: Network;
   readonly store: Store;
-  readonly log: Pick<ConsolaInstance, 'info' | 'warn' | 'error'>;
-  /** Address of this process's operators' listener, once it listens; it is told to other processes. */
-  readonly operators?: () => string;
+  readonly log: Pick<ConsolaInstance, 'error' | 'info' | 'warn'>;
 }
