Measure every policy on real processes against an ideal queue

npm run measure starts entries, sidecars and backend servers as processes, offers a seeded load in open loop and prints stretch, messages, waste and cost next to the ideal queue's stretch for the same arrivals.

--- a/tools/harness/Cluster.ts
+++ b/tools/harness/Cluster.ts
@@ -3,6 +3,7 @@
 import path from 'node:path';
 import { request } from 'undici';
 import { stringify } from 'yaml';
+import type StandInFaults from '../backend/StandInFaults';
 import type ClusterSize from './ClusterSize';
 import Processes from './Processes';
 
@@ -10,6 +11,8 @@
 interface Overrides {
   readonly entry?: object;
   readonly sidecar?: object;
+  /** The program that daemons are run from, when it is not the daemon as it ships. */
+  readonly program?: string;
 }
 
 /**
@@ -107,6 +110,15 @@
     await this.processes.waitFor(sidecar, /offers/);
   }
 
+  /** Tells a backend server stand-in to show faults. */
+  async putFaults(backend: string, faults: Partial<StandInFaults>): Promise<void> {
+    const { body } = await request(`${this.backendAddress(backend)}/faults`, {
+      method: 'PUT',
+      body: JSON.stringify(faults),
+    });
+    await body.dump();
+  }
+
   /** How often each task was started, over all backend servers. */
   async starts(): Promise<Map<string, number>> {
     const totals = new Map<string, number>();
@@ -142,7 +154,7 @@
   private async startDaemon(name: string, settings: object): Promise<void> {
     const file = path.join(this.folder, `${name}.yaml`);
     await writeFile(file, stringify(settings));
-    this.processes.start(name, 'magnoliakeeld', ['--config', file]);
+    this.processes.start(name, this.overrides.program ?? 'magnoliakeeld', ['--config', file]);
   }
 
   private zoneOf(name: string): string {
--- /dev/null
+++ b/tools/measure/LoadGenerator.ts
@@ -0,0 +1,111 @@
+import { randomUUID } from 'node:crypto';
+import { Agent, request } from 'undici';
+import type Cluster from '../harness/Cluster';
+import type Arrival from './Arrival';
+import type Answered from './Answered';
+
+/**
+ * Submits arrivals at their times, whether or not earlier ones are answered.
+ * Like a balancer it turns to the next entry when one can't be reached, and
+ * like a caller it submits a job again whose connection broke.
+ */
+export default class LoadGenerator {
+  private readonly agent = new Agent({ connections: 4096, headersTimeout: 0, bodyTimeout: 0 });
+
+  private startedAt = 0;
+
+  private constructor(
+    private readonly cluster: Cluster,
+    private readonly deadlineMs: number | undefined,
+  ) {}
+
+  /** Creates a generator for the cluster's callers' addresses. */
+  static create(cluster: Cluster, deadlineMs?: number): LoadGenerator {
+    return new LoadGenerator(cluster, deadlineMs);
+  }
+
+  /** Submits all arrivals and returns what became of them, when the last is answered. */
+  async run(arrivals: readonly Arrival[]): Promise<Answered[]> {
+    this.startedAt = performance.now();
+    const answers = arrivals.map(async (arrival) => {
+      await sleep(arrival.atMs);
+      return arrival.kind === 'job' ? this.job(arrival) : this.request(arrival);
+    });
+    const all = await Promise.all(answers);
+    await this.agent.close();
+    return all;
+  }
+
+  private async request(arrival: Arrival): Promise<Answered> {
+    const body = JSON.stringify({ ms: arrival.runs[0] });
+    const headers: Record<string, string> = { 'magnoliakeel-team': arrival.team };
+    if (this.deadlineMs) headers['magnoliakeel-deadline-ms'] = String(this.deadlineMs);
+    const path = '/v1/services/booking/requests';
+    for (let tried = 0; tried < TRIES; tried += 1) {
+      try {
+        const res = await this.send(arrival.entry + tried, path, { method: 'POST', headers, body });
+        return this.answered(arrival, res);
+      } catch (error) {
+        if (!isUnsent(error)) return this.answered(arrival, 'broken');
+      }
+    }
+    return this.answered(arrival, 'broken');
+  }
+
+  private async job(arrival: Arrival): Promise<Answered> {
+    const id = randomUUID();
+    const body = JSON.stringify({ tasks: arrival.runs.map((ms) => ({ input: { ms } })) });
+    const headers = {
+      'magnoliakeel-team': arrival.team,
+      'magnoliakeel-created': String(Date.now()),
+    };
+    const path = `/v1/services/booking/jobs/${id}`;
+    this.cancelLater(arrival, path);
+    for (let tried = 0; tried < TRIES; tried += 1) {
+      try {
+        const init = { method: 'PUT', headers, body } as const;
+        const res = await this.send(arrival.entry + tried, `${path}?wait=${WAIT_MS}`, init);
+        if (res !== 'unknown') return this.answered(arrival, res);
+      } catch {
+        await sleep(RETRY_MS);
+      }
+    }
+    return this.answered(arrival, 'broken');
+  }
+
+  private async cancelLater({ cancelAfterMs, entry }: Arrival, path: string): Promise<void> {
+    if (cancelAfterMs === undefined) return;
+    await sleep(cancelAfterMs);
+    await this.send(entry, path, { method: 'DELETE' }).catch(() => undefined);
+  }
+
+  private async send(
+    entry: number,
+    path: string,
+    init: { method: 'POST' | 'PUT' | 'DELETE'; headers?: Record<string, string>; body?: string },
+  ): Promise<string> {
+    const names = this.cluster.entryNames;
+    const base = this.cluster.callersOf(names[entry % names.length]!);
+    const res = await request(base + path, { ...init, dispatcher: this.agent });
+    await res.body.dump();
+    return String(res.headers['magnoliakeel-outcome'] ?? res.statusCode);
+  }
+
+  private answered(arrival: Arrival, outcome: string): Answered {
+    return { arrival, outcome, responseMs: performance.now() - this.startedAt - arrival.atMs };
+  }
+}
+
+const TRIES = 20;
+const RETRY_MS = 200;
+const WAIT_MS = 60_000;
+
+function isUnsent(error: unknown): boolean {
+  return (error as { code?: string }).code === 'ECONNREFUSED';
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/tools/measure/describeResult.ts
@@ -0,0 +1,77 @@
+import type RunResult from './RunResult';
+import type Stretches from './Stretches';
+
+/** A run's figures as lines of text. */
+export default function describeResult(result: RunResult): string {
+  return [
+    `${result.scenario}, ${result.policy}`,
+    stretchLine('request', result),
+    stretchLine('job', result),
+    messageLine(result),
+    wasteLine(result),
+    `  answers: ${pairs(result.outcomes)}; throughput ${(result.throughput * 100).toFixed(1)}% of the slots; doubled starts ${result.doubled}`,
+    costLine(result),
+  ]
+    .filter((line) => line !== '')
+    .join('\n');
+}
+
+function stretchLine(kind: 'request' | 'job', { stretches, ideal }: RunResult): string {
+  const found = stretches.summary(kind);
+  const best = ideal.summary(kind);
+  if (!found || !best) return '';
+  const ratio = (found.p99 / best.p99).toFixed(3);
+  return `  ${kind} stretch: ${summaryText(found)}; ideal ${summaryText(best)}; p99 ${ratio} of ideal`;
+}
+
+function summaryText(summary: NonNullable<ReturnType<Stretches['summary']>>): string {
+  const { mean, p50, p99, p999 } = summary;
+  return `mean ${mean.toFixed(3)} p50 ${p50.toFixed(3)} p99 ${p99.toFixed(2)} p99.9 ${p999.toFixed(2)}`;
+}
+
+function messageLine({ counts, offered }: RunResult): string {
+  const sums = sumKinds(counts);
+  const messages = sums.reduce((sum, [, count]) => sum + count.messages, 0);
+  const bytes = sums.reduce((sum, [, count]) => sum + count.bytes, 0);
+  const kinds = sums
+    .map(([kind, count]) => `${kind} ${(count.messages / offered).toFixed(3)}`)
+    .join(', ');
+  return `  messages per task: ${(messages / offered).toFixed(3)}, ${Math.round(bytes / offered)} bytes (${kinds})`;
+}
+
+/** Starts that did not lead to a completed answer, and by what they ended. */
+function wasteLine({ counts, completed, offered }: RunResult): string {
+  const sums = sumKinds(counts);
+  const starts = sums.find(([kind]) => kind === 'start')?.[1].messages ?? 0;
+  const causes = sums
+    .filter(([kind]) => /^(refuse|done)\./.test(kind) && kind !== 'done.COMPLETED')
+    .map(([kind, { messages }]) => `${kind} ${messages}`);
+  const wasted = starts - completed;
+  const share = ((wasted / offered) * 100).toFixed(2);
+  return `  starts without use: ${wasted} (${share}% of tasks)${causes.length > 0 ? `, ${causes.join(', ')}` : ''}`;
+}
+
+function costLine({ counts, offered }: RunResult): string {
+  const cost = ({ cpuMs, mostRssBytes }: RunResult['counts']['entry']) =>
+    `${(cpuMs / offered).toFixed(2)} ms CPU a task, at most ${Math.round(mostRssBytes / 2 ** 20)} MiB`;
+  return `  entries: ${cost(counts.entry)}; sidecars: ${cost(counts.sidecar)}`;
+}
+
+function sumKinds({ entry, sidecar }: RunResult['counts']) {
+  const kinds = new Set([...Object.keys(entry.sent), ...Object.keys(sidecar.sent)]);
+  return [...kinds]
+    .map((kind) => {
+      const both = [entry.sent[kind], sidecar.sent[kind]];
+      const messages = both.reduce((sum, count) => sum + (count?.messages ?? 0), 0);
+      const bytes = both.reduce((sum, count) => sum + (count?.bytes ?? 0), 0);
+      return [kind, { messages, bytes }] as const;
+    })
+    .filter(([, { messages }]) => messages > 0)
+    .sort(([, a], [, b]) => b.messages - a.messages);
+}
+
+function pairs(counts: Readonly<Record<string, number>>): string {
+  return Object.entries(counts)
+    .map(([name, count]) => `${name} ${count}`)
+    .join(', ');
+}
--- /dev/null
+++ b/tools/measure/runScenario.ts
@@ -0,0 +1,117 @@
+import Random from '../../src/core/Random';
+import Cluster from '../harness/Cluster';
+import type ClusterSize from '../harness/ClusterSize';
+import type Answered from './Answered';
+import type Arrival from './Arrival';
+import CountReader from './CountReader';
+import HOP_MS from './HOP_MS';
+import LoadGenerator from './LoadGenerator';
+import measuredManifest from './measuredManifest';
+import replayIdeal from './replayIdeal';
+import type RunResult from './RunResult';
+import type Scenario from './Scenario';
+import scenarios from './scenarios';
+import Stretches from './Stretches';
+import Workload from './Workload';
+
+interface RunOptions {
+  readonly scenario: string;
+  readonly policy: string;
+  readonly size: ClusterSize;
+  readonly seed: number;
+  /** Length of the load after the warm-up. */
+  readonly lengthMs: number;
+}
+
+/** Runs a scenario on real processes and measures it against the ideal queue. */
+export default async function runScenario(options: RunOptions): Promise<RunResult> {
+  const scenario = scenarios[options.scenario]!;
+  const arrivals = arrivalsOf(scenario, options);
+  const cluster = await startCluster(options);
+  try {
+    await scenario.prepare?.(cluster);
+    const counts = CountReader.create(cluster.processes);
+    await counts.begin();
+    const fault = faultLater(scenario, cluster, counts, WARM_UP_MS + options.lengthMs / 2);
+    const answers = await LoadGenerator.create(cluster, scenario.deadlineMs).run(arrivals);
+    await fault;
+    return {
+      ...summarize(options, scenario, arrivals, answers),
+      doubled: [...(await cluster.starts()).values()].filter((starts) => starts > 1).length,
+      counts: await counts.totals(),
+    };
+  } finally {
+    await cluster.stop();
+  }
+}
+
+const WARM_UP_MS = 2000;
+
+function arrivalsOf(scenario: Scenario, { size, seed, lengthMs }: RunOptions): readonly Arrival[] {
+  const slots = size.backends * size.slots;
+  const offer = { slots, entries: size.entries, warmUpMs: WARM_UP_MS };
+  const workload = Workload.create(Random.fromSeed(seed), offer);
+  scenario.load(workload, 0, WARM_UP_MS + lengthMs);
+  return workload.build();
+}
+
+async function startCluster({ size, policy }: RunOptions): Promise<Cluster> {
+  const cluster = await Cluster.start(size, measuredManifest, {
+    entry: { dispatch: { policy } },
+    program: 'measuredDaemon',
+  });
+  await Promise.all(
+    cluster.backendNames.map((name) => cluster.putFaults(name, { delayMs: 2 * HOP_MS })),
+  );
+  return cluster;
+}
+
+async function faultLater(
+  { fault }: Scenario,
+  cluster: Cluster,
+  counts: CountReader,
+  afterMs: number,
+): Promise<void> {
+  if (!fault) return;
+  await new Promise((resolve) => {
+    setTimeout(resolve, afterMs);
+  });
+  await fault(cluster, counts);
+}
+
+function summarize(
+  { scenario: name, policy, size, lengthMs }: RunOptions,
+  scenario: Scenario,
+  arrivals: readonly Arrival[],
+  answers: readonly Answered[],
+): Omit<RunResult, 'counts' | 'doubled'> {
+  const slots = size.backends * size.slots;
+  const stretches = Stretches.create();
+  const outcomes: Record<string, number> = {};
+  answers.forEach(({ arrival, outcome, responseMs }) => {
+    outcomes[outcome] = (outcomes[outcome] ?? 0) + 1;
+    if (outcome === 'completed' && arrival.measured) stretches.add(arrival, responseMs, slots);
+  });
+  const completed = answers.filter(({ outcome }) => outcome === 'completed');
+  const busyMs = completed
+    .filter(({ arrival, responseMs }) => inLoad(arrival.atMs + responseMs, lengthMs))
+    .reduce((sum, { arrival }) => sum + runMsOf(arrival), 0);
+  return {
+    scenario: name,
+    policy,
+    stretches,
+    ideal: replayIdeal(arrivals, scenario.idealSlots ?? slots),
+    outcomes,
+    offered: arrivals.reduce((sum, { runs }) => sum + runs.length, 0),
+    completed: completed.reduce((sum, { arrival }) => sum + arrival.runs.length, 0),
+    throughput: busyMs / (lengthMs * slots),
+  };
+}
+
+function inLoad(atMs: number, lengthMs: number): boolean {
+  return atMs >= WARM_UP_MS && atMs <= WARM_UP_MS + lengthMs;
+}
+
+function runMsOf({ runs }: Arrival): number {
+  return runs.reduce((sum, run) => sum + run, 0);
+}
