Plan, apply, roll back and look into a running system with magnoliakeelctl

Cause: a pipeline could check a manifest but not put it in force, and nobody could see the system. Entries keep one more key prefix in the store, history/.

--- a/src/ctl/Command.ts
+++ b/src/ctl/Command.ts
@@ -2,6 +2,7 @@
 import type Terminal from '../core/Terminal';
 import type CommandInput from './CommandInput';
 import type CommandOption from './CommandOption';
+import type CtlContext from './CtlContext';
 
 /** One command of the command-line tool. */
 export default interface Command {
@@ -9,5 +10,5 @@
   readonly args: string;
   readonly description: string;
   readonly options: readonly CommandOption[];
-  run(input: CommandInput, terminal: Terminal): Promise<ExitCode>;
+  run(input: CommandInput, terminal: Terminal, context: CtlContext): Promise<ExitCode>;
 }
--- /dev/null
+++ b/src/ctl/HttpOperatorClient.ts
@@ -0,0 +1,40 @@
+import { ResultAsync } from 'neverthrow';
+import { request } from 'undici';
+import type TimerService from '../core/TimerService';
+import type OperatorAnswer from './OperatorAnswer';
+import type OperatorClient from './OperatorClient';
+
+/** Calls operators' listeners over HTTP. */
+export default class HttpOperatorClient implements OperatorClient {
+  private constructor(private readonly timer: TimerService) {}
+
+  static create(timer: TimerService): HttpOperatorClient {
+    return new HttpOperatorClient(timer);
+  }
+
+  request(
+    method: 'GET' | 'POST',
+    address: string,
+    path: string,
+  ): ResultAsync<OperatorAnswer, string> {
+    const sent = this.send(method, `http://${address}${path}`);
+    return ResultAsync.fromPromise(sent, (cause) =>
+      cause instanceof Error ? cause.message : String(cause),
+    );
+  }
+
+  private async send(method: 'GET' | 'POST', url: string): Promise<OperatorAnswer> {
+    const limit = new AbortController();
+    const timeout = this.timer.after(ANSWER_LIMIT_MS, () =>
+      limit.abort(new Error(`no answer within ${ANSWER_LIMIT_MS} ms`)),
+    );
+    try {
+      const { statusCode, body } = await request(url, { method, signal: limit.signal });
+      return { status: statusCode, body: JSON.parse(await body.text()) };
+    } finally {
+      timeout.cancel();
+    }
+  }
+}
+
+const ANSWER_LIMIT_MS = 4000;
--- /dev/null
+++ b/src/ctl/ManifestPlan.ts
@@ -0,0 +1,11 @@
+import type ManifestChange from './ManifestChange';
+import type ManifestStore from './ManifestStore';
+import type StoredManifest from './StoredManifest';
+
+/** A manifest beside the one in force. */
+export default interface ManifestPlan {
+  readonly store: ManifestStore;
+  readonly manifest: object;
+  readonly current: StoredManifest | undefined;
+  readonly changes: readonly ManifestChange[];
+}
--- a/src/ctl/commands.ts
+++ b/src/ctl/commands.ts
@@ -1,9 +1,23 @@
+import apply from './apply';
 import type Command from './Command';
+import drain from './drain';
+import history from './history';
+import jobs from './jobs';
+import plan from './plan';
+import rollback from './rollback';
+import status from './status';
 import validate from './validate';
 
 /** The commands of the command-line tool by their names, in the order of the help. */
 const commands: Readonly<Record<string, Command>> = {
   validate,
+  plan,
+  apply,
+  history,
+  rollback,
+  status,
+  drain,
+  jobs,
 };
 
 export default commands;
--- /dev/null
+++ b/src/ctl/describeVersion.ts
@@ -0,0 +1,8 @@
+import type StoredManifest from './StoredManifest';
+
+/** A version with the time it was applied, for people. */
+export default function describeVersion(stored: StoredManifest | undefined): string {
+  if (!stored) return 'no version yet';
+  const rollback = stored.rollbackOf === undefined ? '' : `, a rollback to ${stored.rollbackOf}`;
+  return `version ${stored.version} (applied at ${stored.appliedAt}${rollback})`;
+}
--- a/src/ctl/runCtl.ts
+++ b/src/ctl/runCtl.ts
@@ -6,16 +6,19 @@
 import type Terminal from '../core/Terminal';
 import version from '../core/version';
 import commands from './commands';
+import createContext from './createContext';
 
 const NAME = 'magnoliakeelctl';
 
 /**
  * Runs the command that the command line names.
  * @param argv the arguments after the program's name
+ * @param context what commands reach the outside with
  */
 export default async function runCtl(
   argv: readonly string[],
   terminal: Terminal,
+  context = createContext(),
 ): Promise<ExitCode> {
   const cli = createCli();
   const { options } = cli.parse(['node', NAME, ...argv], { run: false });
@@ -27,7 +30,7 @@
     return exitCodes.usage;
   }
   const args = cli.args.map(String);
-  return command.run({ args, options, json: options.json === true }, terminal);
+  return command.run({ args, options, json: options.json === true }, terminal, context);
 }
 
 const HELP_EXIT_CODES = [
--- a/src/membership/keys.ts
+++ b/src/membership/keys.ts
@@ -2,6 +2,8 @@
 const keys = {
   view: 'view',
   manifest: 'manifest',
+  /** Replaced manifests, by their versions. */
+  history: 'history/',
   /** Each live entry holds the key of this prefix and its incarnation, under its lease. */
   entries: 'entries/',
 } as const;
--- a/src/operators/JobReport.ts
+++ b/src/operators/JobReport.ts
@@ -18,6 +18,8 @@
       readonly status: string;
     }[];
   }[];
+  /** The services in force, for finding a mistyped one. */
+  readonly services: readonly string[];
   /** Members of the view that did not answer: they may have a record too. */
   readonly silent: readonly string[];
 }
--- a/src/operators/entryRoutes.ts
+++ b/src/operators/entryRoutes.ts
@@ -44,6 +44,7 @@
           id: id!,
           owner: ownerName(entry, key),
           holders: inspected.flatMap(({ answer }) => (answer && describeHolder(answer)) ?? []),
+          services: entry.manifest.current?.services.map(({ name }) => name) ?? [],
           silent: inspected.flatMap(({ member, answer }) => (answer ? [] : [member.instance])),
         };
         return { status: report.holders.length > 0 ? 200 : 404, body: report };
--- a/test/support/ManualTimer.ts
+++ b/test/support/ManualTimer.ts
@@ -80,6 +80,11 @@
     this.time = target;
   }
 
+  /** Whether something waits for the time to move. */
+  get isAwaited(): boolean {
+    return this.entries.size > 0;
+  }
+
   /** Moves the time without running anything, as when this process itself is stopped for so long. */
   jump(ms: number): void {
     this.time += ms;
