--- a/test/entry/manifestView.test.ts
+++ b/test/entry/manifestView.test.ts
@@ -15,11 +15,7 @@
 
 test('a manifest that names no teams has the defaults', () => {
   const { current } = followed('{"services":[{"name":"booking"}]}');
-  expect([
-    current!.teams,
-    current!.system,
-    current!.services[0]!.timeoutMs,
-  ]).toMatchInlineSnapshot(`
+  expect([current!.teams, current!.system, current!.services[0]!.timeoutMs]).toMatchInlineSnapshot(`
     [
       [],
       {
