--- a/tools/harness/Processes.ts
+++ b/tools/harness/Processes.ts
@@ -21,6 +21,13 @@
     return [...this.children.keys()];
   }
 
+  /** Process id of a process that runs. */
+  pid(name: string): number {
+    const pid = this.children.get(name)?.pid;
+    if (pid === undefined) throw new Error(`${name} does not run`);
+    return pid;
+  }
+
   /** Starts one of the built programs of `dist`. */
   start(name: string, program: string, args: readonly string[]): void {
     const child = spawn(process.execPath, [`dist/${program}.js`, ...args], {
--- /dev/null
+++ b/tools/measureCapacity/EntryLoad.ts
@@ -0,0 +1,94 @@
+import Cluster from '../harness/Cluster';
+import Load from './Load';
+import manifestOf from './manifestOf';
+import sampleProcess from './sampleProcess';
+import StandInLinks from './StandInLinks';
+
+const LINK_PROCESSES = 2;
+const LINKS_EACH = 50;
+const SLOTS = 8;
+const TASK_MS = 50;
+
+/** What an action cost all entries together. */
+interface Cost {
+  readonly seconds: number;
+  readonly cpuMs: number;
+  readonly tasks: number;
+  readonly bytes: number;
+  readonly messages: number;
+}
+
+/** Entries under load, each with stand-in sidecars of its own that take 50 ms for each task. */
+export default class EntryLoad {
+  private constructor(
+    private readonly cluster: Cluster,
+    private readonly links: readonly StandInLinks[],
+  ) {}
+
+  /** Starts so many entries with their links. */
+  static async start(entries: number): Promise<EntryLoad> {
+    const size = { entries, backends: 0, slots: SLOTS, connections: 64, zones: 3 };
+    const cluster = await Cluster.start(size, manifestOf(10));
+    const { processes, entryNames } = cluster;
+    const links = await Promise.all(
+      entryNames.map(async (entry) => {
+        await processes.waitFor(entry, new RegExp(`view ${entries}`));
+        const peers = await processes.waitFor(entry, /for peers on ([\d.:]+)/);
+        return openLinks(StandInLinks.to(processes, peers, SLOTS, TASK_MS));
+      }),
+    );
+    return new EntryLoad(cluster, links);
+  }
+
+  /** Callers of the first entry. */
+  callers(jobSize: number): Load {
+    return Load.to(this.cluster.callersOf('entry-1'), jobSize, 0);
+  }
+
+  /** Resident memory of the first entry, megabytes. */
+  get memoryMb(): number {
+    return this.sample()[0]!.rssMb;
+  }
+
+  /** Runs an action and returns what it cost. */
+  async costOf(action: () => Promise<unknown>): Promise<Cost> {
+    const before = this.sample();
+    const from = this.totals();
+    await action();
+    const after = this.sample();
+    const to = this.totals();
+    const cpuMs = after.map((each, at) => each.cpuMs - before[at]!.cpuMs);
+    return {
+      seconds: (after[0]!.at - before[0]!.at) / 1000,
+      cpuMs: cpuMs.reduce((sum, each) => sum + each, 0),
+      tasks: to.tasks - from.tasks,
+      bytes: to.bytes - from.bytes,
+      messages: to.messages - from.messages,
+    };
+  }
+
+  /** Ends all processes. */
+  async stop(): Promise<void> {
+    await this.cluster.stop();
+  }
+
+  private sample() {
+    const { processes, entryNames } = this.cluster;
+    return entryNames.map((entry) => sampleProcess(processes.pid(entry)));
+  }
+
+  private totals() {
+    const reports = this.links.map((each) => each.report());
+    const sum = (values: readonly number[]): number => values.reduce((all, each) => all + each, 0);
+    return {
+      tasks: sum(reports.map((each) => each.tasks)),
+      bytes: sum(reports.map((each) => each.bytesReceived + each.bytesSent)),
+      messages: sum(reports.map((each) => each.messagesReceived + each.messagesSent)),
+    };
+  }
+}
+
+async function openLinks(links: StandInLinks): Promise<StandInLinks> {
+  for (let count = 0; count < LINK_PROCESSES; count += 1) await links.add(LINKS_EACH);
+  return links;
+}
--- /dev/null
+++ b/tools/measureCapacity/measureEntryLimit.ts
@@ -0,0 +1,47 @@
+import EntryLoad from './EntryLoad';
+import Series from './Series';
+
+const WARM_UP = { rate: 1500, seconds: 2 };
+const SECONDS = 3;
+/** Tasks in flight or waiting at once, more than there are slots. */
+const TASKS_IN_FLIGHT = 6400;
+
+const cases = [20, 320].map((size) => ({
+  size,
+  most: Series.of(`one entry, jobs of ${size}: most starts a second`, '1/s'),
+  cpu: Series.of(`one entry, jobs of ${size}: processor time at the most`, 'ms/s'),
+  perTask: Series.of(`one entry, jobs of ${size}: processor time a task at the most`, 'ms'),
+}));
+
+const memory = Series.of('one entry: resident memory after the most, with its records', 'MB');
+
+/** Runs one round: an entry with as many jobs as it takes. */
+export default async function measureEntryLimit(round: number): Promise<void> {
+  const entryLoad = await EntryLoad.start(1);
+  try {
+    for (const each of cases) await measureSize(entryLoad, round, each);
+    memory.add(round, entryLoad.memoryMb);
+  } finally {
+    await entryLoad.stop();
+  }
+}
+
+/** The series that the rounds fill. */
+measureEntryLimit.series = (): Series[] => [
+  ...cases.flatMap(({ most, cpu, perTask }) => [most, cpu, perTask]),
+  memory,
+];
+
+async function measureSize(
+  entryLoad: EntryLoad,
+  round: number,
+  { size, most, cpu, perTask }: (typeof cases)[number],
+): Promise<void> {
+  const load = entryLoad.callers(size);
+  await load.atRate(WARM_UP.rate, WARM_UP.seconds);
+  const cost = await entryLoad.costOf(() => load.saturate(TASKS_IN_FLIGHT / size, SECONDS));
+  await load.close();
+  most.add(round, cost.tasks / cost.seconds);
+  cpu.add(round, cost.cpuMs / cost.seconds);
+  perTask.add(round, cost.cpuMs / cost.tasks);
+}
--- /dev/null
+++ b/tools/measureCapacity/measureEntryTasks.ts
@@ -0,0 +1,49 @@
+import EntryLoad from './EntryLoad';
+import Series from './Series';
+
+const WARM_UP = { rate: 1500, seconds: 4 };
+const RATES = [500, 1500];
+const RATE_SECONDS = 4;
+const TASK = 'task start/s';
+
+/** Entries that share the work, and sizes of jobs. Callers reach one entry; it forwards what others own. */
+const cases = [
+  { entries: 1, size: 20, name: 'one entry, jobs of 20' },
+  { entries: 1, size: 320, name: 'one entry, jobs of 320' },
+  { entries: 3, size: 20, name: 'three entries, jobs of 20, two of three forwarded' },
+].map(({ entries, size, name }) => ({
+  entries,
+  size,
+  cpu: Series.over(TASK, `${name}: processor time of all entries`, 'ms/s'),
+  bytes: Series.over(TASK, `${name}: bytes on sidecar links`, 'bytes/s'),
+  messages: Series.over(TASK, `${name}: messages on sidecar links`, '1/s'),
+  failed: Series.of(`${name}: jobs that failed`, 'jobs'),
+}));
+
+/** Runs one round over all cases and rates. */
+export default async function measureEntryTasks(round: number): Promise<void> {
+  for (const each of cases) await measureCase(round, each);
+}
+
+/** The series that the rounds fill. */
+measureEntryTasks.series = (): Series[] =>
+  cases.flatMap(({ cpu, bytes, messages, failed }) => [cpu, bytes, messages, failed]);
+
+async function measureCase(round: number, each: (typeof cases)[number]): Promise<void> {
+  const entryLoad = await EntryLoad.start(each.entries);
+  const load = entryLoad.callers(each.size);
+  try {
+    await load.atRate(WARM_UP.rate, WARM_UP.seconds);
+    for (const rate of RATES) {
+      const cost = await entryLoad.costOf(() => load.atRate(rate, RATE_SECONDS));
+      const { seconds, cpuMs, tasks, bytes, messages } = cost;
+      each.cpu.add(round, cpuMs / seconds, tasks / seconds);
+      each.bytes.add(round, bytes / seconds, tasks / seconds);
+      each.messages.add(round, messages / seconds, tasks / seconds);
+    }
+    each.failed.add(round, load.failed);
+  } finally {
+    await load.close();
+    await entryLoad.stop();
+  }
+}
--- /dev/null
+++ b/tools/measureCapacity/measureRecords.ts
@@ -0,0 +1,100 @@
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+import { create } from '@bufbuild/protobuf';
+import jobKey from '../../src/core/jobKey';
+import Job from '../../src/entry/Job';
+import {
+  StartSchema,
+  SubmissionSchema,
+  TaskIdSchema,
+  TaskResultSchema,
+  TaskStatus,
+} from '../../src/gen/magnoliakeel/v1/peer_pb';
+import Ledger from '../../src/sidecar/Ledger';
+import Series from './Series';
+
+const JOBS = 400;
+const JOB_SIZES = [1, 20, 320];
+const OUTPUT_BYTES = 100;
+const COLLECTIONS = 4;
+
+const TASK = 'task of the job';
+
+/** Memory of records, measured on the heap of this process with the daemon's own classes. */
+const series = {
+  job: Series.over(TASK, 'entry: answered record of a job, outputs of 100 bytes', 'bytes'),
+  ledger: Series.over(TASK, 'sidecar: ledger record of a job, outputs of 100 bytes', 'bytes'),
+};
+
+/** Runs one round over all sizes of jobs. */
+export default async function measureRecords(round: number): Promise<void> {
+  setFlagsFromString('--expose_gc');
+  const collect = runInNewContext('gc') as () => void;
+  [jobs, ledger].forEach((make) => bytesOf(() => make(JOB_SIZES[1]!), collect));
+  JOB_SIZES.forEach((size) => {
+    series.job.add(round, bytesOf(() => jobs(size), collect) / JOBS, size);
+    series.ledger.add(round, bytesOf(() => ledger(size), collect) / JOBS, size);
+  });
+}
+
+/** The series that the rounds fill. */
+measureRecords.series = (): Series[] => Object.values(series);
+
+function bytesOf(make: () => object, collect: () => void): number {
+  settle(collect);
+  const before = used();
+  const made = make();
+  settle(collect);
+  const after = used();
+  // Refers to the records once more, so that they are still there when the memory is read.
+  return made ? after - before : 0;
+}
+
+/** Memory that only finalizers free goes with a later collection. */
+function settle(collect: () => void): void {
+  for (let times = 0; times < COLLECTIONS; times += 1) collect();
+}
+
+function used(): number {
+  const { heapUsed, external } = process.memoryUsage();
+  return heapUsed + external;
+}
+
+function jobs(size: number): object {
+  return new Map(
+    names().map((id) => {
+      const key = jobKey('booking', 'job', id);
+      const inputs = new Array<Uint8Array>(size).fill(new Uint8Array());
+      const submission = create(SubmissionSchema, { service: 'booking', digest: key, inputs });
+      const job = Job.fromSubmission(key, submission);
+      for (let index = 0; index < size; index += 1) {
+        job.starting(index, 'sidecar');
+        const result = { index, status: TaskStatus.COMPLETED, output: output(), runMs: 1 };
+        job.settle(create(TaskResultSchema, result));
+      }
+      return [key, job];
+    }),
+  );
+}
+
+function ledger(size: number): object {
+  const made = Ledger.create({ maxBytes: 2 ** 40, retentionMs: () => 0, skewMs: 0 });
+  names().forEach((id) => {
+    const job = jobKey('booking', 'job', id);
+    const start = create(StartSchema, { service: 'booking', owner: 'entry', digest: job });
+    for (let index = 0; index < size; index += 1) {
+      const record = made.record(create(TaskIdSchema, { job, index }), start);
+      const status = TaskStatus.COMPLETED;
+      made.finish(record, { status, output: output(), runMs: 1, reason: '' });
+    }
+  });
+  return made;
+}
+
+function names(): string[] {
+  return Array.from({ length: JOBS }, (_, at) => `job-${at}`);
+}
+
+function output(): Uint8Array {
+  return new Uint8Array(OUTPUT_BYTES);
+}
--- /dev/null
+++ b/tools/measureCapacity/putManifest.ts
@@ -0,0 +1,16 @@
+import { request } from 'undici';
+
+/** Writes a manifest to the platform stand-in, whatever was there. */
+export default async function putManifest(
+  platform: string,
+  version: number,
+  manifest: object,
+): Promise<void> {
+  const value = JSON.stringify({ version, applyId: `version-${version}`, manifest });
+  const { body } = await request(`http://${platform}/v1/keys/manifest`, {
+    method: 'PUT',
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify({ value }),
+  });
+  await body.dump();
+}
--- /dev/null
+++ b/tools/measureCapacity/runStandIns.ts
@@ -0,0 +1,67 @@
+import SystemTimer from '../../src/core/SystemTimer';
+import ByteMeter from './ByteMeter';
+import type StandInCounters from './StandInCounters';
+import type StandInReport from './StandInReport';
+import StandInSidecar from './StandInSidecar';
+
+const REPORT_MS = 100;
+const OPEN_AT_ONCE = 20;
+
+/** The command line of a process of stand-in links. */
+interface Flags {
+  readonly entry: string;
+  readonly name: string;
+  readonly links: number;
+  readonly slots: number;
+  readonly taskMs: number;
+}
+
+/** Opens links to an entry and prints a report of them, one JSON line each time, until it is ended. */
+export default async function runStandIns(flags: Flags): Promise<void> {
+  const { entry, name, links, slots, taskMs } = flags;
+  const timer = SystemTimer.create();
+  const counters: StandInCounters = { links: 0, messagesReceived: 0, messagesSent: 0, tasks: 0 };
+  const meter = await ByteMeter.to(entry);
+  const sidecars: StandInSidecar[] = [];
+  const base = { timer, counters, entry: meter.address, service: 'booking', slots, taskMs };
+  while (sidecars.length < links) {
+    const count = Math.min(OPEN_AT_ONCE, links - sidecars.length);
+    const first = sidecars.length + 1;
+    const opened = Array.from({ length: count }, (_, at) =>
+      StandInSidecar.open({ ...base, name: `${name}-${first + at}` }),
+    );
+    sidecars.push(...(await Promise.all(opened)));
+  }
+  timer.every(REPORT_MS, () => {
+    const report = reportOf(sidecars, counters, meter);
+    process.stdout.write(`report ${JSON.stringify(report)}\n`);
+  });
+}
+
+function reportOf(
+  sidecars: readonly StandInSidecar[],
+  counters: StandInCounters,
+  meter: ByteMeter,
+): StandInReport {
+  const view = oldest(sidecars.map((sidecar) => sidecar.view));
+  const configuration = oldest(sidecars.map((sidecar) => sidecar.configuration));
+  return {
+    ...counters,
+    bytesReceived: meter.received,
+    bytesSent: meter.sent,
+    view: view.number,
+    viewAt: view.at,
+    configuration: configuration.number,
+    configurationAt: configuration.at,
+  };
+}
+
+interface Heard {
+  readonly number: number;
+  readonly at: number;
+}
+
+function oldest(heard: readonly Heard[]): Heard {
+  const number = Math.min(...heard.map((each) => each.number));
+  return { number, at: Math.max(...heard.map((each) => each.at)) };
+}
