--- a/test/support/CtlCase.ts
+++ b/test/support/CtlCase.ts
@@ -46,11 +46,13 @@
       ended = true;
     });
     await ManualTimer.settle();
-    for (let waited = 0; waited < takesMs && !ended; waited += STEP_MS) {
+    for (let waited = 0; waited < takesMs && !ended;) {
       await new Promise((resolve) => {
         setTimeout(resolve, 0);
       });
+      if (!this.timer.isAwaited) continue;
       await this.timer.advance(STEP_MS);
+      waited += STEP_MS;
     }
     return [await code, ...terminal.lines].join('\n');
   }
