Show in the demo who owned the job and where it ran, and leave no process behind

The demo picks entries that do not own the job, prints owner, entries, sidecars and starts of each task, and waits for a view of three members whatever its number.

--- a/src/daemon/runEntry.ts
+++ b/src/daemon/runEntry.ts
@@ -1,5 +1,6 @@
 import type ExitCode from '../core/ExitCode';
 import exitCodes from '../core/exitCodes';
+import listenProblem from '../core/listenProblem';
 import Random from '../core/Random';
 import SystemTimer from '../core/SystemTimer';
 import Entry from '../entry/Entry';
@@ -50,7 +51,7 @@
   ]);
   const opened = await server.listen(settings.listen.operators);
   if (opened.isErr()) {
-    log.error(`cannot listen: ${settings.listen.operators}: ${opened.error.message}`);
+    log.error(`cannot listen: ${settings.listen.operators}: ${listenProblem(opened.error)}`);
     return exitCodes.cannotListen;
   }
   operators = reachableAddress(opened.value, settings.advertise);
--- a/src/daemon/runSidecar.ts
+++ b/src/daemon/runSidecar.ts
@@ -1,5 +1,6 @@
 import type ExitCode from '../core/ExitCode';
 import exitCodes from '../core/exitCodes';
+import listenProblem from '../core/listenProblem';
 import Random from '../core/Random';
 import SystemTimer from '../core/SystemTimer';
 import ConnectNetwork from '../link/ConnectNetwork';
@@ -52,7 +53,7 @@
   });
   const opened = await server.listen(settings.listen.operators);
   if (opened.isErr()) {
-    log.error(`cannot listen: ${settings.listen.operators}: ${opened.error.message}`);
+    log.error(`cannot listen: ${settings.listen.operators}: ${listenProblem(opened.error)}`);
     return exitCodes.cannotListen;
   }
   operators = reachableAddress(opened.value);
@@ -61,7 +62,7 @@
     const address = await desk.listen(settings.listen.backend);
     log.info(`sidecar ${instance} listens for its backend server on ${address}`);
   } catch (error) {
-    log.error(`cannot listen: ${settings.listen.backend}: ${(error as Error).message}`);
+    log.error(`cannot listen: ${settings.listen.backend}: ${listenProblem(error as Error)}`);
     return exitCodes.cannotListen;
   }
   await sidecar.run(AbortSignal.any([signal, drained.signal]));
--- a/test/daemon/startAndStop.test.ts
+++ b/test/daemon/startAndStop.test.ts
@@ -41,6 +41,9 @@
     /^never$/,
   );
   const peers = await runEntry({ peers: `127.0.0.1:${port}` }, new AbortController(), /^never$/);
+  const operators = { operators: `127.0.0.1:${port}` };
+  const last = await runEntry(operators, new AbortController(), /^never$/);
+  expect(last).toEqual(callers);
   expect([callers, peers]).toMatchInlineSnapshot(`
     [
       {
--- a/tools/demo/main.ts
+++ b/tools/demo/main.ts
@@ -1,72 +1,96 @@
 import { request } from 'undici';
+import type JobReport from '../../src/operators/JobReport';
 import Cluster from '../harness/Cluster';
+import type DemoAnswer from './DemoAnswer';
 import demoManifest from './demoManifest';
 
 const TASKS = 320;
+const TASK_MS = 50;
+const SERVICE = 'booking';
 const JOB = 'demo-job';
 const created = String(Date.now());
 
-const cluster = await Cluster.start(
-  { entries: 3, backends: 4, slots: 8, connections: 64, zones: 3 },
-  demoManifest,
-);
 const problems: string[] = [];
 try {
-  await run();
+  const cluster = await Cluster.start(
+    { entries: 3, backends: 4, slots: 8, connections: 64, zones: 3 },
+    demoManifest,
+  );
+  try {
+    await run(cluster);
+  } finally {
+    if (process.env.VERBOSE) cluster.processes.printAll();
+    await cluster.stop();
+  }
 } catch (error) {
   problems.push((error as Error).message);
-} finally {
-  if (process.env.VERBOSE) cluster.processes.printAll();
-  await cluster.stop();
 }
 problems.forEach((problem) => process.stdout.write(`problem: ${problem}\n`));
 process.stdout.write(problems.length === 0 ? 'The demo passed.\n' : 'The demo failed.\n');
 process.exit(problems.length === 0 ? 0 : 1);
 
-async function run(): Promise<void> {
-  await ready();
-  const [first, second] = cluster.entryNames;
-  const answer = await submit(first!);
-  print('first answer', summary(answer));
-  const again = await submit(second!);
-  print('resubmitted to another entry', summary(again));
-  check(answer.outcome === 'completed', `the outcome is ${answer.outcome}: ${answer.reason ?? ''}`);
-  check(answer.results?.length === TASKS, `${answer.results?.length} results of ${TASKS}`);
-  check(
-    JSON.stringify(answer) === JSON.stringify(again),
-    'the resubmission got a different answer',
+async function run(cluster: Cluster): Promise<void> {
+  await Promise.all(
+    cluster.entryNames.map((entry) => cluster.processes.waitFor(entry, /view \d+: \S+, \S+, \S+"/)),
   );
-  const inOrder = answer.results?.every(
+  const { owner } = await inspect(cluster);
+  const [first, second] = cluster.entryNames.filter((entry) => entry !== owner);
+  print('processes', cluster.processes.names.sort().join(', '));
+  print('submitted', `${TASKS} tasks of ${TASK_MS} ms to ${first}; the job's owner is ${owner}`);
+  const answer = await submit(cluster, first!);
+  print('answer', summary(answer));
+  const again = await submit(cluster, second!);
+  print(`same job, submitted again to ${second}`, summary(again));
+  checkAnswer(answer, again);
+  await checkPlaces(cluster, owner);
+  await checkStarts(cluster);
+}
+
+function checkAnswer(answer: DemoAnswer, again: DemoAnswer): void {
+  const { outcome, reason = '', results = [] } = answer;
+  check(outcome === 'completed', `the outcome is ${outcome}: ${reason}`);
+  check(results.length === TASKS, `${results.length} results of ${TASKS}`);
+  const isInOrder = results.every(
     ({ index, output }, at) => index === at && output.output.n === at,
   );
-  check(inOrder === true, 'a result stands at a wrong place');
+  check(isInOrder, 'a result stands at a wrong place');
+  check(JSON.stringify(answer) === JSON.stringify(again), 'the second answer is another');
+}
+
+async function checkPlaces(cluster: Cluster, owner: string): Promise<void> {
+  const { holders } = await inspect(cluster);
+  check(holders.map(({ entry }) => entry).join() === owner, 'another entry than the owner has it');
+  const tasks = holders.flatMap((holder) => holder.tasks);
+  const sidecars = [...new Set(tasks.map(({ sidecar }) => sidecar.split('.')[0]))].sort();
+  print('ran at', sidecars.map((name) => `${name} ${countAt(tasks, name!)}`).join(', '));
+  check(sidecars.length > 1, 'the tasks ran at one sidecar only');
+}
+
+function countAt(tasks: readonly { readonly sidecar: string }[], name: string): number {
+  return tasks.filter(({ sidecar }) => sidecar.split('.')[0] === name).length;
+}
+
+async function checkStarts(cluster: Cluster): Promise<void> {
   const starts = await cluster.starts();
   const counts = [...starts.values()];
-  print('tasks started', `${starts.size}, most starts of one task: ${Math.max(...counts)}`);
+  const most = Math.max(...counts);
+  print('starts per task', `${starts.size} tasks, ${Math.min(...counts)} to ${most} starts each`);
   check(starts.size === TASKS, `${starts.size} tasks were started`);
-  check(
-    counts.every((count) => count === 1),
-    'a task was started twice',
-  );
-  print('processes', [...cluster.processes.names].join(', '));
-}
-
-async function ready(): Promise<void> {
-  await Promise.all(cluster.entryNames.map((entry) => cluster.processes.waitFor(entry, /view 3/)));
+  check(most === 1, 'a task was started twice');
 }
 
-interface DemoAnswer {
-  readonly outcome: string;
-  readonly reason?: string;
-  readonly results?: readonly {
-    readonly index: number;
-    readonly output: { readonly output: { readonly n: number } };
-  }[];
+/** What the entries tell operators of the job. */
+async function inspect(cluster: Cluster): Promise<JobReport> {
+  const operators = cluster.operatorsOf(cluster.entryNames[0]!);
+  const { body } = await request(`http://${operators}/v1/jobs/${SERVICE}/${JOB}`);
+  return (await body.json()) as JobReport;
 }
 
-async function submit(entry: string): Promise<DemoAnswer> {
-  const tasks = Array.from({ length: TASKS }, (_, n) => ({ input: { ms: 50, output: { n } } }));
-  const url = `${cluster.callersOf(entry)}/v1/services/booking/jobs/${JOB}?wait=8000`;
+async function submit(cluster: Cluster, entry: string): Promise<DemoAnswer> {
+  const tasks = Array.from({ length: TASKS }, (_, n) => ({
+    input: { ms: TASK_MS, output: { n } },
+  }));
+  const url = `${cluster.callersOf(entry)}/v1/services/${SERVICE}/jobs/${JOB}?wait=8000`;
   const { body } = await request(url, {
     method: 'PUT',
     headers: { 'magnoliakeel-created': created },
@@ -75,8 +99,9 @@
   return (await body.json()) as DemoAnswer;
 }
 
-function summary(answer: DemoAnswer): string {
-  return `${answer.outcome}, ${answer.results?.length ?? 0} results`;
+function summary({ outcome, results = [] }: DemoAnswer): string {
+  const ran = results.reduce((sum, { runMs }) => sum + runMs, 0);
+  return `${outcome}, ${results.length} results in order, ${ran} ms of task time`;
 }
 
 function check(holds: boolean, problem: string): void {
--- /dev/null
+++ b/tools/local/main.ts
@@ -0,0 +1,46 @@
+import demoManifest from '../demo/demoManifest';
+import Cluster from '../harness/Cluster';
+
+// A whole system on this machine, left running until Ctrl-C, for trying things by hand.
+const cluster = await Cluster.start(
+  { entries: 3, backends: 4, slots: 8, connections: 64, zones: 3 },
+  demoManifest,
+);
+const stopped = new Promise<void>((resolve) => {
+  process.once('SIGINT', resolve);
+  process.once('SIGTERM', resolve);
+});
+await Promise.all(
+  cluster.entryNames.map((entry) => cluster.processes.waitFor(entry, /view \d+: \S+, \S+, \S+"/)),
+);
+print(`store        http://${cluster.platform}`);
+cluster.entryNames.forEach((entry) => {
+  print(`${entry}      callers ${cluster.callersOf(entry)}  operators ${operatorsOf(entry)}`);
+});
+cluster.backendNames.forEach((sidecar) => {
+  print(`${sidecar}    operators ${operatorsOf(sidecar)}`);
+});
+print('');
+print(`A first job:\n${firstJob()}`);
+print('');
+print('Running. Ctrl-C stops all of it.');
+await stopped;
+await cluster.stop();
+process.exit(0);
+
+function operatorsOf(name: string): string {
+  return `http://${cluster.operatorsOf(name)}`;
+}
+
+function firstJob(): string {
+  const url = `${cluster.callersOf(cluster.entryNames[0]!)}/v1/services/booking/jobs/my-job?wait=5000`;
+  return [
+    `curl -X PUT '${url}' \\`,
+    `  -H "Magnoliakeel-Created: $(date +%s%3N)" \\`,
+    `  -d '{"tasks": [{"input": {"ms": 50, "output": "a"}}, {"input": {"ms": 80, "output": "b"}}]}'`,
+  ].join('\n');
+}
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
