--- a/tools/local/main.ts
+++ b/tools/local/main.ts
@@ -13,12 +13,13 @@
 await Promise.all(
   cluster.entryNames.map((entry) => cluster.processes.waitFor(entry, /view \d+: \S+, \S+, \S+"/)),
 );
-print(`store        http://${cluster.platform}`);
-cluster.entryNames.forEach((entry) => {
-  print(`${entry}      callers ${cluster.callersOf(entry)}  operators ${operatorsOf(entry)}`);
+print(`store      http://${cluster.platform}`);
+cluster.entryNames.sort().forEach((entry) => {
+  print(`${entry}    callers ${cluster.callersOf(entry)}  operators ${operatorsOf(entry)}`);
 });
-cluster.backendNames.forEach((sidecar) => {
-  print(`${sidecar}    operators ${operatorsOf(sidecar)}`);
+cluster.backendNames.sort().forEach((backend) => {
+  const sidecar = backend.replace('backend', 'sidecar');
+  print(`${sidecar}  operators ${operatorsOf(sidecar)}`);
 });
 print('');
 print(`A first job:\n${firstJob()}`);
@@ -33,7 +34,7 @@
 }
 
 function firstJob(): string {
-  const url = `${cluster.callersOf(cluster.entryNames[0]!)}/v1/services/booking/jobs/my-job?wait=5000`;
+  const url = `${cluster.callersOf('entry-1')}/v1/services/booking/jobs/my-job?wait=5000`;
   return [
     `curl -X PUT '${url}' \\`,
     `  -H "Magnoliakeel-Created: $(date +%s%3N)" \\`,
