Count what entries and sidecars do, from one table of metrics

Cause: nothing of a running process could be seen but its log. Change: one table registers every metric; counters and histograms are kept in memory and shown as Prometheus text on demand. The sidecar's own counters are read into the table; its counts of messages are replaced by those around the network.

--- a/src/daemon/runEntry.ts
+++ b/src/daemon/runEntry.ts
@@ -3,8 +3,13 @@
 import Random from '../core/Random';
 import SystemTimer from '../core/SystemTimer';
 import Entry from '../entry/Entry';
+import exposeEntry from '../entry/exposeEntry';
 import ConnectNetwork from '../link/ConnectNetwork';
 import createLogger from '../observe/createLogger';
+import EntryMetrics from '../observe/EntryMetrics';
+import MeteredNetwork from '../observe/MeteredNetwork';
+import MeteredStore from '../observe/MeteredStore';
+import Metrics from '../observe/Metrics';
 import type EntrySettings from '../settings/EntrySettings';
 import HttpStore from '../store/HttpStore';
 import newIncarnation from './newIncarnation';
@@ -17,21 +22,25 @@
 ): Promise<ExitCode> {
   const log = createLogger(settings.log.level);
   const timer = SystemTimer.create();
+  const metrics = Metrics.create(timer, 'entry');
+  const store = HttpStore.create({
+    timer,
+    url: `http://${settings.store.address}`,
+    client: settings.instance,
+    callsPerSecond: settings.store.callsPerSecond,
+    timeoutMs: settings.store.timeoutMs,
+  });
   const entry = Entry.create({
     settings,
     timer,
     log,
     incarnation: newIncarnation(settings.instance),
     random: Random.fromSeed(randomSeed()),
-    network: ConnectNetwork.create(timer),
-    store: HttpStore.create({
-      timer,
-      url: `http://${settings.store.address}`,
-      client: settings.instance,
-      callsPerSecond: settings.store.callsPerSecond,
-      timeoutMs: settings.store.timeoutMs,
-    }),
+    metrics: EntryMetrics.of(metrics),
+    network: MeteredNetwork.over(ConnectNetwork.create(timer), metrics),
+    store: MeteredStore.over(store, metrics),
   });
+  exposeEntry(entry, metrics);
   const listening = await entry.listen();
   if (listening.isErr()) {
     log.error(`cannot listen: ${listening.error}`);
--- a/src/daemon/runSidecar.ts
+++ b/src/daemon/runSidecar.ts
@@ -4,8 +4,11 @@
 import SystemTimer from '../core/SystemTimer';
 import ConnectNetwork from '../link/ConnectNetwork';
 import createLogger from '../observe/createLogger';
+import MeteredNetwork from '../observe/MeteredNetwork';
+import Metrics from '../observe/Metrics';
 import type SidecarSettings from '../settings/SidecarSettings';
 import BackendDesk from '../sidecar/BackendDesk';
+import exposeSidecar from '../sidecar/exposeSidecar';
 import Sidecar from '../sidecar/Sidecar';
 import SidecarCounters from '../sidecar/SidecarCounters';
 import UndiciBackendClient from '../sidecar/UndiciBackendClient';
@@ -20,12 +23,13 @@
   const { cluster, instance, zone, entries, links, heartbeat } = settings;
   const log = createLogger(settings.log.level);
   const timer = SystemTimer.create();
+  const metrics = Metrics.create(timer, 'sidecar');
+  const counters = SidecarCounters.create();
   const sidecar = Sidecar.create({
-    ...{ timer, cluster, instance, zone, entries, links, heartbeat },
+    ...{ timer, counters, cluster, instance, zone, entries, links, heartbeat },
     random: Random.fromSeed(randomSeed()),
-    network: ConnectNetwork.create(timer),
+    network: MeteredNetwork.over(ConnectNetwork.create(timer), metrics),
     client: UndiciBackendClient.create(),
-    counters: SidecarCounters.create(),
     incarnation: newIncarnation(instance),
     ledgerBytes: settings.ledger.bytes,
     skewMs: settings.ledger.clockSkewMs,
@@ -33,6 +37,7 @@
     drainMs: settings.stop.drainMs,
     log: (line) => log.info(line),
   });
+  exposeSidecar(sidecar, counters, metrics);
   const desk = BackendDesk.create({
     announce: (backend) => sidecar.announce(backend),
     withdraw: () => sidecar.withdrawBackend(),
--- a/src/dispatch/Dispatcher.ts
+++ b/src/dispatch/Dispatcher.ts
@@ -87,6 +87,7 @@
       bySidecar.set(sidecar, [...(bySidecar.get(sidecar) ?? []), task]);
     });
     bySidecar.forEach((cancelled, sidecar) => {
+      this.options.metrics?.wasted('cancelled', cancelled.length);
       const value = create(CancelSchema, { tasks: cancelled.map(taskIdOf) });
       this.send(sidecar, { case: 'cancel', value });
     });
@@ -142,6 +143,8 @@
     if (entry && matches) {
       this.forget(entry);
       this.settleDone(entry.task, done);
+    } else {
+      this.options.metrics?.wasted('result_untaken');
     }
     const service = entry?.task.service ?? peer.services[0];
     if (service === undefined) return;
@@ -154,6 +157,7 @@
   refused(peer: SidecarPeer, refuse: Refuse): void {
     const entry = refuse.task && this.running.get(taskKey(refuse.task.job, refuse.task.index));
     if (!entry || entry.sidecar !== peer.incarnation) return;
+    this.options.metrics?.startRefused(refuse.cause);
     this.forget(entry);
     if (refuse.cause === RefusalCause.DUPLICATE) {
       this.attemptLost(entry.task, 'the sidecar had started this task before');
@@ -181,6 +185,7 @@
   borrowed(entry: string, borrow: Borrow): Lend {
     const { pool } = this.laneOf(borrow.service);
     const taken = pool.takeHalf(borrow.wanted);
+    this.options.metrics?.creditsLent(borrow.service, taken.length);
     this.lentTo.set(entry, [...(this.lentTo.get(entry) ?? []), ...taken].slice(-LENT_KEPT));
     return create(LendSchema, { service: borrow.service, credits: taken, idle: pool.size });
   }
@@ -189,6 +194,7 @@
   lent(entry: string, lend: Lend): void {
     const lane = this.laneOf(lend.service);
     lane.asking = undefined;
+    this.options.metrics?.creditsBorrowed(lend.service, lend.credits.length);
     this.loads.setIdle(entry, lend.service, lend.idle);
     lend.credits.forEach(({ sidecar, credit }) => {
       if (credit && this.sidecars.get(sidecar)?.link) lane.pool.add({ sidecar, credit });
@@ -269,7 +275,8 @@
   }
 
   private start(lane: Lane, task: QueuedTask, { sidecar, credit }: HeldCredit): void {
-    const { timer, owner, viewNumber } = this.options;
+    const { timer, owner, viewNumber, metrics } = this.options;
+    metrics?.taskStarted(task.service, timer.now() - task.queuedAt);
     task.starting(sidecar);
     this.track({ task, sidecar });
     const oldest = lane.queue.oldestQueuedAt();
@@ -297,6 +304,7 @@
     const value = create(BorrowSchema, { service: lane.service, wanted: lane.queue.length });
     if (this.options.sendToEntry(entry, { case: 'borrow', value })) {
       lane.asking = entry;
+      this.options.metrics?.borrowAsked(lane.service);
     } else {
       this.loads.drop(entry);
     }
@@ -328,6 +336,7 @@
   private attemptLost(task: QueuedTask, reason: string): void {
     if (task.retryable && this.options.mayRetry(task.service)) {
       task.attempt += 1;
+      this.options.metrics?.taskRetried(task.service);
       const lane = this.laneOf(task.service);
       lane.queue.pushFront(task);
       this.pump(lane);
--- a/src/dispatch/DispatcherOptions.ts
+++ b/src/dispatch/DispatcherOptions.ts
@@ -1,9 +1,11 @@
 import type TimerService from '../core/TimerService';
 import type PeerMessage from '../link/PeerMessage';
+import type EntryMetrics from '../observe/EntryMetrics';
 
 /** What a dispatcher needs from the entry around it. */
 export default interface DispatcherOptions {
   readonly timer: TimerService;
+  readonly metrics?: EntryMetrics;
   /** The incarnation of this entry, which its starts carry. */
   readonly owner: string;
   readonly viewNumber: () => bigint;
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -160,7 +160,16 @@
   }
 
   /** The answer to a caller's submission. */
-  async submit({ submission, keyed }: CallerSubmission, gone: AbortSignal): Promise<Answer> {
+  async submit(request: CallerSubmission, gone: AbortSignal): Promise<Answer> {
+    const answer = await this.answerTo(request, gone);
+    this.options.metrics?.requestAnswered(request.submission.service, answer.outcome);
+    return answer;
+  }
+
+  private async answerTo(
+    { submission, keyed }: CallerSubmission,
+    gone: AbortSignal,
+  ): Promise<Answer> {
     this.budget.earn(submission.service);
     if (keyed) return this.router.submit(submission, gone);
     if (!this.isMember) return notRun('this entry is not a member of the view');
@@ -188,6 +197,7 @@
   private viewChanged(view: View): void {
     const names = view.members.map(({ instance }) => instance).join(', ');
     this.options.log.info(`view ${view.number}: ${names}`);
+    this.options.metrics?.viewChanged(view);
     this.sidecarLinks.broadcast({ case: 'view', value: view });
     this.entryLinks.broadcast({ case: 'view', value: view });
     this.entryLinks.follow(view);
@@ -347,6 +357,7 @@
   private createDispatcher(): Dispatcher {
     return Dispatcher.create({
       timer: this.options.timer,
+      metrics: this.options.metrics,
       owner: this.self,
       viewNumber: () => this.views.number,
       shareOf: (team) => this.manifest.shareOf(team),
@@ -384,6 +395,7 @@
     return Jobs.create(
       {
         timer,
+        metrics: this.options.metrics,
         clockSkewMs: settings.recovery.clockSkewMs,
         ownsNew: (key) => this.ownsNew(key),
         resolve: (key, createdMs) => this.recovery.resolve(key, createdMs),
@@ -429,6 +441,7 @@
     return SidecarLinks.create(
       {
         timer,
+        metrics: this.options.metrics,
         self: this.self,
         viewNumber: () => this.views.number,
         witnessMs: settings.recovery.witnessMs,
@@ -453,6 +466,7 @@
     const { timer, random, network, settings } = this.options;
     return EntryLinks.create({
       timer,
+      metrics: this.options.metrics,
       random,
       network,
       self: this.self,
--- a/src/entry/EntryLinks.ts
+++ b/src/entry/EntryLinks.ts
@@ -134,6 +134,7 @@
 
   private suspect(peer: EntryPeer, suspected: boolean): void {
     peer.suspected = suspected;
+    if (suspected) this.options.metrics?.suspected('entry');
     this.options.changed();
   }
 
--- a/src/entry/EntryLinksOptions.ts
+++ b/src/entry/EntryLinksOptions.ts
@@ -5,10 +5,12 @@
 import type Link from '../link/Link';
 import type Network from '../link/Network';
 import type PeerMessage from '../link/PeerMessage';
+import type EntryMetrics from '../observe/EntryMetrics';
 
 /** What the links between entries need from the entry around them. */
 export default interface EntryLinksOptions {
   readonly timer: TimerService;
+  readonly metrics?: EntryMetrics;
   readonly random: Random;
   readonly network: Pick<Network, 'dial'>;
   readonly self: string;
--- a/src/entry/EntryOptions.ts
+++ b/src/entry/EntryOptions.ts
@@ -2,6 +2,7 @@
 import type Random from '../core/Random';
 import type TimerService from '../core/TimerService';
 import type Network from '../link/Network';
+import type EntryMetrics from '../observe/EntryMetrics';
 import type EntrySettings from '../settings/EntrySettings';
 import type Store from '../store/Store';
 
@@ -14,5 +15,7 @@
   readonly random: Random;
   readonly network: Network;
   readonly store: Store;
+  /** Told of what this entry does. */
+  readonly metrics?: EntryMetrics;
   readonly log: Pick<ConsolaInstance, 'info' | 'warn'>;
 }
--- a/src/entry/Job.ts
+++ b/src/entry/Job.ts
@@ -36,20 +36,22 @@
     readonly digest: string,
     readonly createdMs: number,
     readonly size: number,
+    /** When this entry accepted it, by the timer service. */
+    readonly acceptedAt: number,
   ) {
     this.places = new Array(size);
     this.results = new Array(size);
   }
 
   /** Creates the record of a job that was just accepted. */
-  static fromSubmission(key: string, submission: Submission): Job {
+  static fromSubmission(key: string, submission: Submission, now: number): Job {
     const { service, digest, createdMs, inputs } = submission;
-    return new Job(key, service, digest, Number(createdMs), inputs.length);
+    return new Job(key, service, digest, Number(createdMs), inputs.length, now);
   }
 
   /** Creates the record of a job that another entry finished. */
   static fromAnswer(key: string, digest: string, createdMs: number, answer: Answer): Job {
-    const job = new Job(key, '', digest, createdMs, answer.size);
+    const job = new Job(key, '', digest, createdMs, answer.size, 0);
     job.final = answer;
     return job;
   }
--- a/src/entry/Jobs.ts
+++ b/src/entry/Jobs.ts
@@ -10,6 +10,7 @@
   JobRecordSchema,
   Outcome,
   type Submission,
+  type TaskResult,
   TaskResultSchema,
   TaskStatus,
 } from '../gen/magnoliakeel/v1/peer_pb';
@@ -71,13 +72,13 @@
   async submit(submission: Submission): Promise<OwnerReply> {
     const key = keyOf(submission);
     const known = this.records.get(key);
-    if (known) return this.join(known, submission);
+    if (known) return this.joinAgain(known, submission);
     if (!this.options.ownsNew(key)) return NOT_OWNER;
     const untimely = this.checkAge(submission);
     if (untimely) return answerOf(untimely);
     const provenance = await this.resolve(key, Number(submission.createdMs));
     const meanwhile = this.records.get(key);
-    if (meanwhile) return this.join(meanwhile, submission);
+    if (meanwhile) return this.joinAgain(meanwhile, submission);
     if (!this.options.ownsNew(key)) return NOT_OWNER;
     return this.acceptFrom(provenance, key, submission);
   }
@@ -170,6 +171,11 @@
     });
   }
 
+  private joinAgain(job: Job, submission: Submission): Promise<OwnerReply> {
+    this.options.metrics?.wasted('duplicate_submission');
+    return this.join(job, submission);
+  }
+
   private async join(job: Job, submission: Submission): Promise<OwnerReply> {
     if (job.digest !== submission.digest) {
       return answerOf(refusal(Outcome.CONFLICT, 'this id was submitted before with another body'));
@@ -194,6 +200,7 @@
     if (running) return running;
     const started = this.options.resolve(key, createdMs);
     this.resolving.set(key, started);
+    started.then(({ kind }) => this.options.metrics?.jobResolved(kind));
     started.finally(() => this.resolving.delete(key));
     return started;
   }
@@ -226,7 +233,7 @@
     evidence: readonly LocatedTask[],
     doubt = false,
   ): Job {
-    const job = Job.fromSubmission(key, submission);
+    const job = Job.fromSubmission(key, submission, this.options.timer.now());
     this.records.set(key, job);
     const tasks = submission.inputs.map((input, index) =>
       this.taskOf(job, submission, input, index),
@@ -265,6 +272,7 @@
   }
 
   private taskOf(job: Job, submission: Submission, input: Uint8Array, index: number): QueuedTask {
+    const queuedAt = this.options.timer.now();
     return {
       job: job.key,
       index,
@@ -277,17 +285,24 @@
       timeoutMs: this.options.taskTimeoutOf(submission.service),
       traceparent: submission.traceparent,
       retryable: submission.kind === REQUEST_KIND && submission.idempotent,
-      queuedAt: this.options.timer.now(),
+      queuedAt,
       attempt: 0,
       starting: (sidecar) => job.starting(index, sidecar),
       notStarted: () => job.notStarted(index),
       settled: (result) => {
+        this.countResult(job, result, queuedAt);
         job.settle(result);
         if (job.answer) this.finished(job);
       },
     };
   }
 
+  private countResult(job: Job, { status, runMs }: TaskResult, queuedAt: number): void {
+    const { metrics, timer } = this.options;
+    if (job.answer) metrics?.wasted('result_untaken');
+    else metrics?.taskSettled(job.service, status, timer.now() - queuedAt, runMs);
+  }
+
   private limitTime(job: Job, submission: Submission): void {
     if (job.answer) return;
     const limit = this.options.jobTimeoutOf(submission.service);
@@ -312,6 +327,7 @@
     const tasks = this.tasks.get(job);
     if (!tasks) return;
     this.tasks.delete(job);
+    this.options.metrics?.jobFinished(job.service, this.options.timer.now() - job.acceptedAt);
     if (job.answer?.outcome !== Outcome.COMPLETED) this.dispatcher.dequeue(tasks);
     this.keptBytes += job.bytes;
     if (job.answer?.outcome === Outcome.NOT_RUN) this.drop(job);
--- a/src/entry/JobsOptions.ts
+++ b/src/entry/JobsOptions.ts
@@ -1,10 +1,12 @@
 import type TimerService from '../core/TimerService';
 import type { Answer, Submission } from '../gen/magnoliakeel/v1/peer_pb';
+import type EntryMetrics from '../observe/EntryMetrics';
 import type Provenance from '../recovery/Provenance';
 
 /** What the job table needs from the entry around it. */
 export default interface JobsOptions {
   readonly timer: TimerService;
+  readonly metrics?: EntryMetrics;
   /** How far callers' clocks may be off. */
   readonly clockSkewMs: number;
   /** Whether this entry owns new jobs with the key in its newest view. */
--- a/src/entry/SidecarLinks.ts
+++ b/src/entry/SidecarLinks.ts
@@ -87,6 +87,7 @@
       heartbeat: () => ({ case: 'heartbeat', value: this.options.heartbeat() }),
       suspected: (suspected) => {
         peer.suspected = suspected;
+        if (suspected) this.options.metrics?.suspected('sidecar');
       },
     });
     for await (const message of link.messages()) {
--- a/src/entry/SidecarLinksOptions.ts
+++ b/src/entry/SidecarLinksOptions.ts
@@ -3,10 +3,12 @@
 import type { Heartbeat } from '../gen/magnoliakeel/v1/peer_pb';
 import type KeepAliveLimits from '../link/KeepAliveLimits';
 import type Link from '../link/Link';
+import type EntryMetrics from '../observe/EntryMetrics';
 
 /** What the links to sidecars need from the entry around them. */
 export default interface SidecarLinksOptions {
   readonly timer: TimerService;
+  readonly metrics?: EntryMetrics;
   readonly self: string;
   readonly viewNumber: () => bigint;
   /** How long a sidecar may stay away before it counts as lost. */
--- /dev/null
+++ b/src/observe/EntryMetrics.ts
@@ -0,0 +1,92 @@
+import { Outcome, RefusalCause, TaskStatus, type View } from '../gen/magnoliakeel/v1/peer_pb';
+import enumLabels from './enumLabels';
+import type Metrics from './Metrics';
+
+/** What the parts of an entry tell of their work, counted by the table of metrics. */
+export default class EntryMetrics {
+  private view: View | undefined;
+
+  private constructor(private readonly metrics: Metrics) {}
+
+  /** Creates the hooks that count into the metrics. */
+  static of(metrics: Metrics): EntryMetrics {
+    return new EntryMetrics(metrics);
+  }
+
+  /** A caller's request was answered. */
+  requestAnswered(service: string, outcome: Outcome): void {
+    this.metrics.add('requests_total', 1, service, outcomes[outcome]);
+  }
+
+  /** An owned job or single request has its answer. */
+  jobFinished(service: string, responseMs: number): void {
+    this.metrics.record('response_seconds', responseMs / 1000, service);
+  }
+
+  /** A start was sent to a sidecar. */
+  taskStarted(service: string, waitedMs: number): void {
+    this.metrics.add('tasks_started_total', 1, service);
+    this.metrics.record('queue_wait_seconds', waitedMs / 1000, service);
+  }
+
+  /** A task has its result. */
+  taskSettled(service: string, status: TaskStatus, responseMs: number, runMs: number): void {
+    this.metrics.add('tasks_settled_total', 1, service, statuses[status]);
+    if (status !== TaskStatus.COMPLETED) return;
+    this.metrics.record('stretch_ratio', responseMs / Math.max(1, runMs), service);
+  }
+
+  /** A lost attempt is followed by another one. */
+  taskRetried(service: string): void {
+    this.metrics.add('tasks_retried_total', 1, service);
+  }
+
+  /** A start was refused. */
+  startRefused(cause: RefusalCause): void {
+    this.wasted(`refused_${refusals[cause]}`);
+  }
+
+  /** A message was without use. */
+  wasted(cause: string, messages = 1): void {
+    this.metrics.add('wasted_messages_total', messages, cause);
+  }
+
+  /** Another entry was asked for idle credits. */
+  borrowAsked(service: string): void {
+    this.metrics.add('borrow_asks_total', 1, service);
+  }
+
+  /** Another entry lent credits. */
+  creditsBorrowed(service: string, credits: number): void {
+    this.metrics.add('credits_borrowed_total', credits, service);
+  }
+
+  /** Credits were lent to another entry. */
+  creditsLent(service: string, credits: number): void {
+    this.metrics.add('credits_lent_total', credits, service);
+  }
+
+  /** It was found out what is known of a job without a record here. */
+  jobResolved(provenance: string): void {
+    this.metrics.add('provenances_total', 1, provenance);
+  }
+
+  /** A linked process fell silent. */
+  suspected(peer: 'entry' | 'sidecar'): void {
+    this.metrics.add('suspicions_total', 1, peer);
+  }
+
+  /** A newer view is known. */
+  viewChanged(view: View): void {
+    const present = new Set(view.members.map(({ incarnation }) => incarnation));
+    const gone = (this.view?.members ?? []).filter(({ incarnation }) => !present.has(incarnation));
+    const left = gone.filter(({ leaving }) => leaving).length;
+    this.metrics.add('members_left_total', left);
+    this.metrics.add('members_removed_total', gone.length - left);
+    this.view = view;
+  }
+}
+
+const outcomes = enumLabels(Outcome);
+const statuses = enumLabels(TaskStatus);
+const refusals = enumLabels(RefusalCause);
--- /dev/null
+++ b/src/observe/enumLabels.ts
@@ -0,0 +1,7 @@
+/** The names of an enumeration's values as labels: lower case, by number. */
+export default function enumLabels(
+  values: Readonly<Record<string, string | number>>,
+): Readonly<Record<number, string>> {
+  const names = Object.entries(values).filter(([, value]) => typeof value === 'number');
+  return Object.fromEntries(names.map(([name, value]) => [value, name.toLowerCase()]));
+}
--- a/src/sidecar/EntryPeer.ts
+++ b/src/sidecar/EntryPeer.ts
@@ -1,7 +1,6 @@
 import type Link from '../link/Link';
 import type PeerMessage from '../link/PeerMessage';
 import type TimerService from '../core/TimerService';
-import SidecarCounters from './SidecarCounters';
 
 /** How long what an entry said of its queue is trusted. */
 const WAIT_TRUST_MS = 1000;
@@ -27,12 +26,11 @@
   private constructor(
     readonly link: Link,
     private readonly timer: TimerService,
-    private readonly counters: SidecarCounters,
   ) {}
 
   /** Creates the state of a link that has just opened. */
-  static of(link: Link, timer: TimerService, counters: SidecarCounters): EntryPeer {
-    return new EntryPeer(link, timer, counters);
+  static of(link: Link, timer: TimerService): EntryPeer {
+    return new EntryPeer(link, timer);
   }
 
   get incarnation(): string {
@@ -49,11 +47,6 @@
     return this.timer.now() - this.waitAt <= WAIT_TRUST_MS ? this.waitMs : 0;
   }
 
-  /** Notes that a message came. */
-  hear(message: PeerMessage): void {
-    SidecarCounters.add(this.counters.received, message.case);
-  }
-
   /** Notes what the entry said of its oldest waiting task. */
   hearWait(waitMs: number): void {
     this.waitMs = waitMs;
@@ -86,12 +79,6 @@
   }
 
   send(message: PeerMessage): void {
-    this.countSent(message.case);
     this.link.send(message);
   }
-
-  /** Counts a message to this entry. */
-  countSent(kind: PeerMessage['case']): void {
-    SidecarCounters.add(this.counters.sent, kind);
-  }
 }
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -198,7 +198,7 @@
 
   /** Serves one link to its end. Messages that are unread at its end are dropped. */
   private async serve(link: Link): Promise<boolean> {
-    const peer = EntryPeer.of(link, this.opts.timer, this.opts.counters);
+    const peer = EntryPeer.of(link, this.opts.timer);
     if (!this.isWanted(link.peer) || !this.entries.add(peer)) {
       link.close();
       return false;
@@ -206,7 +206,6 @@
     this.opened(peer);
     for await (const message of link.messages()) {
       if (link.closed.aborted || this.isHeldUp()) break;
-      peer.hear(message);
       this.handle(peer, message);
     }
     link.close();
@@ -229,7 +228,7 @@
     this.opts.counters.links += 1;
     this.opts.log?.(`linked to entry ${peer.link.peer.instance}`);
     KeepAlive.start(peer.link, this.opts.timer, this.opts.heartbeat, {
-      heartbeat: () => this.heartbeatTo(peer),
+      heartbeat: () => this.heartbeat(),
       suspected: (suspected) => peer.suspect(suspected),
     });
     const { version } = this.services;
@@ -299,8 +298,7 @@
     return this.opts.timer.now() - this.beatAt > this.opts.heartbeat.closeMs;
   }
 
-  private heartbeatTo(peer: EntryPeer): PeerMessage {
-    peer.countSent('heartbeat');
+  private heartbeat(): PeerMessage {
     const value = create(HeartbeatSchema, {
       configurationVersion: this.services.version,
       viewNumber: this.view.number,
--- a/src/sidecar/SidecarCounters.ts
+++ b/src/sidecar/SidecarCounters.ts
@@ -4,10 +4,6 @@
 
   readonly done: Record<string, number> = {};
 
-  readonly sent: Record<string, number> = {};
-
-  readonly received: Record<string, number> = {};
-
   starts = 0;
 
   dials = 0;
