Trace a request across processes and show it as a tree

Cause: nobody could see where a slow request spent its time or why its tasks went where they did. Change: a traced request has a span for each hop: request, forward, queue (with the choice that ended it), start at the sidecar (with the cause of a refusal) and call to the backend server, which gets the traceparent. A caller's sampled flag is honoured either way; of requests without a traceparent the share of the settings is traced. Spans wait in a buffer of fixed size and go out in batches as OTLP JSON, over HTTP or as lines on standard output; what finds no room or no taker is dropped and counted. magnoliakeelctl trace puts the lines of several processes together as one tree. Without a destination no tracer is made.

--- /dev/null
+++ b/src/ctl/trace.ts
@@ -0,0 +1,80 @@
+import { ResultAsync } from 'neverthrow';
+import type ExitCode from '../core/ExitCode';
+import exitCodes from '../core/exitCodes';
+import type Terminal from '../core/Terminal';
+import formatFinding from '../settings/formatFinding';
+import readText from '../settings/readText';
+import type Command from './Command';
+import type CommandInput from './CommandInput';
+import readSpans from './readSpans';
+import renderTrace from './renderTrace';
+import traceRoots from './traceRoots';
+import type TraceSpan from './TraceSpan';
+
+/** Shows a trace from spans that processes wrote to files, without any connection. */
+const trace: Command = {
+  args: '<...files>',
+  description: 'Show one trace as a tree, from files with exported spans (JSON lines)',
+  options: [
+    { flags: '--id <trace>', description: 'The trace id or its beginning; else all are listed' },
+  ],
+  run,
+};
+
+export default trace;
+
+async function run(input: CommandInput, terminal: Terminal): Promise<ExitCode> {
+  const texts = await ResultAsync.combine(input.args.map(readText));
+  if (texts.isErr()) {
+    texts.error.forEach((finding) => terminal.warn(formatFinding(finding)));
+    return exitCodes.badFile;
+  }
+  const { id = '' } = input.options;
+  const spans = texts.value.flatMap(readSpans).filter(({ traceId }) => begins(traceId, id));
+  const traces = byTrace(spans);
+  if (traces.length === 0) {
+    terminal.warn(id === '' ? 'no spans in these files' : `no trace ${String(id)} in these files`);
+    return exitCodes.notFound;
+  }
+  if (traces.length === 1) show(traces[0]!, input.json, terminal);
+  else list(traces, input.json, terminal);
+  return exitCodes.ok;
+}
+
+/** The command line turns what looks like a number into one, as `0123` or `12e4`. */
+function begins(traceId: string, id: unknown): boolean {
+  if (typeof id !== 'number') return traceId.startsWith(String(id));
+  return [...traceId].some((_, index) => Number(traceId.slice(0, index + 1)) === id);
+}
+
+function byTrace(spans: readonly TraceSpan[]): readonly (readonly TraceSpan[])[] {
+  const traces = new Map<string, TraceSpan[]>();
+  spans.forEach((span) => {
+    const known = traces.get(span.traceId);
+    if (known) known.push(span);
+    else traces.set(span.traceId, [span]);
+  });
+  return [...traces.values()];
+}
+
+function show(spans: readonly TraceSpan[], json: boolean, terminal: Terminal): void {
+  const roots = traceRoots(spans);
+  terminal.print(json ? JSON.stringify({ trace: spans[0]!.traceId, roots }) : renderTrace(roots));
+}
+
+function list(traces: readonly (readonly TraceSpan[])[], json: boolean, terminal: Terminal): void {
+  const rows = traces.map((spans) => {
+    const [root] = traceRoots(spans);
+    const { traceId, name, tookMs } = root!.span;
+    return { trace: traceId, spans: spans.length, name, tookMs };
+  });
+  if (json) {
+    terminal.print(JSON.stringify({ traces: rows }));
+    return;
+  }
+  rows
+    .sort((one, other) => other.tookMs - one.tookMs)
+    .forEach(({ trace: id, spans, name, tookMs }) =>
+      terminal.print(`${id}  ${name} for ${tookMs.toFixed(1)} ms, ${spans} spans`),
+    );
+}
--- a/src/daemon/runEntry.ts
+++ b/src/daemon/runEntry.ts
@@ -10,6 +10,7 @@
 import MeteredNetwork from '../observe/MeteredNetwork';
 import MeteredStore from '../observe/MeteredStore';
 import Metrics from '../observe/Metrics';
+import Traces from '../observe/Traces';
 import type EntrySettings from '../settings/EntrySettings';
 import HttpStore from '../store/HttpStore';
 import newIncarnation from './newIncarnation';
@@ -23,6 +24,9 @@
   const log = createLogger(settings.log.level);
   const timer = SystemTimer.create();
   const metrics = Metrics.create(timer, 'entry');
+  const random = Random.fromSeed(randomSeed());
+  const incarnation = newIncarnation(settings.instance);
+  const traces = Traces.create({ timer, random, metrics, incarnation, settings });
   const store = HttpStore.create({
     timer,
     url: `http://${settings.store.address}`,
@@ -34,8 +38,9 @@
     settings,
     timer,
     log,
-    incarnation: newIncarnation(settings.instance),
-    random: Random.fromSeed(randomSeed()),
+    incarnation,
+    random,
+    tracer: traces?.tracer,
     metrics: EntryMetrics.of(metrics),
     network: MeteredNetwork.over(ConnectNetwork.create(timer), metrics),
     store: MeteredStore.over(store, metrics),
@@ -49,6 +54,7 @@
   const { callers, peers } = listening.value;
   log.info(`entry ${settings.instance} listens for callers on ${callers}, for peers on ${peers}`);
   const ended = await entry.run(signal);
+  await traces?.close();
   log.info(`entry ${settings.instance} has ${ended === 'removed' ? 'been removed' : 'stopped'}`);
   return ended === 'removed' ? exitCodes.removed : exitCodes.ok;
 }
--- a/src/daemon/runSidecar.ts
+++ b/src/daemon/runSidecar.ts
@@ -6,6 +6,7 @@
 import createLogger from '../observe/createLogger';
 import MeteredNetwork from '../observe/MeteredNetwork';
 import Metrics from '../observe/Metrics';
+import Traces from '../observe/Traces';
 import type SidecarSettings from '../settings/SidecarSettings';
 import BackendDesk from '../sidecar/BackendDesk';
 import exposeSidecar from '../sidecar/exposeSidecar';
@@ -25,12 +26,14 @@
   const timer = SystemTimer.create();
   const metrics = Metrics.create(timer, 'sidecar');
   const counters = SidecarCounters.create();
+  const random = Random.fromSeed(randomSeed());
+  const incarnation = newIncarnation(instance);
+  const traces = Traces.create({ timer, random, metrics, incarnation, settings });
   const sidecar = Sidecar.create({
     ...{ timer, counters, cluster, instance, zone, entries, links, heartbeat },
-    random: Random.fromSeed(randomSeed()),
+    ...{ random, incarnation, tracer: traces?.tracer },
     network: MeteredNetwork.over(ConnectNetwork.create(timer), metrics),
     client: UndiciBackendClient.create(),
-    incarnation: newIncarnation(instance),
     ledgerBytes: settings.ledger.bytes,
     skewMs: settings.ledger.clockSkewMs,
     renewMs: settings.backend.renewMs,
@@ -51,6 +54,7 @@
   }
   await sidecar.run(signal);
   await desk.close();
+  await traces?.close();
   log.info(`sidecar ${instance} has stopped`);
   return exitCodes.ok;
 }
--- a/src/dispatch/Dispatcher.ts
+++ b/src/dispatch/Dispatcher.ts
@@ -28,6 +28,7 @@
 import type QueuedTask from './QueuedTask';
 import type SidecarPeer from './SidecarPeer';
 import TeamQueue from './TeamQueue';
+import traceStart from './traceStart';
 
 /**
  * Brings an entry's waiting tasks and its credits together. It starts a task
@@ -163,7 +164,7 @@
       this.attemptLost(entry.task, 'the sidecar had started this task before');
       return;
     }
-    this.startAgain(entry.task);
+    this.startAgain(entry.task, `refused: ${RefusalCause[refuse.cause].toLowerCase()}`);
   }
 
   /** Queues the tasks again that a sidecar never started and, after its new link, never will. */
@@ -172,7 +173,7 @@
       const entry = this.running.get(taskKey(id.job, id.index));
       if (!entry || entry.sidecar !== peer.incarnation) return;
       this.forget(entry);
-      this.startAgain(entry.task);
+      this.startAgain(entry.task, 'never started before the new link');
     });
   }
 
@@ -292,11 +293,19 @@
       digest: task.digest,
       jobSize: task.jobSize,
       createdMs: task.createdMs,
-      traceparent: task.traceparent,
+      traceparent: this.trace(lane, task, { sidecar, credit }),
     });
     this.send(sidecar, { case: 'start', value });
   }
 
+  private trace(lane: Lane, task: QueuedTask, held: HeldCredit): string {
+    const { tracer } = this.options;
+    if (!tracer) return task.traceparent;
+    const peer = this.sidecars.get(held.sidecar);
+    const decision = { held, peer, idle: lane.pool.size, queued: lane.queue.length };
+    return traceStart(tracer, task, decision);
+  }
+
   private borrow(lane: Lane): void {
     if (lane.asking !== undefined) return;
     const entry = this.loads.mostIdle(lane.service);
@@ -310,8 +319,9 @@
     }
   }
 
-  private startAgain(task: QueuedTask): void {
+  private startAgain(task: QueuedTask, because: string): void {
     task.notStarted();
+    task.requeued = { at: this.options.timer.now(), because };
     const lane = this.laneOf(task.service);
     lane.queue.pushFront(task);
     this.pump(lane);
@@ -336,6 +346,7 @@
   private attemptLost(task: QueuedTask, reason: string): void {
     if (task.retryable && this.options.mayRetry(task.service)) {
       task.attempt += 1;
+      task.requeued = { at: this.options.timer.now(), because: reason };
       this.options.metrics?.taskRetried(task.service);
       const lane = this.laneOf(task.service);
       lane.queue.pushFront(task);
--- a/src/dispatch/DispatcherOptions.ts
+++ b/src/dispatch/DispatcherOptions.ts
@@ -1,11 +1,14 @@
 import type TimerService from '../core/TimerService';
 import type PeerMessage from '../link/PeerMessage';
 import type EntryMetrics from '../observe/EntryMetrics';
+import type Tracer from '../observe/Tracer';
 
 /** What a dispatcher needs from the entry around it. */
 export default interface DispatcherOptions {
   readonly timer: TimerService;
   readonly metrics?: EntryMetrics;
+  /** Traces tasks; undefined when nothing is traced. */
+  readonly tracer?: Tracer;
   /** The incarnation of this entry, which its starts carry. */
   readonly owner: string;
   readonly viewNumber: () => bigint;
--- a/src/dispatch/QueuedTask.ts
+++ b/src/dispatch/QueuedTask.ts
@@ -16,6 +16,8 @@
   readonly retryable: boolean;
   /** When the task joined the queue, by the timer service. */
   readonly queuedAt: number;
+  /** Set when the task had to be queued again: when, and why. */
+  requeued?: { readonly at: number; readonly because: string };
   /** Grows with each attempt of a retryable task; 0 for tasks of jobs. */
   attempt: number;
   /** Told once a start is about to be sent to the sidecar named. */
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -47,6 +47,7 @@
 import Router from './Router';
 import SidecarLinks from './SidecarLinks';
 import Sightings from './Sightings';
+import traceRequest from './traceRequest';
 
 /**
  * The process that takes callers' requests. It owns the jobs that fall to it
@@ -161,7 +162,8 @@
 
   /** The answer to a caller's submission. */
   async submit(request: CallerSubmission, gone: AbortSignal): Promise<Answer> {
-    const answer = await this.answerTo(request, gone);
+    const { tracer } = this.options;
+    const answer = await traceRequest(tracer, request, (traced) => this.answerTo(traced, gone));
     this.options.metrics?.requestAnswered(request.submission.service, answer.outcome);
     return answer;
   }
@@ -358,6 +360,7 @@
     return Dispatcher.create({
       timer: this.options.timer,
       metrics: this.options.metrics,
+      tracer: this.options.tracer,
       owner: this.self,
       viewNumber: () => this.views.number,
       shareOf: (team) => this.manifest.shareOf(team),
@@ -414,6 +417,7 @@
       {
         timer,
         network,
+        tracer: this.options.tracer,
         self: this.self,
         views: this.views,
         ownerWaitMs: settings.store.leaseMs + settings.heartbeat.suspectMs,
--- a/src/entry/EntryOptions.ts
+++ b/src/entry/EntryOptions.ts
@@ -3,6 +3,7 @@
 import type TimerService from '../core/TimerService';
 import type Network from '../link/Network';
 import type EntryMetrics from '../observe/EntryMetrics';
+import type Tracer from '../observe/Tracer';
 import type EntrySettings from '../settings/EntrySettings';
 import type Store from '../store/Store';
 
@@ -17,5 +18,7 @@
   readonly store: Store;
   /** Told of what this entry does. */
   readonly metrics?: EntryMetrics;
+  /** Traces requests; undefined when nothing is traced. */
+  readonly tracer?: Tracer;
   readonly log: Pick<ConsolaInstance, 'info' | 'warn'>;
 }
--- a/src/entry/Router.ts
+++ b/src/entry/Router.ts
@@ -13,6 +13,7 @@
 } from '../gen/magnoliakeel/v1/peer_pb';
 import type Jobs from './Jobs';
 import type RouterOptions from './RouterOptions';
+import traceForward from './traceForward';
 
 /**
  * Brings a submission to the owner of its job and the answer back. It keeps
@@ -79,10 +80,12 @@
     gone: AbortSignal,
   ): Promise<Attempt> {
     if (!member || this.options.isSuspected(member.incarnation)) return NOT_SENT;
-    const { network, views } = this.options;
+    const { network, views, tracer } = this.options;
     const { signal, end } = this.options.untilSuspected(member.incarnation, gone);
-    const req = create(ForwardRequestSchema, { submission, view: views.current });
-    const reply = await network.forward(member.address, req, signal);
+    const reply = await traceForward(tracer, submission, member, async (traced) => {
+      const req = create(ForwardRequestSchema, { submission: traced, view: views.current });
+      return network.forward(member.address, req, signal);
+    });
     end();
     if (reply.isErr()) return { sent: reply.error.kind === 'broken' };
     const { result } = reply.value;
--- a/src/entry/RouterOptions.ts
+++ b/src/entry/RouterOptions.ts
@@ -2,10 +2,13 @@
 import type Versioned from '../core/Versioned';
 import type { View } from '../gen/magnoliakeel/v1/peer_pb';
 import type Network from '../link/Network';
+import type Tracer from '../observe/Tracer';
 
 /** What the router needs from the entry around it. */
 export default interface RouterOptions {
   readonly timer: TimerService;
+  /** Traces forwards; undefined when nothing is traced. */
+  readonly tracer?: Tracer;
   readonly self: string;
   readonly views: Versioned<View>;
   readonly network: Pick<Network, 'forward'>;
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -93,6 +93,7 @@
       timer: opts.timer,
       client: opts.client,
       counters: opts.counters,
+      tracer: opts.tracer,
       unreachable: (lost) => this.loseBackend(lost),
       maxOutputBytes: (service) => this.services.maxOutputBytes(service),
     });
--- a/src/sidecar/SidecarOptions.ts
+++ b/src/sidecar/SidecarOptions.ts
@@ -1,6 +1,7 @@
 import type Random from '../core/Random';
 import type TimerService from '../core/TimerService';
 import type Network from '../link/Network';
+import type Tracer from '../observe/Tracer';
 import type BackendClient from './BackendClient';
 import type SidecarCounters from './SidecarCounters';
 
@@ -11,6 +12,8 @@
   readonly network: Network;
   readonly client: BackendClient;
   readonly counters: SidecarCounters;
+  /** Traces starts; undefined when nothing is traced. */
+  readonly tracer?: Tracer;
   readonly cluster: string;
   readonly instance: string;
   readonly incarnation: string;
--- a/src/sidecar/Tasks.ts
+++ b/src/sidecar/Tasks.ts
@@ -11,6 +11,7 @@
   type TaskId,
   type View,
 } from '../gen/magnoliakeel/v1/peer_pb';
+import type Tracer from '../observe/Tracer';
 import type Announcement from './Announcement';
 import type BackendAnswer from './BackendAnswer';
 import type BackendClient from './BackendClient';
@@ -23,6 +24,7 @@
 import type RunningTask from './RunningTask';
 import SidecarCounters from './SidecarCounters';
 import type Slots from './Slots';
+import TaskTrace from './TaskTrace';
 import isMember from './isMember';
 
 const NO_OUTPUT = new Uint8Array();
@@ -36,6 +38,7 @@
   readonly view: Versioned<View>;
   readonly client: BackendClient;
   readonly counters: SidecarCounters;
+  readonly tracer: Tracer | undefined;
   /** The backend server that takes tasks now. */
   readonly backend: () => Announcement | undefined;
   /** Called when the backend server cannot be reached at all. */
@@ -76,12 +79,13 @@
     peer.hearWait(start.nextWaitMs);
     const backend = this.parts.backend();
     const cause = this.refusalOf(task, start, backend);
+    const trace = TaskTrace.begin(this.parts.tracer, start, peer.link.peer.instance);
     if (cause !== undefined || !backend) {
-      this.refuse(peer, task, cause ?? RefusalCause.BACKEND_GONE);
+      this.refuse(peer, task, cause ?? RefusalCause.BACKEND_GONE, trace);
       this.takeBack(start.credit);
       return;
     }
-    this.run(peer, task, start, backend);
+    this.run(peer, start, backend, trace);
   }
 
   /** Ends the calls of running tasks that their owner no longer wants. */
@@ -136,7 +140,8 @@
     return undefined;
   }
 
-  private refuse(peer: EntryPeer, task: TaskId, cause: RefusalCause): void {
+  private refuse(peer: EntryPeer, task: TaskId, cause: RefusalCause, trace?: TaskTrace): void {
+    trace?.refused(cause);
     SidecarCounters.add(this.parts.counters.refusals, RefusalCause[cause]);
     peer.send({ case: 'refuse', value: create(RefuseSchema, { task, cause }) });
   }
@@ -145,7 +150,13 @@
     if (credit && this.parts.slots.end(credit)) this.parts.credits.spread();
   }
 
-  private run(peer: EntryPeer, id: TaskId, start: Start, backend: Announcement): void {
+  private run(
+    peer: EntryPeer,
+    start: Start,
+    backend: Announcement,
+    trace: TaskTrace | undefined,
+  ): void {
+    const id = start.task!;
     const { slot } = start.credit!;
     this.parts.slots.take(start.credit!, peer.incarnation);
     const task: RunningTask = {
@@ -157,6 +168,7 @@
       startedAt: this.parts.timer.now(),
       call: new AbortController(),
       timeout: this.parts.timer.after(start.timeoutMs, () => this.timeOut(task)),
+      trace,
     };
     this.running.set(nameOf(id), task);
     this.parts.counters.starts += 1;
@@ -164,7 +176,7 @@
       task: nameOf(id),
       input: start.input,
       timeoutMs: start.timeoutMs,
-      traceparent: start.traceparent,
+      traceparent: trace?.calling(backend) ?? start.traceparent,
     };
     this.parts.client.run(backend, call, task.call.signal).match(
       (answer) => this.answered(task, answer),
@@ -177,6 +189,7 @@
   }
 
   private answered(task: RunningTask, answer: BackendAnswer): void {
+    task.trace?.callEnded(answer.ok ? undefined : answer.reason);
     const limit = this.parts.maxOutputBytes(task.service);
     const result =
       answer.output.byteLength > limit
@@ -191,6 +204,7 @@
   }
 
   private unanswered(task: RunningTask, backend: Announcement, err: BackendError): void {
+    task.trace?.callEnded(err.reason);
     if (task.call.signal.aborted) {
       this.end(task, resultOf(TaskStatus.CANCELLED, 'cancelled while it ran'));
       return;
@@ -210,6 +224,7 @@
     this.forget(task);
     this.parts.unreachable(backend);
     this.parts.slots.release(task.slot);
+    if (!isReported) task.trace?.refused(RefusalCause.BACKEND_GONE);
     if (peer && !isReported) this.refuse(peer, task.id, RefusalCause.BACKEND_GONE);
   }
 
@@ -231,6 +246,7 @@
     const timed = { ...result, runMs };
     this.parts.ledger.finish(task.record, timed);
     SidecarCounters.add(this.parts.counters.done, TaskStatus[result.status]);
+    task.trace?.concluded(result.status, result.reason);
     this.report(task.id, timed, credit);
   }
 
