--- a/src/daemon/runEntry.ts
+++ b/src/daemon/runEntry.ts
@@ -11,6 +11,10 @@
 import MeteredStore from '../observe/MeteredStore';
 import Metrics from '../observe/Metrics';
 import Traces from '../observe/Traces';
+import commonRoutes from '../operators/commonRoutes';
+import entryRoutes from '../operators/entryRoutes';
+import OperatorServer from '../operators/OperatorServer';
+import reachableAddress from '../operators/reachableAddress';
 import type EntrySettings from '../settings/EntrySettings';
 import HttpStore from '../store/HttpStore';
 import newIncarnation from './newIncarnation';
@@ -27,6 +31,7 @@
   const random = Random.fromSeed(randomSeed());
   const incarnation = newIncarnation(settings.instance);
   const traces = Traces.create({ timer, random, metrics, incarnation, settings });
+  const network = MeteredNetwork.over(ConnectNetwork.create(timer), metrics);
   const store = HttpStore.create({
     timer,
     url: `http://${settings.store.address}`,
@@ -34,18 +39,33 @@
     callsPerSecond: settings.store.callsPerSecond,
     timeoutMs: settings.store.timeoutMs,
   });
+  const drained = new AbortController();
+  let operators = '';
   const entry = Entry.create({
     settings,
     timer,
     log,
-    incarnation,
-    random,
+    ...{ network, incarnation, random },
     tracer: traces?.tracer,
     metrics: EntryMetrics.of(metrics),
-    network: MeteredNetwork.over(ConnectNetwork.create(timer), metrics),
     store: MeteredStore.over(store, metrics),
+    operators: () => operators,
   });
   exposeEntry(entry, metrics);
+  const server = OperatorServer.create([
+    ...commonRoutes({
+      isReady: () => entry.isReady,
+      metrics: () => metrics.render(),
+      drain: () => drained.abort(),
+    }),
+    ...entryRoutes(entry, { timer, network }),
+  ]);
+  const opened = await server.listen(settings.listen.operators);
+  if (opened.isErr()) {
+    log.error(`cannot listen: ${settings.listen.operators}: ${opened.error.message}`);
+    return exitCodes.cannotListen;
+  }
+  operators = reachableAddress(opened.value, settings.advertise);
   const listening = await entry.listen();
   if (listening.isErr()) {
     log.error(`cannot listen: ${listening.error}`);
@@ -53,8 +73,10 @@
   }
   const { callers, peers } = listening.value;
   log.info(`entry ${settings.instance} listens for callers on ${callers}, for peers on ${peers}`);
-  const ended = await entry.run(signal);
+  log.info(`listening for operators on ${opened.value}`);
+  const ended = await entry.run(AbortSignal.any([signal, drained.signal]));
   await traces?.close();
+  await server.close();
   log.info(`entry ${settings.instance} has ${ended === 'removed' ? 'been removed' : 'stopped'}`);
   return ended === 'removed' ? exitCodes.removed : exitCodes.ok;
 }
--- a/src/daemon/runSidecar.ts
+++ b/src/daemon/runSidecar.ts
@@ -7,6 +7,9 @@
 import MeteredNetwork from '../observe/MeteredNetwork';
 import Metrics from '../observe/Metrics';
 import Traces from '../observe/Traces';
+import commonRoutes from '../operators/commonRoutes';
+import OperatorServer from '../operators/OperatorServer';
+import reachableAddress from '../operators/reachableAddress';
 import type SidecarSettings from '../settings/SidecarSettings';
 import BackendDesk from '../sidecar/BackendDesk';
 import exposeSidecar from '../sidecar/exposeSidecar';
@@ -29,6 +32,8 @@
   const random = Random.fromSeed(randomSeed());
   const incarnation = newIncarnation(instance);
   const traces = Traces.create({ timer, random, metrics, incarnation, settings });
+  const drained = new AbortController();
+  let operators = '';
   const sidecar = Sidecar.create({
     ...{ timer, counters, cluster, instance, zone, entries, links, heartbeat },
     ...{ random, incarnation, tracer: traces?.tracer },
@@ -38,13 +43,28 @@
     skewMs: settings.ledger.clockSkewMs,
     renewMs: settings.backend.renewMs,
     drainMs: settings.stop.drainMs,
+    operators: () => operators,
     log: (line) => log.info(line),
   });
   exposeSidecar(sidecar, counters, metrics);
+  const server = OperatorServer.create(
+    commonRoutes({
+      isReady: () => sidecar.isReady,
+      metrics: () => metrics.render(),
+      drain: () => drained.abort(),
+    }),
+  );
   const desk = BackendDesk.create({
     announce: (backend) => sidecar.announce(backend),
     withdraw: () => sidecar.withdrawBackend(),
   });
+  const opened = await server.listen(settings.listen.operators);
+  if (opened.isErr()) {
+    log.error(`cannot listen: ${settings.listen.operators}: ${opened.error.message}`);
+    return exitCodes.cannotListen;
+  }
+  operators = reachableAddress(opened.value);
+  log.info(`listening for operators on ${opened.value}`);
   try {
     const address = await desk.listen(settings.listen.backend);
     log.info(`sidecar ${instance} listens for its backend server on ${address}`);
@@ -52,9 +72,10 @@
     log.error(`cannot listen: ${settings.listen.backend}: ${(error as Error).message}`);
     return exitCodes.cannotListen;
   }
-  await sidecar.run(signal);
+  await sidecar.run(AbortSignal.any([signal, drained.signal]));
   await desk.close();
   await traces?.close();
+  await server.close();
   log.info(`sidecar ${instance} has stopped`);
   return exitCodes.ok;
 }
--- a/src/dispatch/Dispatcher.ts
+++ b/src/dispatch/Dispatcher.ts
@@ -25,6 +25,8 @@
 import type DispatcherOptions from './DispatcherOptions';
 import EntryLoads from './EntryLoads';
 import type HeldCredit from './HeldCredit';
+import type Placement from './Placement';
+import pickers from './pickers';
 import type QueuedTask from './QueuedTask';
 import type SidecarPeer from './SidecarPeer';
 import TeamQueue from './TeamQueue';
@@ -248,6 +250,7 @@
         pool: CreditPool.create(),
         teamsRunning: new Map(),
         asking: undefined,
+        placed: 0,
       };
       this.lanes.set(service, lane);
     }
@@ -255,19 +258,43 @@
   }
 
   private pump(lane: Lane): void {
-    while (lane.queue.length > 0 && lane.pool.size > 0) {
+    while (lane.queue.length > 0 && this.mayPlace(lane)) {
       const task = lane.queue.shift((team) => this.mayRun(lane, team));
       if (!task) return;
-      const held = lane.pool.take((sidecar) => this.sidecars.get(sidecar)?.suspected ?? true);
-      if (!held) {
+      const place = this.place(lane);
+      if (!place) {
         lane.queue.pushFront(task);
         break;
       }
-      this.start(lane, task, held);
+      this.start(lane, task, place);
     }
     if (lane.queue.length > 0) this.borrow(lane);
   }
 
+  private mayPlace(lane: Lane): boolean {
+    return this.options.policy !== 'credits' || lane.pool.size > 0;
+  }
+
+  private place(lane: Lane): Placement | undefined {
+    const { policy } = this.options;
+    if (policy !== 'credits') return this.placeFreely(lane, policy);
+    return lane.pool.take((sidecar) => this.sidecars.get(sidecar)?.suspected ?? true);
+  }
+
+  private placeFreely(lane: Lane, policy: keyof typeof pickers): Placement | undefined {
+    const candidates = [...this.sidecars.values()]
+      .filter((peer) => peer.link && !peer.suspected && !peer.leaving)
+      .filter((peer) => peer.services.includes(lane.service))
+      .map(({ incarnation }) => ({
+        incarnation,
+        outstanding: this.bySidecar.get(incarnation)?.size ?? 0,
+      }));
+    if (candidates.length === 0) return undefined;
+    lane.placed += 1;
+    const picked = pickers[policy](candidates, lane.placed, this.options.random);
+    return { sidecar: picked.incarnation };
+  }
+
   private mayRun(lane: Lane, team: string): boolean {
     const limit = this.options.maxRunningOf(team);
     if (limit === undefined) return true;
@@ -275,7 +302,7 @@
     return here + this.loads.running(lane.service, team) < limit;
   }
 
-  private start(lane: Lane, task: QueuedTask, { sidecar, credit }: HeldCredit): void {
+  private start(lane: Lane, task: QueuedTask, { sidecar, credit }: Placement): void {
     const { timer, owner, viewNumber, metrics } = this.options;
     metrics?.taskStarted(task.service, timer.now() - task.queuedAt);
     task.starting(sidecar);
@@ -298,16 +325,16 @@
     this.send(sidecar, { case: 'start', value });
   }
 
-  private trace(lane: Lane, task: QueuedTask, held: HeldCredit): string {
-    const { tracer } = this.options;
+  private trace(lane: Lane, task: QueuedTask, place: Placement): string {
+    const { tracer, policy } = this.options;
     if (!tracer) return task.traceparent;
-    const peer = this.sidecars.get(held.sidecar);
-    const decision = { held, peer, idle: lane.pool.size, queued: lane.queue.length };
+    const peer = this.sidecars.get(place.sidecar);
+    const decision = { policy, place, peer, idle: lane.pool.size, queued: lane.queue.length };
     return traceStart(tracer, task, decision);
   }
 
   private borrow(lane: Lane): void {
-    if (lane.asking !== undefined) return;
+    if (lane.asking !== undefined || this.options.policy !== 'credits') return;
     const entry = this.loads.mostIdle(lane.service);
     if (entry === undefined) return;
     const value = create(BorrowSchema, { service: lane.service, wanted: lane.queue.length });
@@ -321,6 +348,7 @@
 
   private startAgain(task: QueuedTask, because: string): void {
     task.notStarted();
+    if (!task.isWanted()) return;
     task.requeued = { at: this.options.timer.now(), because };
     const lane = this.laneOf(task.service);
     lane.queue.pushFront(task);
@@ -344,7 +372,7 @@
   }
 
   private attemptLost(task: QueuedTask, reason: string): void {
-    if (task.retryable && this.options.mayRetry(task.service)) {
+    if (task.retryable && task.isWanted() && this.options.mayRetry(task.service)) {
       task.attempt += 1;
       task.requeued = { at: this.options.timer.now(), because: reason };
       this.options.metrics?.taskRetried(task.service);
@@ -388,6 +416,8 @@
   readonly teamsRunning: Map<string, number>;
   /** The entry that was asked for credits and has not answered. */
   asking: string | undefined;
+  /** Tasks placed without a credit. */
+  placed: number;
 }
 
 /** A task with the sidecar that it was sent to. */
--- a/src/dispatch/traceStart.ts
+++ b/src/dispatch/traceStart.ts
@@ -1,12 +1,14 @@
 import { SpanKind } from '@opentelemetry/api';
 import type Tracer from '../observe/Tracer';
-import type HeldCredit from './HeldCredit';
+import type Placement from './Placement';
+import type PolicyName from './PolicyName';
 import type QueuedTask from './QueuedTask';
 import type SidecarPeer from './SidecarPeer';
 
 /** What is known when a task is about to be started. */
 interface Decision {
-  readonly held: HeldCredit;
+  readonly policy: PolicyName;
+  readonly place: Placement;
   readonly peer: SidecarPeer | undefined;
   /** Credits that stay idle for the service. */
   readonly idle: number;
@@ -21,19 +23,26 @@
 export default function traceStart(
   tracer: Tracer | undefined,
   task: QueuedTask,
-  { held, peer, idle, queued }: Decision,
+  { policy, place, peer, idle, queued }: Decision,
 ): string {
   const since = task.requeued?.at ?? task.queuedAt;
   const span = tracer?.hop('queue', SpanKind.INTERNAL, task.traceparent, since);
   if (!span) return task.traceparent;
   const { index, attempt, team, service } = task;
-  span.set({ service, team, task: index, attempt, policy: 'credits' });
-  span.set({ 'chosen.sidecar': peer?.instance ?? held.sidecar, 'chosen.zone': peer?.zone ?? '' });
-  span.set({ 'chosen.slot': held.credit.slot, 'chosen.generation': held.credit.generation });
-  span.set({ 'chosen.because': BECAUSE, 'credits.left': idle, 'queue.left': queued });
+  span.set({ service, team, task: index, attempt, policy });
+  span.set({ 'chosen.sidecar': peer?.instance ?? place.sidecar, 'chosen.zone': peer?.zone ?? '' });
+  const { credit } = place;
+  if (credit) span.set({ 'chosen.slot': credit.slot, 'chosen.generation': credit.generation });
+  span.set({ 'chosen.because': reasons[policy], 'credits.left': idle, 'queue.left': queued });
   if (task.requeued) span.set({ 'requeued.because': task.requeued.because });
   span.end();
   return span.traceparent;
 }
 
-const BECAUSE = 'most idle credits of the sidecars not suspected';
+const reasons: Readonly<Record<PolicyName, string>> = {
+  credits: 'most idle credits of the sidecars not suspected',
+  leastOutstanding: 'fewest tasks of this entry outstanding',
+  powerOfTwo: 'fewer tasks of this entry outstanding of two picked at random',
+  roundRobin: 'next in turn',
+  random: 'picked at random',
+};
--- a/src/entry/EntryOptions.ts
+++ b/src/entry/EntryOptions.ts
@@ -21,4 +21,6 @@
   /** Traces requests; undefined when nothing is traced. */
   readonly tracer?: Tracer;
   readonly log: Pick<ConsolaInstance, 'info' | 'warn'>;
+  /** Address of this process's operators' listener, once it listens; it is told to other processes. */
+  readonly operators?: () => string;
 }
--- a/src/sidecar/Tasks.ts
+++ b/src/sidecar/Tasks.ts
@@ -58,6 +58,9 @@
 
   private readonly drained = new Set<() => void>();
 
+  /** Starts without a credit that wait for a free slot, oldest first. */
+  private waiting: WaitingStart[] = [];
+
   private isLeaving = false;
 
   private constructor(private readonly parts: TasksParts) {}
@@ -85,13 +88,20 @@
       this.takeBack(start.credit);
       return;
     }
-    this.run(peer, start, backend, trace);
+    if (start.credit) {
+      this.parts.slots.take(start.credit, peer.incarnation);
+      this.run(peer, start, backend, start.credit.slot, trace);
+      return;
+    }
+    this.waiting.push({ peer, start, trace });
+    this.startWaiting();
   }
 
   /** Ends the calls of running tasks that their owner no longer wants. */
-  cancel(peer: EntryPeer, ids: TaskId[]): void {
+  cancel(from: EntryPeer, ids: TaskId[]): void {
+    this.cancelWaiting(from, new Set(ids.map(nameOf)));
     ids.forEach((id) => {
-      if (this.parts.ledger.job(id.job)?.owner !== peer.incarnation) return;
+      if (this.parts.ledger.job(id.job)?.owner !== from.incarnation) return;
       this.running.get(nameOf(id))?.call.abort();
     });
   }
@@ -106,6 +116,22 @@
   /** Refuses all further starts as leaving. */
   leave(): void {
     this.isLeaving = true;
+    this.startWaiting();
+  }
+
+  /** Starts what waits for a slot. What came on a link that has ended since is dropped unrun. */
+  startWaiting(): void {
+    this.waiting = this.waiting.filter(({ peer }) => !peer.link.closed.aborted);
+    while (this.waiting.length > 0) {
+      const { peer, start, trace } = this.waiting[0]!;
+      const backend = this.parts.backend();
+      const cause = this.refusalOf(start.task!, start, backend);
+      const slot = cause === undefined ? this.parts.slots.takeIdle(peer.incarnation) : undefined;
+      if (cause === undefined && slot === undefined) return;
+      this.waiting.shift();
+      if (backend && slot !== undefined) this.run(peer, start, backend, slot, trace);
+      else this.refuse(peer, start.task!, cause ?? RefusalCause.BACKEND_GONE, trace);
+    }
   }
 
   /** Resolves when no task is running. */
@@ -134,8 +160,7 @@
     if (this.isLeaving) return RefusalCause.LEAVING;
     if (backend?.service !== start.service) return RefusalCause.BACKEND_GONE;
     if (!isMember(this.parts.view.current, start.owner)) return RefusalCause.FENCED;
-    if (!start.credit || !this.parts.slots.isCurrent(start.credit))
-      return RefusalCause.STALE_CREDIT;
+    if (start.credit && !this.parts.slots.isCurrent(start.credit)) return RefusalCause.STALE_CREDIT;
     if (!this.parts.ledger.hasRoom) return RefusalCause.LEDGER_FULL;
     return undefined;
   }
@@ -150,15 +175,26 @@
     if (credit && this.parts.slots.end(credit)) this.parts.credits.spread();
   }
 
+  private cancelWaiting(from: EntryPeer, names: ReadonlySet<string>): void {
+    const isCancelled = ({ peer, start }: WaitingStart): boolean =>
+      peer === from && names.has(nameOf(start.task!));
+    const cancelled = this.waiting.filter(isCancelled);
+    this.waiting = this.waiting.filter((each) => !isCancelled(each));
+    cancelled.forEach(({ start: { task }, trace }) => {
+      const result = resultOf(TaskStatus.CANCELLED, 'cancelled before it ran');
+      trace?.concluded(result.status, result.reason);
+      from.send({ case: 'done', value: create(DoneSchema, { task, ...result }) });
+    });
+  }
+
   private run(
     peer: EntryPeer,
     start: Start,
     backend: Announcement,
+    slot: number,
     trace: TaskTrace | undefined,
   ): void {
     const id = start.task!;
-    const { slot } = start.credit!;
-    this.parts.slots.take(start.credit!, peer.incarnation);
     const task: RunningTask = {
       id,
       record: this.parts.ledger.record(id, start),
@@ -238,6 +274,7 @@
     if (!isReported) this.conclude(task, result, ridesBack ? credit : undefined);
     const user = this.parts.entries.get(task.user);
     if (credit && !ridesBack && user) this.parts.credits.grant(user, [credit]);
+    this.startWaiting();
   }
 
   private conclude(task: RunningTask, result: TaskResult, credit?: Credit): void {
@@ -259,6 +296,13 @@
   }
 }
 
+/** A start that came without a credit, on the link it came on. */
+interface WaitingStart {
+  readonly peer: EntryPeer;
+  readonly start: Start;
+  readonly trace: TaskTrace | undefined;
+}
+
 function nameOf(id: TaskId): string {
   return `${id.job}/${id.index}/${id.attempt}`;
 }
