--- a/src/daemon/runEntry.ts
+++ b/src/daemon/runEntry.ts
@@ -3,8 +3,14 @@
 import Random from '../core/Random';
 import SystemTimer from '../core/SystemTimer';
 import Entry from '../entry/Entry';
+import exposeEntry from '../entry/exposeEntry';
 import ConnectNetwork from '../link/ConnectNetwork';
 import createLogger from '../observe/createLogger';
+import EntryMetrics from '../observe/EntryMetrics';
+import MeteredNetwork from '../observe/MeteredNetwork';
+import MeteredStore from '../observe/MeteredStore';
+import Metrics from '../observe/Metrics';
+import Traces from '../observe/Traces';
 import commonRoutes from '../operators/commonRoutes';
 import entryRoutes from '../operators/entryRoutes';
 import OperatorServer from '../operators/OperatorServer';
@@ -21,29 +27,35 @@
 ): Promise<ExitCode> {
   const log = createLogger(settings.log.level);
   const timer = SystemTimer.create();
-  const network = ConnectNetwork.create(timer);
+  const metrics = Metrics.create(timer, 'entry');
+  const random = Random.fromSeed(randomSeed());
+  const incarnation = newIncarnation(settings.instance);
+  const traces = Traces.create({ timer, random, metrics, incarnation, settings });
+  const network = MeteredNetwork.over(ConnectNetwork.create(timer), metrics);
+  const store = HttpStore.create({
+    timer,
+    url: `http://${settings.store.address}`,
+    client: settings.instance,
+    callsPerSecond: settings.store.callsPerSecond,
+    timeoutMs: settings.store.timeoutMs,
+  });
   const drained = new AbortController();
   let operators = '';
   const entry = Entry.create({
     settings,
     timer,
     log,
-    network,
-    incarnation: newIncarnation(settings.instance),
-    random: Random.fromSeed(randomSeed()),
-    store: HttpStore.create({
-      timer,
-      url: `http://${settings.store.address}`,
-      client: settings.instance,
-      callsPerSecond: settings.store.callsPerSecond,
-      timeoutMs: settings.store.timeoutMs,
-    }),
+    ...{ network, incarnation, random },
+    tracer: traces?.tracer,
+    metrics: EntryMetrics.of(metrics),
+    store: MeteredStore.over(store, metrics),
     operators: () => operators,
   });
+  exposeEntry(entry, metrics);
   const server = OperatorServer.create([
     ...commonRoutes({
       isReady: () => entry.isReady,
-      metrics: async () => '',
+      metrics: () => metrics.render(),
       drain: () => drained.abort(),
     }),
     ...entryRoutes(entry, { timer, network }),
@@ -63,6 +75,7 @@
   log.info(`entry ${settings.instance} listens for callers on ${callers}, for peers on ${peers}`);
   log.info(`listening for operators on ${opened.value}`);
   const ended = await entry.run(AbortSignal.any([signal, drained.signal]));
+  await traces?.close();
   await server.close();
   log.info(`entry ${settings.instance} has ${ended === 'removed' ? 'been removed' : 'stopped'}`);
   return ended === 'removed' ? exitCodes.removed : exitCodes.ok;
--- a/src/dispatch/DispatcherOptions.ts
+++ b/src/dispatch/DispatcherOptions.ts
@@ -1,11 +1,16 @@
 import type Random from '../core/Random';
 import type TimerService from '../core/TimerService';
 import type PeerMessage from '../link/PeerMessage';
+import type EntryMetrics from '../observe/EntryMetrics';
+import type Tracer from '../observe/Tracer';
 import type PolicyName from './PolicyName';
 
 /** What a dispatcher needs from the entry around it. */
 export default interface DispatcherOptions {
   readonly timer: TimerService;
+  readonly metrics?: EntryMetrics;
+  /** Traces tasks; undefined when nothing is traced. */
+  readonly tracer?: Tracer;
   readonly random: Random;
   /** How a sidecar is found for a task. */
   readonly policy: PolicyName;
