Start each process of a local system once

Cause: a merge left two starts of each daemon in the harness, so that a second run joined beside the first and the first was never stopped. Conclusion: ruled out: membership, which had joined each once.

--- a/tools/harness/Processes.ts
+++ b/tools/harness/Processes.ts
@@ -31,6 +31,7 @@
 
   /** Starts one of the built programs of `dist`. */
   start(name: string, program: string, args: readonly string[]): void {
+    if (this.children.has(name)) throw new Error(`${name} runs already`);
     const child = spawn(process.execPath, [`dist/${program}.js`, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
