--- a/test/callers/serverFaults.test.ts
+++ b/test/callers/serverFaults.test.ts
@@ -1,7 +1,9 @@
 import { afterEach, expect, test } from 'vitest';
 import { request } from 'undici';
 import CallerServer from '../../src/callers/CallerServer';
+import Random from '../../src/core/Random';
 import type Manifest from '../../src/settings/Manifest';
+import ManualTimer from '../support/ManualTimer';
 import valueOf from '../support/valueOf';
 
 const limits = {
@@ -11,12 +13,14 @@
 const servers: CallerServer[] = [];
 
 afterEach(async () => {
-  await Promise.all(servers.splice(0).map((server) => server.close()));
+  await Promise.all(servers.splice(0).map((server) => server.close(0)));
 });
 
 async function ask(manifest: Manifest | undefined, method: 'POST' | 'PUT', path: string) {
   const server = CallerServer.create({
-    ...{ limits, manifest: () => manifest, wall: () => 0, isLeaving: () => false },
+    ...{ limits, manifest: () => manifest, isLeaving: () => false },
+    timer: ManualTimer.create(),
+    random: Random.fromSeed(1),
     failed: () => undefined,
     submit: () => Promise.reject(new Error('not reached')),
   });
@@ -42,8 +46,8 @@
   ];
   expect(asked).toMatchInlineSnapshot(`
     [
-      "503 not-run 1",
-      "504 unknown 1",
+      "503 not-run 3",
+      "504 unknown 3",
     ]
   `);
 });
