--- a/src/ctl/commands.ts
+++ b/src/ctl/commands.ts
@@ -6,6 +6,7 @@
 import plan from './plan';
 import rollback from './rollback';
 import status from './status';
+import trace from './trace';
 import validate from './validate';
 
 /** The commands of the command-line tool by their names, in the order of the help. */
@@ -18,6 +19,7 @@
   status,
   drain,
   jobs,
+  trace,
 };
 
 export default commands;
--- a/src/daemon/runSidecar.ts
+++ b/src/daemon/runSidecar.ts
@@ -5,11 +5,15 @@
 import SystemTimer from '../core/SystemTimer';
 import ConnectNetwork from '../link/ConnectNetwork';
 import createLogger from '../observe/createLogger';
+import MeteredNetwork from '../observe/MeteredNetwork';
+import Metrics from '../observe/Metrics';
+import Traces from '../observe/Traces';
 import commonRoutes from '../operators/commonRoutes';
 import OperatorServer from '../operators/OperatorServer';
 import reachableAddress from '../operators/reachableAddress';
 import type SidecarSettings from '../settings/SidecarSettings';
 import BackendDesk from '../sidecar/BackendDesk';
+import exposeSidecar from '../sidecar/exposeSidecar';
 import Sidecar from '../sidecar/Sidecar';
 import SidecarCounters from '../sidecar/SidecarCounters';
 import UndiciBackendClient from '../sidecar/UndiciBackendClient';
@@ -24,15 +28,18 @@
   const { cluster, instance, zone, entries, links, heartbeat } = settings;
   const log = createLogger(settings.log.level);
   const timer = SystemTimer.create();
+  const metrics = Metrics.create(timer, 'sidecar');
+  const counters = SidecarCounters.create();
+  const random = Random.fromSeed(randomSeed());
+  const incarnation = newIncarnation(instance);
+  const traces = Traces.create({ timer, random, metrics, incarnation, settings });
   const drained = new AbortController();
   let operators = '';
   const sidecar = Sidecar.create({
-    ...{ timer, cluster, instance, zone, entries, links, heartbeat },
-    random: Random.fromSeed(randomSeed()),
-    network: ConnectNetwork.create(timer),
+    ...{ timer, counters, cluster, instance, zone, entries, links, heartbeat },
+    ...{ random, incarnation, tracer: traces?.tracer },
+    network: MeteredNetwork.over(ConnectNetwork.create(timer), metrics),
     client: UndiciBackendClient.create(),
-    counters: SidecarCounters.create(),
-    incarnation: newIncarnation(instance),
     ledgerBytes: settings.ledger.bytes,
     skewMs: settings.ledger.clockSkewMs,
     renewMs: settings.backend.renewMs,
@@ -40,10 +47,11 @@
     operators: () => operators,
     log: (line) => log.info(line),
   });
+  exposeSidecar(sidecar, counters, metrics);
   const server = OperatorServer.create(
     commonRoutes({
       isReady: () => sidecar.isReady,
-      metrics: async () => '',
+      metrics: () => metrics.render(),
       drain: () => drained.abort(),
     }),
   );
@@ -67,6 +75,7 @@
   }
   await sidecar.run(AbortSignal.any([signal, drained.signal]));
   await desk.close();
+  await traces?.close();
   await server.close();
   log.info(`sidecar ${instance} has stopped`);
   return exitCodes.ok;
--- a/src/dispatch/Dispatcher.ts
+++ b/src/dispatch/Dispatcher.ts
@@ -30,6 +30,7 @@
 import type QueuedTask from './QueuedTask';
 import type SidecarPeer from './SidecarPeer';
 import TeamQueue from './TeamQueue';
+import traceStart from './traceStart';
 
 /**
  * Brings an entry's waiting tasks and its credits together. It starts a task
@@ -89,6 +90,7 @@
       bySidecar.set(sidecar, [...(bySidecar.get(sidecar) ?? []), task]);
     });
     bySidecar.forEach((cancelled, sidecar) => {
+      this.options.metrics?.wasted('cancelled', cancelled.length);
       const value = create(CancelSchema, { tasks: cancelled.map(taskIdOf) });
       this.send(sidecar, { case: 'cancel', value });
     });
@@ -144,6 +146,8 @@
     if (entry && matches) {
       this.forget(entry);
       this.settleDone(entry.task, done);
+    } else {
+      this.options.metrics?.wasted('result_untaken');
     }
     const service = entry?.task.service ?? peer.services[0];
     if (service === undefined) return;
@@ -156,12 +160,13 @@
   refused(peer: SidecarPeer, refuse: Refuse): void {
     const entry = refuse.task && this.running.get(taskKey(refuse.task.job, refuse.task.index));
     if (!entry || entry.sidecar !== peer.incarnation) return;
+    this.options.metrics?.startRefused(refuse.cause);
     this.forget(entry);
     if (refuse.cause === RefusalCause.DUPLICATE) {
       this.attemptLost(entry.task, 'the sidecar had started this task before');
       return;
     }
-    this.startAgain(entry.task);
+    this.startAgain(entry.task, `refused: ${RefusalCause[refuse.cause].toLowerCase()}`);
   }
 
   /** Queues the tasks again that a sidecar never started and, after its new link, never will. */
@@ -170,7 +175,7 @@
       const entry = this.running.get(taskKey(id.job, id.index));
       if (!entry || entry.sidecar !== peer.incarnation) return;
       this.forget(entry);
-      this.startAgain(entry.task);
+      this.startAgain(entry.task, 'never started before the new link');
     });
   }
 
@@ -183,6 +188,7 @@
   borrowed(entry: string, borrow: Borrow): Lend {
     const { pool } = this.laneOf(borrow.service);
     const taken = pool.takeHalf(borrow.wanted);
+    this.options.metrics?.creditsLent(borrow.service, taken.length);
     this.lentTo.set(entry, [...(this.lentTo.get(entry) ?? []), ...taken].slice(-LENT_KEPT));
     return create(LendSchema, { service: borrow.service, credits: taken, idle: pool.size });
   }
@@ -191,6 +197,7 @@
   lent(entry: string, lend: Lend): void {
     const lane = this.laneOf(lend.service);
     lane.asking = undefined;
+    this.options.metrics?.creditsBorrowed(lend.service, lend.credits.length);
     this.loads.setIdle(entry, lend.service, lend.idle);
     lend.credits.forEach(({ sidecar, credit }) => {
       if (credit && this.sidecars.get(sidecar)?.link) lane.pool.add({ sidecar, credit });
@@ -296,7 +303,8 @@
   }
 
   private start(lane: Lane, task: QueuedTask, { sidecar, credit }: Placement): void {
-    const { timer, owner, viewNumber } = this.options;
+    const { timer, owner, viewNumber, metrics } = this.options;
+    metrics?.taskStarted(task.service, timer.now() - task.queuedAt);
     task.starting(sidecar);
     this.track({ task, sidecar });
     const oldest = lane.queue.oldestQueuedAt();
@@ -312,11 +320,19 @@
       digest: task.digest,
       jobSize: task.jobSize,
       createdMs: task.createdMs,
-      traceparent: task.traceparent,
+      traceparent: this.trace(lane, task, { sidecar, credit }),
     });
     this.send(sidecar, { case: 'start', value });
   }
 
+  private trace(lane: Lane, task: QueuedTask, place: Placement): string {
+    const { tracer, policy } = this.options;
+    if (!tracer) return task.traceparent;
+    const peer = this.sidecars.get(place.sidecar);
+    const decision = { policy, place, peer, idle: lane.pool.size, queued: lane.queue.length };
+    return traceStart(tracer, task, decision);
+  }
+
   private borrow(lane: Lane): void {
     if (lane.asking !== undefined || this.options.policy !== 'credits') return;
     const entry = this.loads.mostIdle(lane.service);
@@ -324,14 +340,16 @@
     const value = create(BorrowSchema, { service: lane.service, wanted: lane.queue.length });
     if (this.options.sendToEntry(entry, { case: 'borrow', value })) {
       lane.asking = entry;
+      this.options.metrics?.borrowAsked(lane.service);
     } else {
       this.loads.drop(entry);
     }
   }
 
-  private startAgain(task: QueuedTask): void {
+  private startAgain(task: QueuedTask, because: string): void {
     task.notStarted();
     if (!task.isWanted()) return;
+    task.requeued = { at: this.options.timer.now(), because };
     const lane = this.laneOf(task.service);
     lane.queue.pushFront(task);
     this.pump(lane);
@@ -356,6 +374,8 @@
   private attemptLost(task: QueuedTask, reason: string): void {
     if (task.retryable && task.isWanted() && this.options.mayRetry(task.service)) {
       task.attempt += 1;
+      task.requeued = { at: this.options.timer.now(), because: reason };
+      this.options.metrics?.taskRetried(task.service);
       const lane = this.laneOf(task.service);
       lane.queue.pushFront(task);
       this.pump(lane);
--- a/src/entry/EntryOptions.ts
+++ b/src/entry/EntryOptions.ts
@@ -2,6 +2,8 @@
 import type Random from '../core/Random';
 import type TimerService from '../core/TimerService';
 import type Network from '../link/Network';
+import type EntryMetrics from '../observe/EntryMetrics';
+import type Tracer from '../observe/Tracer';
 import type EntrySettings from '../settings/EntrySettings';
 import type Store from '../store/Store';
 
@@ -15,6 +17,10 @@
   readonly network: Network;
   readonly store: Store;
   readonly log: Pick<ConsolaInstance, 'error' | 'info' | 'warn'>;
+  /** Told of what this entry does. */
+  readonly metrics?: EntryMetrics;
+  /** Traces requests; undefined when nothing is traced. */
+  readonly tracer?: Tracer;
   /** Address of this process's operators' listener, once it listens; it is told to other processes. */
   readonly operators?: () => string;
 }
