Let every process catch up with the newest configuration and view

Cause: after an outage an entry could rest for up to 45 s before it listed the store again, a watch on a dead connection went unnoticed for 32 s, and nothing evened out two linked processes. A sidecar forgot the limits of a removed service; its jobs could no longer be asked for. Change: each lease renewal tells the watch whether the store answers. Heartbeats carry the versions: whoever is behind is sent what it lacks, also through a sidecar. An entry that can't become a member keeps links to the peers of its settings, in place of asking them once, and takes callers' requests only after the store or all of them were asked. Applied manifests carry the services and teams removed lately, so that work of theirs finishes and can be asked for, also after a restart.

--- a/src/ctl/ManifestStore.ts
+++ b/src/ctl/ManifestStore.ts
@@ -8,6 +8,7 @@
 import type StoreItem from '../store/StoreItem';
 import type CtlContext from './CtlContext';
 import type Problem from './Problem';
+import retireParts from './retireParts';
 import type StoredManifest from './StoredManifest';
 
 /** The applied manifests in the platform's key-value service: the one in force and the last ones before it. */
@@ -47,11 +48,14 @@
     planned: StoredManifest | undefined,
     rollbackOf?: number,
   ): ResultAsync<Swapped, Problem> {
+    const nowMs = this.context.timer.wall();
+    const retired = retireParts(planned, manifest, nowMs);
     const next: StoredManifest = {
       version: (planned?.version ?? 0) + 1,
       applyId: this.context.newId(),
       manifest,
-      appliedAt: new Date(this.context.timer.wall()).toISOString(),
+      appliedAt: new Date(nowMs).toISOString(),
+      ...(retired ? { retired } : {}),
       ...(rollbackOf === undefined ? {} : { rollbackOf }),
     };
     return this.keep(planned)
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -2,6 +2,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import CallerServer from '../callers/CallerServer';
 import type CallerSubmission from '../callers/CallerSubmission';
+import listenProblem from '../core/listenProblem';
 import ownerOf from '../core/ownerOf';
 import Versioned from '../core/Versioned';
 import Dispatcher from '../dispatch/Dispatcher';
@@ -30,10 +31,12 @@
 import type Link from '../link/Link';
 import type Listener from '../link/Listener';
 import type PeerHandlers from '../link/PeerHandlers';
+import type PeerMessage from '../link/PeerMessage';
 import PROTOCOL_VERSION from '../link/PROTOCOL_VERSION';
 import Membership from '../membership/Membership';
 import StoreWatch from '../membership/StoreWatch';
 import Recovery from '../recovery/Recovery';
+import type Manifest from '../settings/Manifest';
 import Admission from './Admission';
 import type EntryAddresses from './EntryAddresses';
 import EntryLinks from './EntryLinks';
@@ -46,6 +49,7 @@
 import RetryBudget from './RetryBudget';
 import Router from './Router';
 import SidecarLinks from './SidecarLinks';
+import SeedLinks from './SeedLinks';
 import Sightings from './Sightings';
 
 /**
@@ -88,6 +92,10 @@
 
   private listener: Listener | undefined;
 
+  private watch: StoreWatch | undefined;
+
+  private readonly seeds: SeedLinks;
+
   private constructor(private readonly options: EntryOptions) {
     this.budget = RetryBudget.create((name) => this.manifest.service(name)?.retryBudget ?? 0);
     this.dispatcher = this.createDispatcher();
@@ -97,6 +105,7 @@
     this.sightings = this.createSightings();
     this.sidecarLinks = this.createSidecarLinks();
     this.entryLinks = this.createEntryLinks();
+    this.seeds = this.createSeedLinks();
     this.callers = this.createCallerServer();
   }
 
@@ -117,7 +126,7 @@
 
   /** Whether requests can be served: a configuration is in force and there is a view. */
   get isReady(): boolean {
-    return !this.leaving && this.manifest.current !== undefined && this.views.number > 0n;
+    return !this.leaving && this.callersManifest !== undefined && this.views.number > 0n;
   }
 
   /** The addresses in use, once it listens. */
@@ -131,7 +140,7 @@
     if (peers.isErr()) return err(peers.error);
     const { listen } = this.options.settings;
     const callers = await this.callers.listen(listen.callers);
-    if (callers.isErr()) return err(`${listen.callers}: ${callers.error.message}`);
+    if (callers.isErr()) return err(`${listen.callers}: ${listenProblem(callers.error)}`);
     this.addresses = { callers: callers.value, peers: peers.value };
     return ok(this.addresses);
   }
@@ -154,8 +163,8 @@
   async run(signal: AbortSignal): Promise<'stopped' | 'removed'> {
     const stop = new AbortController();
     const membership = this.createMembership();
-    const watch = this.createWatch(membership);
-    const watching = watch.run(stop.signal);
+    this.watch = this.createWatch(membership);
+    const watching = Promise.all([this.watch.run(stop.signal), this.seeds.run(stop.signal)]);
     const unsubscribe = this.subscribe();
     const sweep = this.options.timer.every(SWEEP_MS, () => this.sweep());
     const ended = await Promise.race([membership.run(stop.signal), whenAborted(signal)]);
@@ -182,6 +191,16 @@
     return inspectEntry(this, this.options, this.leaving, req.job);
   }
 
+  /**
+   * The manifest for callers' requests. It is used once the store or all the
+   * peers of the settings have been asked, so that an entry that starts again
+   * does not go back to a version older than one it had.
+   */
+  private get callersManifest(): Manifest | undefined {
+    const hasAsked = this.seeds.hasAsked || this.watch?.hasListed;
+    return hasAsked ? this.manifest.withRemoved : undefined;
+  }
+
   private subscribe(): () => void {
     const unsubscribeView = this.views.subscribe((view) => this.viewChanged(view));
     const unsubscribe = this.configurations.subscribe((value) => {
@@ -223,8 +242,8 @@
   private async finishCallers(): Promise<void> {
     const { timer, settings } = this.options;
     const deadline = timer.now() + settings.stop.drainMs;
-    const closed = this.callers.close();
-    await Promise.race([closed, timer.sleep(settings.stop.drainMs)]);
+    const closed = this.callers.close(settings.stop.drainMs);
+    await Promise.race([closed, timer.sleep(settings.stop.drainMs + LINGER_MS)]);
     while (this.jobs.open > 0 && timer.now() < deadline) await timer.sleep(DRAIN_POLL_MS);
   }
 
@@ -401,7 +420,8 @@
         clockSkewMs: settings.recovery.clockSkewMs,
         ownsNew: (key) => this.ownsNew(key),
         resolve: (key, createdMs) => this.recovery.resolve(key, createdMs),
-        refuse: (submission, keptBytes) => admission.refuse(submission, keptBytes),
+        refuse: (submission, keptBytes, isContinued) =>
+          admission.refuse(submission, keptBytes, isContinued),
         retentionOf: (name) => service(name)?.retentionMs ?? this.manifest.longestRetentionMs,
         taskTimeoutOf: (name) => service(name)!.timeoutMs,
         jobTimeoutOf: (name) => service(name)!.jobTimeoutMs,
@@ -445,6 +465,8 @@
         timer,
         self: this.self,
         viewNumber: () => this.views.number,
+        views: this.views,
+        configurations: this.configurations,
         witnessMs: settings.recovery.witnessMs,
         keepAlive: settings.heartbeat,
         heartbeat: () => this.heartbeat(),
@@ -476,7 +498,11 @@
       greet: (link) => this.greet(link),
       receive: (from, message) => {
         const { views, configurations, dispatcher, recovery, entryLinks, sightings } = this;
-        const parts = { views, configurations, dispatcher, recovery, entryLinks, sightings, from };
+        const heartbeat = (): PeerMessage => ({ case: 'heartbeat', value: this.heartbeat() });
+        const parts = {
+          ...{ views, configurations, dispatcher, recovery, entryLinks, sightings },
+          ...{ heartbeat, from },
+        };
         handleMessage(entryMessageHandlers, parts, message);
       },
       unlinked: (incarnation) => this.dispatcher.entryLost(incarnation),
@@ -484,15 +510,31 @@
     });
   }
 
+  private createSeedLinks(): SeedLinks {
+    const { timer, random, network, settings } = this.options;
+    return SeedLinks.create({
+      ...{ timer, random, network },
+      addresses: settings.peers,
+      self: this.self,
+      hello: () => this.hello(),
+      keepAlive: settings.heartbeat,
+      views: this.views,
+      configurations: this.configurations,
+      isNeeded: () => !this.leaving && !this.isMember && this.entryLinks.linked().length === 0,
+    });
+  }
+
   private createCallerServer(): CallerServer {
-    const { settings, timer, log } = this.options;
+    const { settings, timer, random, log } = this.options;
     return CallerServer.create({
       limits: settings.limits,
-      manifest: () => this.manifest.current,
-      wall: () => timer.wall(),
+      manifest: () => this.callersManifest,
+      timer,
+      random,
       isLeaving: () => this.leaving,
-      failed: (error) => log.error(`internal error at a request: ${error.stack ?? error}`),
       submit: (submission, gone) => this.submit(submission, gone),
+      failed: (error) =>
+        log.error(`internal error at a request: ${(error as Error).stack ?? error}`),
     });
   }
 
@@ -507,9 +549,17 @@
       isSuspected: (incarnation) => this.entryLinks.isSuspected(incarnation),
       retentionMs: () => this.manifest.longestRetentionMs,
       leaseMs: settings.store.leaseMs,
+      answered: (isAnswered) => this.watch?.note(isAnswered),
     });
   }
 
+  private storeReached(failure: string | undefined): void {
+    const { log, settings } = this.options;
+    const { address } = settings.store;
+    if (failure === undefined) log.info(`store ${address} answers again`);
+    else log.warn(`store ${address} cannot be reached: ${failure}; going on with what is known`);
+  }
+
   private createWatch(membership: Membership): StoreWatch {
     const { store, timer, random } = this.options;
     return StoreWatch.create({
@@ -519,6 +569,7 @@
       views: this.views,
       configurations: this.configurations,
       onPresent: (present) => membership.observe(present),
+      onReach: (failure) => this.storeReached(failure),
     });
   }
 }
--- a/src/entry/Jobs.ts
+++ b/src/entry/Jobs.ts
@@ -207,7 +207,7 @@
     if (provenance.kind === 'unavailable') {
       return answerOf(refusal(Outcome.UNKNOWN, provenance.reason, RESOLVE_AGAIN_MS));
     }
-    const refused = this.refuseUnready(submission);
+    const refused = this.refuseUnready(submission, provenance.kind !== 'fresh');
     if (refused && provenance.kind === 'fresh') return answerOf(refused);
     if (refused) {
       return answerOf(refusal(Outcome.UNKNOWN, refused.reason, refused.retryAfterMs));
@@ -339,8 +339,8 @@
     return undefined;
   }
 
-  private refuseUnready(submission: Submission): Answer | undefined {
-    return this.options.refuse(submission, this.keptBytes);
+  private refuseUnready(submission: Submission, isContinued = false): Answer | undefined {
+    return this.options.refuse(submission, this.keptBytes, isContinued);
   }
 }
 
--- a/src/entry/SidecarLinksOptions.ts
+++ b/src/entry/SidecarLinksOptions.ts
@@ -1,6 +1,7 @@
 import type TimerService from '../core/TimerService';
 import type SidecarPeer from '../dispatch/SidecarPeer';
-import type { Heartbeat } from '../gen/magnoliakeel/v1/peer_pb';
+import type Versioned from '../core/Versioned';
+import type { Configuration, Heartbeat, View } from '../gen/magnoliakeel/v1/peer_pb';
 import type KeepAliveLimits from '../link/KeepAliveLimits';
 import type Link from '../link/Link';
 
@@ -13,6 +14,8 @@
   readonly witnessMs: number;
   readonly keepAlive: KeepAliveLimits;
   readonly heartbeat: () => Heartbeat;
+  readonly views: Versioned<View>;
+  readonly configurations: Versioned<Configuration>;
   /** Sends what a newly linked process has to know. */
   readonly greet: (link: Link) => void;
   /** Told when a sidecar has linked. */
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -100,6 +100,8 @@
     this.dialler = this.createDialler();
     this.parts = {
       ...{ view, credits },
+      configurations: this.services.newest,
+      heartbeat: () => this.heartbeat(),
       lease: this.lease,
       tasks: this.tasks,
       evidence: this.evidence,
@@ -308,6 +310,10 @@
 
   private heartbeatTo(peer: EntryPeer): PeerMessage {
     peer.countSent('heartbeat');
+    return this.heartbeat();
+  }
+
+  private heartbeat(): PeerMessage {
     const value = create(HeartbeatSchema, {
       configurationVersion: this.services.version,
       viewNumber: this.view.number,
--- a/test/support/ManualTimer.ts
+++ b/test/support/ManualTimer.ts
@@ -25,6 +25,11 @@
     return new ManualTimer(rounds);
   }
 
+  /** Whether anything waits for the time to move. */
+  get isAwaited(): boolean {
+    return this.entries.size > 0;
+  }
+
   now(): number {
     return this.time;
   }
@@ -80,11 +85,6 @@
     this.time = target;
   }
 
-  /** Whether something waits for the time to move. */
-  get isAwaited(): boolean {
-    return this.entries.size > 0;
-  }
-
   /** Moves the time without running anything, as when this process itself is stopped for so long. */
   jump(ms: number): void {
     this.time += ms;
--- a/tools/harness/Cluster.ts
+++ b/tools/harness/Cluster.ts
@@ -3,6 +3,7 @@
 import path from 'node:path';
 import { request } from 'undici';
 import { stringify } from 'yaml';
+import type StandInFaults from '../backend/StandInFaults';
 import type ClusterSize from './ClusterSize';
 import type ProcessWatch from './ProcessWatch';
 import Processes from './Processes';
@@ -14,6 +15,8 @@
   readonly watch?: ProcessWatch;
   /** Address that backend servers report each start to before they run it, "ip:port". */
   readonly recorder?: string;
+  /** The program that daemons are run from, when it is not the daemon as it ships. */
+  readonly program?: string;
 }
 
 /**
@@ -136,6 +139,15 @@
     this.backends.set(name, listening);
   }
 
+  /** Tells a backend server stand-in to show faults. */
+  async putFaults(backend: string, faults: Partial<StandInFaults>): Promise<void> {
+    const { body } = await request(`${this.backendAddress(backend)}/faults`, {
+      method: 'PUT',
+      body: JSON.stringify(faults),
+    });
+    await body.dump();
+  }
+
   /** How often each task was started, over all backend servers. */
   async starts(): Promise<Map<string, number>> {
     const totals = new Map<string, number>();
@@ -173,6 +185,7 @@
     await writeFile(file, stringify(settings));
     this.processes.start(name, 'magnoliakeeld', ['--config', file]);
     this.operators.set(name, await this.processes.waitFor(name, /for operators on ([\d.:]+)/));
+    this.processes.start(name, this.overrides.program ?? 'magnoliakeeld', ['--config', file]);
   }
 
   private zoneOf(name: string): string {
