--- a/src/entry/SidecarLinks.ts
+++ b/src/entry/SidecarLinks.ts
@@ -13,6 +13,7 @@
 import type Link from '../link/Link';
 import type MessageHandlers from '../link/MessageHandlers';
 import type PeerMessage from '../link/PeerMessage';
+import catchUp from '../membership/catchUp';
 import type Recovery from '../recovery/Recovery';
 import type SidecarLinksOptions from './SidecarLinksOptions';
 
@@ -118,7 +119,8 @@
   private receive(peer: SidecarPeer, message: PeerMessage): void {
     const { dispatcher, recovery } = this;
     const adoptions = this.adoptions.get(peer.incarnation);
-    handleMessage(handlers, { dispatcher, recovery, peer, adoptions }, message);
+    const { options } = this;
+    handleMessage(handlers, { dispatcher, recovery, peer, adoptions, options }, message);
   }
 
   private end(peer: SidecarPeer, link: Link): void {
@@ -158,9 +160,19 @@
   readonly recovery: Recovery;
   readonly peer: SidecarPeer;
   readonly adoptions: ((adopted: Adopted | undefined) => void)[] | undefined;
+  readonly options: SidecarLinksOptions;
 }
 
 const handlers: MessageHandlers<Context> = {
+  // A sidecar passes on what another entry told it: some entries can't reach one another.
+  view: ({ options }, view) => options.views.adopt(view),
+  configuration: ({ options }, configuration) => options.configurations.adopt(configuration),
+  heartbeat: ({ options, peer }, heartbeat) => {
+    const { views, configurations } = options;
+    const send = (message: PeerMessage) => peer.link?.send(message);
+    const beat = (): PeerMessage => ({ case: 'heartbeat', value: options.heartbeat() });
+    catchUp({ views, configurations, send, heartbeat: beat }, heartbeat);
+  },
   grant: ({ dispatcher, peer }, grant) => dispatcher.granted(peer, grant),
   done: ({ dispatcher, peer }, done) => dispatcher.done(peer, done),
   refuse: ({ dispatcher, peer }, refuse) => dispatcher.refused(peer, refuse),
--- a/src/membership/readConfiguration.ts
+++ b/src/membership/readConfiguration.ts
@@ -12,6 +12,7 @@
       create(ConfigurationSchema, {
         version: BigInt(stored.version),
         manifest: JSON.stringify(stored.manifest),
+        retired: isObject(stored.retired) ? JSON.stringify(stored.retired) : '',
       }),
     );
   });
@@ -20,6 +21,7 @@
 interface StoredManifest {
   readonly version: number;
   readonly manifest: object;
+  readonly retired?: unknown;
 }
 
 function isStored(value: unknown): value is StoredManifest {
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -101,6 +101,8 @@
     this.dialler = this.createDialler();
     this.parts = {
       ...{ view, credits },
+      configurations: this.services.newest,
+      heartbeat: () => this.heartbeat(),
       lease: this.lease,
       tasks: this.tasks,
       evidence: this.evidence,
--- a/test/daemon/startAndStop.test.ts
+++ b/test/daemon/startAndStop.test.ts
@@ -41,7 +41,12 @@
     /^never$/,
   );
   const peers = await runEntry({ peers: `127.0.0.1:${port}` }, new AbortController(), /^never$/);
-  expect([callers, peers]).toMatchInlineSnapshot(`
+  const operators = await runEntry(
+    { operators: `127.0.0.1:${port}` },
+    new AbortController(),
+    /^never$/,
+  );
+  expect([callers, peers, operators]).toMatchInlineSnapshot(`
     [
       {
         "code": 4,
@@ -55,6 +60,12 @@
           "cannot listen: ADDRESS: the port is taken by another process",
         ],
       },
+      {
+        "code": 4,
+        "lines": [
+          "cannot listen: ADDRESS: the port is taken by another process",
+        ],
+      },
     ]
   `);
 });
