--- a/src/entry/EntryOptions.ts
+++ b/src/entry/EntryOptions.ts
@@ -20,7 +20,7 @@
   readonly metrics?: EntryMetrics;
   /** Traces requests; undefined when nothing is traced. */
   readonly tracer?: Tracer;
-  readonly log: Pick<ConsolaInstance, 'info' | 'warn'>;
+  readonly log: Pick<ConsolaInstance, 'error' | 'info' | 'warn'>;
   /** Address of this process's operators' listener, once it listens; it is told to other processes. */
   readonly operators?: () => string;
 }
