--- a/tools/harness/Processes.ts
+++ b/tools/harness/Processes.ts
@@ -29,8 +29,9 @@
     return pid;
   }
 
-  /** Starts one of the built programs of `dist`. */
+  /** Starts one of the built programs of `dist`. A name stands for one process at a time. */
   start(name: string, program: string, args: readonly string[]): void {
+    if (this.children.has(name)) throw new Error(`${name} runs already`);
     const child = spawn(process.execPath, [`dist/${program}.js`, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
