--- a/src/entry/EntryOptions.ts
+++ b/src/entry/EntryOptions.ts
@@ -16,11 +16,11 @@
   readonly random: Random;
   readonly network: Network;
   readonly store: Store;
-  readonly log: Pick<ConsolaInstance, 'error' | 'info' | 'warn'>;
   /** Told of what this entry does. */
   readonly metrics?: EntryMetrics;
   /** Traces requests; undefined when nothing is traced. */
   readonly tracer?: Tracer;
+  readonly log: Pick<ConsolaInstance, 'error' | 'info' | 'warn'>;
   /** Address of this process's operators' listener, once it listens; it is told to other processes. */
   readonly operators?: () => string;
 }
--- a/src/membership/StoreWatch.ts
+++ b/src/membership/StoreWatch.ts
@@ -29,6 +29,14 @@
 
   private unread = 0;
 
+  /** Ends the watch under way. */
+  private watching = new AbortController();
+
+  /** Ends the rest after a failure. */
+  private resting = new AbortController();
+
+  private listed = false;
+
   private isFailing = false;
 
   private constructor(private readonly options: StoreWatchOptions) {
@@ -61,6 +69,21 @@
     return this.revision !== undefined;
   }
 
+  /** Whether the store has told at least once what it holds. */
+  get hasListed(): boolean {
+    return this.listed;
+  }
+
+  /**
+   * Takes note of whether another call of this process was answered, since a
+   * watch that waits can't tell: after a failure it is begun anew, and after a
+   * success a rest is over.
+   */
+  note(isAnswered: boolean): void {
+    if (isAnswered) this.resting.abort();
+    else this.watching.abort();
+  }
+
   /** Number of values met that could not be read. They were passed over. */
   get unreadable(): number {
     return this.unread;
@@ -79,7 +102,9 @@
       }
       this.reached(changes.error.reason);
       this.revision = undefined;
-      await this.options.timer.sleep(this.backoff.next(), signal);
+      this.resting = new AbortController();
+      const rest = AbortSignal.any([signal, this.resting.signal]);
+      await this.options.timer.sleep(this.backoff.next(), rest);
     }
   }
 
@@ -91,14 +116,16 @@
 
   private next(signal: AbortSignal): ResultAsync<StoreChanges, StoreError> {
     const { store } = this.options;
-    return this.revision === undefined
-      ? store.list('')
-      : store.watch('', this.revision, WAIT_MS, signal);
+    if (this.revision === undefined) return store.list('');
+    this.watching = new AbortController();
+    const end = AbortSignal.any([signal, this.watching.signal]);
+    return store.watch('', this.revision, WAIT_MS, end);
   }
 
   private take(changes: StoreChanges): void {
     const isListing = this.revision === undefined;
     this.revision = changes.revision;
+    this.listed = true;
     if (isListing) this.present.clear();
     changes.deleted.filter(isEntry).forEach((key) => this.present.delete(incarnationOf(key)));
     const arrived = changes.items.filter(({ key }) => isEntry(key));
