Measure removal from the view against one timeout for both questions

Cause: the design keeps suspicion and removal apart; that needs a figure. Change: a simulation of the real memberships under pauses, deaths, a split of the regions and a store outage, with three ways to decide a removal.

--- /dev/null
+++ b/tools/measureMembership/SimulatedEntry.ts
@@ -0,0 +1,80 @@
+import { create } from '@bufbuild/protobuf';
+import type Random from '../../src/core/Random';
+import Versioned from '../../src/core/Versioned';
+import {
+  ConfigurationSchema,
+  MemberSchema,
+  type View,
+  ViewSchema,
+} from '../../src/gen/magnoliakeel/v1/peer_pb';
+import Membership from '../../src/membership/Membership';
+import StoreWatch from '../../src/membership/StoreWatch';
+import type ManualTimer from '../../test/support/ManualTimer';
+import type Engine from '../platform/Engine';
+import type policies from './policies';
+
+/** One run of an entry's membership; pauses and death are set from outside. */
+export default class SimulatedEntry {
+  /** Silent until this time: paused. */
+  pausedUntil = 0;
+
+  dead = false;
+
+  /** Why the membership has ended, once it has. */
+  ended: 'stopped' | 'removed' | undefined;
+
+  readonly views = Versioned.of<View>(create(ViewSchema), ({ number }) => number);
+
+  private readonly stop = new AbortController();
+
+  private constructor(
+    readonly instance: string,
+    readonly incarnation: string,
+    readonly region: number,
+  ) {}
+
+  /** Starts an entry that joins and stays as the policy says. */
+  static start(
+    names: { readonly instance: string; readonly incarnation: string; readonly region: number },
+    parts: {
+      readonly timer: ManualTimer;
+      readonly engine: Engine;
+      readonly random: Random;
+      readonly policy: (typeof policies)[number];
+      readonly leaseMs: number;
+      readonly isSilent: (from: SimulatedEntry, incarnation: string) => boolean;
+    },
+  ): SimulatedEntry {
+    const { timer, random, policy, leaseMs } = parts;
+    const entry = new SimulatedEntry(names.instance, names.incarnation, names.region);
+    const store = parts.engine.client(names.incarnation);
+    const membership = Membership.create({
+      ...{ timer, random, leaseMs, views: entry.views },
+      store: policy.storeOf(store),
+      self: create(MemberSchema, { instance: names.instance, incarnation: names.incarnation }),
+      isSuspected: (other) => !policy.needsSilence || parts.isSilent(entry, other),
+      retentionMs: () => 600_000,
+    });
+    const configurations = Versioned.of(create(ConfigurationSchema), ({ version }) => version);
+    const watch = StoreWatch.create({
+      ...{ store, timer, random, views: entry.views, configurations },
+      onPresent: (present) => membership.observe(policy.seesLeases ? present : new Set()),
+    });
+    watch.run(entry.stop.signal).catch(() => undefined);
+    membership.run(entry.stop.signal).then((ended) => {
+      entry.ended = ended;
+    });
+    return entry;
+  }
+
+  /** Ends the entry without a farewell. */
+  kill(): void {
+    this.dead = true;
+    this.stop.abort();
+  }
+
+  /** Whether it can work at a time. */
+  isUp(now: number): boolean {
+    return !this.dead && this.ended === undefined && now >= this.pausedUntil;
+  }
+}
