Replace all instances one by one without an unknown answer

Cause: an entry that had left in good order counted like a killed one: once sidecars had left too, jobs of its range created up to the clock skew later were in doubt and failed as unknown. Change: an entry with no open job whose records were all taken is written into the past view as departed and is never in doubt; records carry the sidecars of their tasks, so that the receiver's settlements cover them; a refused retry does not hide that an earlier attempt was started. Ruled out: settling by broadcast only, which a later member may not have heard.

--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -213,8 +213,9 @@
     this.options.log.info('leaving');
     await membership.retire();
     await this.finishCallers();
-    await handOver(this.jobs.answered(), this.views.current, this.options.network);
-    await membership.leave();
+    const { jobs, views, options } = this;
+    const isTaken = await handOver(jobs.answered(), views.current, options.network);
+    await membership.leave(isTaken && jobs.open === 0);
     this.sidecarLinks.broadcast({ case: 'goodbye', value: create(GoodbyeSchema) });
     this.entryLinks.broadcast({ case: 'goodbye', value: create(GoodbyeSchema) });
   }
@@ -257,6 +258,7 @@
       handover: async ({ view, records }) => {
         if (view) this.views.adopt(view);
         this.jobs.takeOver(records);
+        this.sightings.took(records);
         return create(HandoverResponseSchema);
       },
       inspect: async (req) => this.inspect(req),
--- a/src/entry/Job.ts
+++ b/src/entry/Job.ts
@@ -4,6 +4,8 @@
 import {
   type Answer,
   AnswerSchema,
+  type JobRecord,
+  JobRecordSchema,
   Outcome,
   type Submission,
   type TaskResult,
@@ -49,12 +51,22 @@
   }
 
   /** Creates the record of a job that another entry finished. */
-  static fromAnswer(key: string, digest: string, createdMs: number, answer: Answer): Job {
-    const job = new Job(key, '', digest, createdMs, answer.size);
+  static fromRecord({ job: key, digest, createdMs, sidecars }: JobRecord, answer: Answer): Job {
+    const job = new Job(key, '', digest, Number(createdMs), answer.size);
+    sidecars.forEach((sidecar, index) => job.starting(index, sidecar));
     job.final = answer;
     return job;
   }
 
+  /** The record for the job's next owner, once there is an answer. */
+  get record(): JobRecord | undefined {
+    if (!this.final) return undefined;
+    const sidecars = [...new Set(this.places)].filter((place) => place !== undefined);
+    const { key: job, digest, final: answer } = this;
+    const createdMs = BigInt(this.createdMs);
+    return create(JobRecordSchema, { job, digest, createdMs, answer, sidecars });
+  }
+
   /** The final answer, once there is one. */
   get answer(): Answer | undefined {
     return this.final;
--- a/src/entry/Jobs.ts
+++ b/src/entry/Jobs.ts
@@ -7,7 +7,6 @@
   type Answer,
   AnswerSchema,
   type JobRecord,
-  JobRecordSchema,
   Outcome,
   type Submission,
   TaskResultSchema,
@@ -137,10 +136,10 @@
 
   /** Takes records that a leaving entry hands over. */
   takeOver(records: readonly JobRecord[]): void {
-    records.forEach(({ job: key, digest, createdMs, answer }) => {
-      if (!answer || this.records.has(key)) return;
-      const job = Job.fromAnswer(key, digest, Number(createdMs), answer);
-      this.records.set(key, job);
+    records.forEach((record) => {
+      if (!record.answer || this.records.has(record.job)) return;
+      const job = Job.fromRecord(record, record.answer);
+      this.records.set(job.key, job);
       this.keptBytes += job.bytes;
     });
   }
@@ -148,10 +147,8 @@
   /** The answered records, for handing over. */
   answered(): JobRecord[] {
     return [...this.records.values()]
-      .filter((job) => job.answer)
-      .map(({ key, digest, createdMs, answer }) =>
-        create(JobRecordSchema, { job: key, digest, createdMs: BigInt(createdMs), answer }),
-      );
+      .map(({ record }) => record)
+      .filter((record) => record !== undefined);
   }
 
   /** Keys of the jobs that had tasks on a sidecar. */
@@ -265,7 +262,7 @@
   }
 
   private taskOf(job: Job, submission: Submission, input: Uint8Array, index: number): QueuedTask {
-    return {
+    const task: QueuedTask = {
       job: job.key,
       index,
       service: submission.service,
@@ -281,12 +278,15 @@
       attempt: 0,
       isWanted: () => !job.answer,
       starting: (sidecar) => job.starting(index, sidecar),
-      notStarted: () => job.notStarted(index),
+      notStarted: () => {
+        if (task.attempt === 0) job.notStarted(index);
+      },
       settled: (result) => {
         job.settle(result);
         if (job.answer) this.finished(job);
       },
     };
+    return task;
   }
 
   private limitTime(job: Job, submission: Submission): void {
--- a/src/entry/Sightings.ts
+++ b/src/entry/Sightings.ts
@@ -1,6 +1,7 @@
 import { create } from '@bufbuild/protobuf';
 import type SidecarPeer from '../dispatch/SidecarPeer';
 import {
+  type JobRecord,
   type RosterItem,
   RosterSchema,
   type Settlement,
@@ -34,6 +35,14 @@
     this.sight(peer, true);
   }
 
+  /** Takes note of records from a leaving entry: sidecars settled before may have had tasks of these jobs. */
+  took(records: readonly JobRecord[]): void {
+    const { recovery, self, keysOn } = this.options;
+    [...new Set(records.flatMap(({ sidecars }) => sidecars))]
+      .filter((sidecar) => recovery.settlements.has(sidecar, self))
+      .forEach((sidecar) => this.settle(sidecar, keysOn(sidecar), false));
+  }
+
   /** Contradicts items that call a sidecar ended which is linked here. */
   correct(news: readonly RosterItem[]): void {
     const { linkedPeer } = this.options;
--- a/src/entry/handOver.ts
+++ b/src/entry/handOver.ts
@@ -3,18 +3,21 @@
 import { HandoverRequestSchema, type JobRecord, type View } from '../gen/magnoliakeel/v1/peer_pb';
 import type Network from '../link/Network';
 
-/** Gives the records of a leaving entry to the entries that own their jobs next. */
+/**
+ * Gives the records of a leaving entry to the entries that own their jobs next,
+ * and says whether all of them were taken.
+ */
 export default async function handOver(
   records: readonly JobRecord[],
   view: View,
   network: Pick<Network, 'handover'>,
-): Promise<void> {
+): Promise<boolean> {
   const owners = view.members.filter(({ leaving }) => !leaving);
   const names = owners.map(({ incarnation }) => incarnation);
+  if (names.length === 0) return records.length === 0;
   const byOwner = new Map<string, JobRecord[]>();
   records.forEach((record) => {
-    const owner = ownerOf(record.job, names);
-    if (owner === undefined) return;
+    const owner = ownerOf(record.job, names)!;
     byOwner.set(owner, [...(byOwner.get(owner) ?? []), record]);
   });
   const given = owners.flatMap(({ incarnation, address }) =>
@@ -22,7 +25,8 @@
       network.handover(address, create(HandoverRequestSchema, { view, records: batch })),
     ),
   );
-  await Promise.all(given);
+  const replies = await Promise.all(given);
+  return replies.every((reply) => reply.isOk());
 }
 
 const BATCH_RECORDS = 200;
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -113,13 +113,18 @@
     return this.task;
   }
 
-  /** Leaves the view and ends the lease, in a bounded number of tries. */
-  async leave(): Promise<void> {
+  /**
+   * Leaves the view and ends the lease, in a bounded number of tries. In good
+   * order means that no job is open here and the others have all records.
+   */
+  async leave(inGoodOrder = false): Promise<void> {
+    const { incarnation } = this.options.self;
     this.leaving = true;
     this.end();
     await this.task;
-    await this.changeView(async (view) =>
-      this.isIn(view) ? without(view, new Set([this.options.self.incarnation])) : undefined,
+    await this.changeView(
+      async (view) => (this.isIn(view) ? without(view, new Set([incarnation])) : undefined),
+      inGoodOrder ? [incarnation] : [],
     );
     const revoked = await this.lease.revoke();
     if (revoked.isErr()) await this.lease.revoke();
@@ -223,6 +228,7 @@
    */
   private async changeView(
     decide: (view: View) => Promise<readonly Member[] | undefined>,
+    departed: readonly string[] = [],
   ): Promise<View | undefined> {
     const { store, timer, random, retentionMs } = this.options;
     const result = await changeKey({
@@ -237,7 +243,7 @@
         const members = view && (await decide(view));
         if (!members) return undefined;
         const keepMs = retentionMs() + PAST_MARGIN_MS;
-        return toJsonString(ViewSchema, nextView(view, members, timer.wall(), keepMs));
+        return toJsonString(ViewSchema, nextView(view, members, timer.wall(), keepMs, departed));
       },
     });
     return result.isOk() ? this.stored(result.value) : undefined;
--- a/src/membership/nextView.ts
+++ b/src/membership/nextView.ts
@@ -10,12 +10,14 @@
 /**
  * The view that follows another one, with new members. The replaced view joins
  * the past ones; those that ended longer than `keepMs` ago are dropped.
+ * `departed` are members of the replaced view that left nothing open.
  */
 export default function nextView(
   view: View,
   members: readonly Member[],
   nowMs: number,
   keepMs: number,
+  departed: readonly string[] = [],
 ): View {
   const now = BigInt(Math.floor(nowMs));
   // Clocks of different entries may differ; a view never ends before it began.
@@ -25,15 +27,17 @@
     number: view.number + 1n,
     sinceMs,
     members: [...members],
-    past: [...view.past, ...replaced(view, sinceMs)].filter(({ untilMs }) => untilMs >= oldest),
+    past: [...view.past, ...replaced(view, sinceMs, departed)].filter(
+      ({ untilMs }) => untilMs >= oldest,
+    ),
   });
 }
 
-function replaced(view: View, untilMs: bigint): PastView[] {
+function replaced(view: View, untilMs: bigint, departed: readonly string[]): PastView[] {
   if (view.number === 0n) return [];
   const { number, sinceMs, members } = view;
   const namesOf = (isLeaving: boolean) =>
     members.filter((member) => member.leaving === isLeaving).map(({ incarnation }) => incarnation);
-  const past = { number, sinceMs, untilMs, incarnations: namesOf(false), leaving: namesOf(true) };
-  return [create(PastViewSchema, past)];
+  const names = { incarnations: namesOf(false), leaving: namesOf(true), departed: [...departed] };
+  return [create(PastViewSchema, { number, sinceMs, untilMs, ...names })];
 }
--- a/src/recovery/PastOwner.ts
+++ b/src/recovery/PastOwner.ts
@@ -5,4 +5,6 @@
   readonly address: string | undefined;
   /** Wall-clock time from which it was no member any more; undefined while it is one. */
   readonly removedMs: number | undefined;
+  /** Whether it left in good order, so that nothing of it is in doubt. */
+  readonly departed: boolean;
 }
--- a/src/recovery/Recovery.ts
+++ b/src/recovery/Recovery.ts
@@ -62,7 +62,7 @@
     const owners = pastOwners(this.options.views.current, job, sinceMs, this.options.self);
     const claimed = await this.claim(job, owners);
     if (claimed) return claimed;
-    const removed = owners.filter((owner) => owner.address === undefined);
+    const removed = owners.filter((owner) => owner.address === undefined && !owner.departed);
     const doubts = await Promise.all(removed.map((owner) => this.inDoubt(owner, createdMs)));
     return this.collect(job, doubts.includes(true) || this.settlements.touches(job));
   }
--- a/src/recovery/pastOwners.ts
+++ b/src/recovery/pastOwners.ts
@@ -17,11 +17,14 @@
 
 function describe(view: View, incarnation: string): PastOwner {
   const member = view.members.find((candidate) => candidate.incarnation === incarnation);
-  if (member) return { incarnation, address: member.address, removedMs: undefined };
+  if (member) {
+    return { incarnation, address: member.address, removedMs: undefined, departed: false };
+  }
+  const departed = view.past.some((past) => past.departed.includes(incarnation));
   const ends = view.past
     .filter((past) => wasMember(past, incarnation))
     .map((past) => Number(past.untilMs));
-  return { incarnation, address: undefined, removedMs: Math.max(...ends) };
+  return { incarnation, address: undefined, removedMs: Math.max(...ends), departed };
 }
 
 function wasMember(past: PastView, incarnation: string): boolean {
--- /dev/null
+++ b/test/faults/leaving.test.ts
@@ -0,0 +1,48 @@
+import { afterEach, expect, test } from 'vitest';
+import System from '../support/System';
+
+const systems: System[] = [];
+
+afterEach(() => systems.splice(0).forEach((system) => system.end()));
+
+async function started(): Promise<System> {
+  const system = await System.start();
+  systems.push(system);
+  return system;
+}
+
+async function replace(system: System, ...instances: string[]): Promise<void> {
+  for (const instance of instances) {
+    system.leave(instance);
+    await system.timer.advance(3000);
+    await system.restart(instance);
+    await system.timer.advance(1500);
+  }
+}
+
+async function outcomesOf(system: System, ids: readonly string[]): Promise<string[]> {
+  const { happenings } = system;
+  const from = happenings.length;
+  ids.forEach((id) => system.call({ id, kind: 'job', tasks: [50, 50], via: 'e1', once: true }));
+  await system.until(() => system.open === 0, 20_000, 10);
+  return happenings
+    .slice(from)
+    .flatMap((event) => (event.kind === 'answered' ? [event.outcome] : []));
+}
+
+const ids = Array.from({ length: 12 }, (_, n) => `job-${n}`);
+
+test('after entries and then sidecars were replaced in good order, nothing new is in doubt', async () => {
+  const system = await started();
+  await replace(system, 'e1', 'e2', 'e3', 's1', 's2', 's3');
+  expect([...new Set(await outcomesOf(system, ids))]).toEqual(['completed']);
+});
+
+test('the answer to a job outlives the orderly end of its owner and of its sidecars', async () => {
+  const system = await started();
+  await outcomesOf(system, ids);
+  await replace(system, 'e1', 'e2', 's1', 's2', 's3');
+  const again = await outcomesOf(system, ids);
+  const starts = system.happenings.filter(({ kind }) => kind === 'started').length;
+  expect([[...new Set(again)], starts]).toEqual([['completed'], ids.length * 2]);
+});
--- a/tools/chaos/ChaosRun.ts
+++ b/tools/chaos/ChaosRun.ts
@@ -103,7 +103,7 @@
     this.client = EntryClient.of(this.cluster);
     const { entries } = this.options.size;
     const joined = this.cluster.entryNames.map((entry) =>
-      this.cluster.processes.waitFor(entry, new RegExp(`view ${entries}`)),
+      this.cluster.processes.waitFor(entry, new RegExp(`view ${entries}:`)),
     );
     await Promise.all(joined);
     this.supervisor.watch(this.cluster.processes.names.filter((name) => name !== 'platform'));
--- a/tools/harness/Processes.ts
+++ b/tools/harness/Processes.ts
@@ -10,7 +10,10 @@
 
   private readonly listeners = new Set<() => void>();
 
-  private constructor(private readonly watch: ProcessWatch) {}
+  private constructor(private readonly watch: ProcessWatch) {
+    // Whatever ends this program, nothing that it started stays behind.
+    process.once('exit', () => this.children.forEach((child) => child.kill('SIGKILL')));
+  }
 
   /** Creates an empty set of processes. */
   static create(watch: ProcessWatch = {}): Processes {
