--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -51,6 +51,7 @@
 import SidecarLinks from './SidecarLinks';
 import SeedLinks from './SeedLinks';
 import Sightings from './Sightings';
+import traceRequest from './traceRequest';
 
 /**
  * The process that takes callers' requests. It owns the jobs that fall to it
@@ -179,7 +180,17 @@
   }
 
   /** The answer to a caller's submission. */
-  async submit({ submission, keyed }: CallerSubmission, gone: AbortSignal): Promise<Answer> {
+  async submit(request: CallerSubmission, gone: AbortSignal): Promise<Answer> {
+    const { tracer } = this.options;
+    const answer = await traceRequest(tracer, request, (traced) => this.answerTo(traced, gone));
+    this.options.metrics?.requestAnswered(request.submission.service, answer.outcome);
+    return answer;
+  }
+
+  private async answerTo(
+    { submission, keyed }: CallerSubmission,
+    gone: AbortSignal,
+  ): Promise<Answer> {
     this.budget.earn(submission.service);
     if (keyed) return this.router.submit(submission, gone);
     if (!this.isMember) return notRun('this entry is not a member of the view');
@@ -217,6 +228,7 @@
   private viewChanged(view: View): void {
     const names = view.members.map(({ instance }) => instance).join(', ');
     this.options.log.info(`view ${view.number}: ${names}`);
+    this.options.metrics?.viewChanged(view);
     this.sidecarLinks.broadcast({ case: 'view', value: view });
     this.entryLinks.broadcast({ case: 'view', value: view });
     this.entryLinks.follow(view);
@@ -378,6 +390,8 @@
   private createDispatcher(): Dispatcher {
     return Dispatcher.create({
       timer: this.options.timer,
+      metrics: this.options.metrics,
+      tracer: this.options.tracer,
       random: this.options.random,
       policy: this.options.settings.dispatch.policy,
       owner: this.self,
@@ -417,6 +431,7 @@
     return Jobs.create(
       {
         timer,
+        metrics: this.options.metrics,
         clockSkewMs: settings.recovery.clockSkewMs,
         ownsNew: (key) => this.ownsNew(key),
         resolve: (key, createdMs) => this.recovery.resolve(key, createdMs),
@@ -436,6 +451,7 @@
       {
         timer,
         network,
+        tracer: this.options.tracer,
         self: this.self,
         views: this.views,
         ownerWaitMs: settings.store.leaseMs + settings.heartbeat.suspectMs,
@@ -463,6 +479,7 @@
     return SidecarLinks.create(
       {
         timer,
+        metrics: this.options.metrics,
         self: this.self,
         viewNumber: () => this.views.number,
         views: this.views,
@@ -489,6 +506,7 @@
     const { timer, random, network, settings } = this.options;
     return EntryLinks.create({
       timer,
+      metrics: this.options.metrics,
       random,
       network,
       self: this.self,
--- a/src/sidecar/Tasks.ts
+++ b/src/sidecar/Tasks.ts
@@ -11,6 +11,7 @@
   type TaskId,
   type View,
 } from '../gen/magnoliakeel/v1/peer_pb';
+import type Tracer from '../observe/Tracer';
 import type Announcement from './Announcement';
 import type BackendAnswer from './BackendAnswer';
 import type BackendClient from './BackendClient';
@@ -23,6 +24,7 @@
 import type RunningTask from './RunningTask';
 import SidecarCounters from './SidecarCounters';
 import type Slots from './Slots';
+import TaskTrace from './TaskTrace';
 import isMember from './isMember';
 
 const NO_OUTPUT = new Uint8Array();
@@ -36,6 +38,7 @@
   readonly view: Versioned<View>;
   readonly client: BackendClient;
   readonly counters: SidecarCounters;
+  readonly tracer: Tracer | undefined;
   /** The backend server that takes tasks now. */
   readonly backend: () => Announcement | undefined;
   /** Called when the backend server cannot be reached at all. */
@@ -79,17 +82,18 @@
     peer.hearWait(start.nextWaitMs);
     const backend = this.parts.backend();
     const cause = this.refusalOf(task, start, backend);
+    const trace = TaskTrace.begin(this.parts.tracer, start, peer.link.peer.instance);
     if (cause !== undefined || !backend) {
-      this.refuse(peer, task, cause ?? RefusalCause.BACKEND_GONE);
+      this.refuse(peer, task, cause ?? RefusalCause.BACKEND_GONE, trace);
       this.takeBack(start.credit);
       return;
     }
     if (start.credit) {
       this.parts.slots.take(start.credit, peer.incarnation);
-      this.run(peer, task, start, backend, start.credit.slot);
+      this.run(peer, start, backend, start.credit.slot, trace);
       return;
     }
-    this.waiting.push({ peer, start });
+    this.waiting.push({ peer, start, trace });
     this.startWaiting();
   }
 
@@ -119,14 +123,14 @@
   startWaiting(): void {
     this.waiting = this.waiting.filter(({ peer }) => !peer.link.closed.aborted);
     while (this.waiting.length > 0) {
-      const { peer, start } = this.waiting[0]!;
+      const { peer, start, trace } = this.waiting[0]!;
       const backend = this.parts.backend();
       const cause = this.refusalOf(start.task!, start, backend);
       const slot = cause === undefined ? this.parts.slots.takeIdle(peer.incarnation) : undefined;
       if (cause === undefined && slot === undefined) return;
       this.waiting.shift();
-      if (backend && slot !== undefined) this.run(peer, start.task!, start, backend, slot);
-      else this.refuse(peer, start.task!, cause ?? RefusalCause.BACKEND_GONE);
+      if (backend && slot !== undefined) this.run(peer, start, backend, slot, trace);
+      else this.refuse(peer, start.task!, cause ?? RefusalCause.BACKEND_GONE, trace);
     }
   }
 
@@ -161,7 +165,8 @@
     return undefined;
   }
 
-  private refuse(peer: EntryPeer, task: TaskId, cause: RefusalCause): void {
+  private refuse(peer: EntryPeer, task: TaskId, cause: RefusalCause, trace?: TaskTrace): void {
+    trace?.refused(cause);
     SidecarCounters.add(this.parts.counters.refusals, RefusalCause[cause]);
     peer.send({ case: 'refuse', value: create(RefuseSchema, { task, cause }) });
   }
@@ -175,19 +180,21 @@
       peer === from && names.has(nameOf(start.task!));
     const cancelled = this.waiting.filter(isCancelled);
     this.waiting = this.waiting.filter((each) => !isCancelled(each));
-    cancelled.forEach(({ start: { task } }) => {
+    cancelled.forEach(({ start: { task }, trace }) => {
       const result = resultOf(TaskStatus.CANCELLED, 'cancelled before it ran');
+      trace?.concluded(result.status, result.reason);
       from.send({ case: 'done', value: create(DoneSchema, { task, ...result }) });
     });
   }
 
   private run(
     peer: EntryPeer,
-    id: TaskId,
     start: Start,
     backend: Announcement,
     slot: number,
+    trace: TaskTrace | undefined,
   ): void {
+    const id = start.task!;
     const task: RunningTask = {
       id,
       record: this.parts.ledger.record(id, start),
@@ -197,6 +204,7 @@
       startedAt: this.parts.timer.now(),
       call: new AbortController(),
       timeout: this.parts.timer.after(start.timeoutMs, () => this.timeOut(task)),
+      trace,
     };
     this.running.set(nameOf(id), task);
     this.parts.counters.starts += 1;
@@ -204,7 +212,7 @@
       task: nameOf(id),
       input: start.input,
       timeoutMs: start.timeoutMs,
-      traceparent: start.traceparent,
+      traceparent: trace?.calling(backend) ?? start.traceparent,
     };
     this.parts.client.run(backend, call, task.call.signal).match(
       (answer) => this.answered(task, answer),
@@ -217,6 +225,7 @@
   }
 
   private answered(task: RunningTask, answer: BackendAnswer): void {
+    task.trace?.callEnded(answer.ok ? undefined : answer.reason);
     const limit = this.parts.maxOutputBytes(task.service);
     const result =
       answer.output.byteLength > limit
@@ -231,6 +240,7 @@
   }
 
   private unanswered(task: RunningTask, backend: Announcement, err: BackendError): void {
+    task.trace?.callEnded(err.reason);
     if (task.call.signal.aborted) {
       this.end(task, resultOf(TaskStatus.CANCELLED, 'cancelled while it ran'));
       return;
@@ -250,6 +260,7 @@
     this.forget(task);
     this.parts.unreachable(backend);
     this.parts.slots.release(task.slot);
+    if (!isReported) task.trace?.refused(RefusalCause.BACKEND_GONE);
     if (peer && !isReported) this.refuse(peer, task.id, RefusalCause.BACKEND_GONE);
   }
 
@@ -272,6 +283,7 @@
     const timed = { ...result, runMs };
     this.parts.ledger.finish(task.record, timed);
     SidecarCounters.add(this.parts.counters.done, TaskStatus[result.status]);
+    task.trace?.concluded(result.status, result.reason);
     this.report(task.id, timed, credit);
   }
 
@@ -288,6 +300,7 @@
 interface WaitingStart {
   readonly peer: EntryPeer;
   readonly start: Start;
+  readonly trace: TaskTrace | undefined;
 }
 
 function nameOf(id: TaskId): string {
