--- a/test/ctl/manifest.test.ts
+++ b/test/ctl/manifest.test.ts
@@ -287,3 +287,30 @@
     ]
   `);
 });
+
+test('a removed service and team are kept for the work in flight, until that is forgotten', async () => {
+  const it = new CtlCase();
+  const retired: string[] = [];
+  const apply = async (file: string) => {
+    await it.run(`apply ${file}`);
+    const stored = JSON.parse((await it.engine.get('manifest')).unwrapOr(undefined)!.value);
+    const { services = [], teams = [] } = stored.retired ?? {};
+    retired.push([...services, ...teams].map(({ name }) => name).join(' '));
+  };
+  await apply('@first.yaml');
+  await apply('@second.yaml');
+  await apply('@none-of-them.yaml');
+  await it.timer.advance(600_000);
+  await apply('@first.yaml');
+  await it.timer.advance(600_000);
+  await apply('@second.yaml');
+  expect(retired).toMatchInlineSnapshot(`
+    [
+      "",
+      "web",
+      "availability booking web",
+      "availability",
+      "web",
+    ]
+  `);
+});
--- a/test/entry/manifestView.test.ts
+++ b/test/entry/manifestView.test.ts
@@ -30,3 +30,24 @@
   const view = followed('{"services":[{"name":"booking"}]}', '{"services":1}', 'no JSON');
   expect(view.offers('booking')).toBe(true);
 });
+
+test('what was removed lately can still be asked for, also after a restart', () => {
+  const view = followed(
+    '{"services":[{"name":"booking"}],"teams":[{"name":"web","share":3}]}',
+    '{}',
+  );
+  const again = ManifestView.follow(
+    Versioned.of(
+      create(ConfigurationSchema, {
+        ...{ version: 2n, manifest: '{}' },
+        retired: '{"services":[{"name":"booking"}],"teams":[{"name":"web","share":3}]}',
+      }),
+      ({ version }) => version,
+    ),
+  );
+  const told = [view, again].map((each) => [
+    ...[each.offers('booking'), each.offersTeam('web'), each.shareOf('web')],
+    ...[each.withRemoved!.services.length, each.withRemoved!.teams.length],
+  ]);
+  expect(told).toEqual(Array(2).fill([false, false, 3, 1, 1]));
+});
--- a/test/support/System.ts
+++ b/test/support/System.ts
@@ -93,10 +93,11 @@
     return system;
   }
 
-  /** Puts the next version of the manifest into the store. */
-  async configure(): Promise<void> {
+  /** Puts the next version of the manifest into the store, with differences to the usual one. */
+  async configure(differing: object = {}, retired?: object): Promise<void> {
     this.manifestVersion += 1;
-    const value = { version: this.manifestVersion, manifest: MANIFEST };
+    const manifest = { ...MANIFEST, ...differing };
+    const value = { version: this.manifestVersion, manifest, retired };
     await this.engine.put(keys.manifest, JSON.stringify(value));
   }
 
@@ -215,6 +216,17 @@
     this.open -= 1;
   }
 
+  /** The configuration version in force at each process, as `e1 2, s1 2`. */
+  versions(): string {
+    const entries = [...this.entries].map(
+      ([name, { entry }]) => `${name} ${entry.configurations.number}`,
+    );
+    const sidecars = [...this.sidecars].map(
+      ([name, { sidecar }]) => `${name} ${sidecar.configurationVersion}`,
+    );
+    return [...entries, ...sidecars].join(', ');
+  }
+
   /** Ends whatever runs. */
   end(): void {
     [...this.entries.values(), ...this.sidecars.values()].forEach(({ process }) => process.kill());
@@ -328,7 +340,7 @@
   const address = addressOf(instance);
   return {
     role: 'entry' as const,
-    ...{ cluster: 'test', instance, zone: 'z1', advertise: address, peers: [] },
+    ...{ cluster: 'test', instance, zone: 'z1', advertise: address, peers: PEERS },
     listen: { callers: '127.0.0.1:0', peers: address, operators: '127.0.0.1:0' },
     store: { address: '127.0.0.1:1', leaseMs: 5000, timeoutMs: 2000, callsPerSecond: 20 },
     limits: {
@@ -344,6 +356,8 @@
   };
 }
 
+const PEERS = ['e1', 'e2', 'e3'].map(addressOf);
+
 function addressOf(instance: string): string {
   return `10.0.0.${instance.slice(1)}:8081`;
 }
