Start each daemon of a cluster once

Cause: a merge had left two starts of the same daemon in the harness, so that measured clusters ran each process twice. Change: one start, then the wait for its operators' address.

--- a/tools/harness/Cluster.ts
+++ b/tools/harness/Cluster.ts
@@ -183,9 +183,8 @@
   private async startDaemon(name: string, settings: object): Promise<void> {
     const file = path.join(this.folder, `${name}.yaml`);
     await writeFile(file, stringify(settings));
-    this.processes.start(name, 'magnoliakeeld', ['--config', file]);
-    this.operators.set(name, await this.processes.waitFor(name, /for operators on ([\d.:]+)/));
     this.processes.start(name, this.overrides.program ?? 'magnoliakeeld', ['--config', file]);
+    this.operators.set(name, await this.processes.waitFor(name, /for operators on ([\d.:]+)/));
   }
 
   private zoneOf(name: string): string {
