--- a/src/callers/CallerServer.ts
+++ b/src/callers/CallerServer.ts
@@ -8,6 +8,7 @@
 import findBodyMistake from './findBodyMistake';
 import headerOf from './headerOf';
 import readBody from './readBody';
+import refusal from './refusal';
 import refuseConnection from './refuseConnection';
 import type RequestError from './RequestError';
 import respond from './respond';
@@ -102,7 +103,7 @@
   private fail(res: http.ServerResponse, error: unknown): void {
     this.options.failed(error);
     if (res.headersSent) res.destroy();
-    else this.refuse(res, { status: 500, reason: 'internal error: this may have run or not' });
+    else this.refuse(res, refusal(Outcome.UNKNOWN, FAULT.reason));
   }
 
   private async answer(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
@@ -164,7 +165,8 @@
     // A body that was never asked for does not come; the next request can't be told from it.
     if (expectsContinue(res.req) && !res.req.complete) res.setHeader('Connection', 'close');
     const { random } = this.options;
-    const retryAfterMs = error.status >= 503 ? Math.ceil(random.jitter(RETRY_AFTER_MS)) : 0;
+    const isPassing = error.outcome !== undefined;
+    const retryAfterMs = isPassing ? Math.ceil(random.jitter(RETRY_AFTER_MS)) : 0;
     respondError(res, error, retryAfterMs);
   }
 
@@ -237,7 +239,8 @@
 /** What has an id may have been run for an earlier submission; only what has none is known not to have run. */
 function notReady({ method, headers }: http.IncomingMessage): RequestError {
   const isNew = method === 'POST' && headerOf(headers, 'idempotency-key') === undefined;
-  return { status: isNew ? 503 : 504, reason: 'no configuration is in force yet' };
+  const outcome = isNew ? Outcome.NOT_RUN : Outcome.UNKNOWN;
+  return refusal(outcome, 'no configuration is in force yet');
 }
 
 function findRoute(method: string | undefined, path: string): Result<Route, RequestError> {
--- a/src/daemon/runSidecar.ts
+++ b/src/daemon/runSidecar.ts
@@ -70,7 +70,7 @@
     const address = await desk.listen(settings.listen.backend);
     log.info(`sidecar ${instance} listens for its backend server on ${address}`);
   } catch (error) {
-    log.error(`cannot listen: ${settings.listen.backend}: ${(error as Error).message}`);
+    log.error(`cannot listen: ${settings.listen.backend}: ${listenProblem(error as Error)}`);
     return exitCodes.cannotListen;
   }
   await sidecar.run(AbortSignal.any([signal, drained.signal]));
