--- a/src/ctl/StoredManifest.ts
+++ b/src/ctl/StoredManifest.ts
@@ -1,3 +1,5 @@
+import type RetiredParts from './RetiredParts';
+
 /** One applied manifest, as the store keeps it. */
 export default interface StoredManifest {
   /** Grows by one with each apply. */
@@ -7,6 +9,8 @@
   readonly manifest: object;
   /** Wall-clock time of the apply, ISO 8601. */
   readonly appliedAt: string;
+  /** Services and teams removed lately; they are kept until the jobs of that time are forgotten. */
+  readonly retired?: RetiredParts;
   /** The earlier version that this one repeats, for a rollback. */
   readonly rollbackOf?: number;
 }
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -31,10 +31,12 @@
 import type Link from '../link/Link';
 import type Listener from '../link/Listener';
 import type PeerHandlers from '../link/PeerHandlers';
+import type PeerMessage from '../link/PeerMessage';
 import PROTOCOL_VERSION from '../link/PROTOCOL_VERSION';
 import Membership from '../membership/Membership';
 import StoreWatch from '../membership/StoreWatch';
 import Recovery from '../recovery/Recovery';
+import type Manifest from '../settings/Manifest';
 import Admission from './Admission';
 import type EntryAddresses from './EntryAddresses';
 import EntryLinks from './EntryLinks';
@@ -43,11 +45,11 @@
 import handOver from './handOver';
 import inspectEntry from './inspectEntry';
 import Jobs from './Jobs';
-import learnFromPeers from './learnFromPeers';
 import ManifestView from './ManifestView';
 import RetryBudget from './RetryBudget';
 import Router from './Router';
 import SidecarLinks from './SidecarLinks';
+import SeedLinks from './SeedLinks';
 import Sightings from './Sightings';
 import traceRequest from './traceRequest';
 
@@ -91,6 +93,10 @@
 
   private listener: Listener | undefined;
 
+  private watch: StoreWatch | undefined;
+
+  private readonly seeds: SeedLinks;
+
   private constructor(private readonly options: EntryOptions) {
     this.budget = RetryBudget.create((name) => this.manifest.service(name)?.retryBudget ?? 0);
     this.dispatcher = this.createDispatcher();
@@ -100,6 +106,7 @@
     this.sightings = this.createSightings();
     this.sidecarLinks = this.createSidecarLinks();
     this.entryLinks = this.createEntryLinks();
+    this.seeds = this.createSeedLinks();
     this.callers = this.createCallerServer();
   }
 
@@ -120,7 +127,7 @@
 
   /** Whether requests can be served: a configuration is in force and there is a view. */
   get isReady(): boolean {
-    return !this.leaving && this.manifest.current !== undefined && this.views.number > 0n;
+    return !this.leaving && this.callersManifest !== undefined && this.views.number > 0n;
   }
 
   /** The addresses in use, once it listens. */
@@ -157,8 +164,8 @@
   async run(signal: AbortSignal): Promise<'stopped' | 'removed'> {
     const stop = new AbortController();
     const membership = this.createMembership();
-    const watch = this.createWatch(membership);
-    const watching = Promise.all([watch.run(stop.signal), this.learn(stop.signal)]);
+    this.watch = this.createWatch(membership);
+    const watching = Promise.all([this.watch.run(stop.signal), this.seeds.run(stop.signal)]);
     const unsubscribe = this.subscribe();
     const sweep = this.options.timer.every(SWEEP_MS, () => this.sweep());
     const ended = await Promise.race([membership.run(stop.signal), whenAborted(signal)]);
@@ -195,15 +202,14 @@
     return inspectEntry(this, this.options, this.leaving, req.job);
   }
 
-  private learn(signal: AbortSignal): Promise<void> {
-    const { timer, random, network, settings } = this.options;
-    const { views, configurations } = this;
-    const hello = () => this.hello();
-    const addresses = settings.peers;
-    return learnFromPeers(
-      { timer, random, network, addresses, hello, views, configurations },
-      signal,
-    );
+  /**
+   * The manifest for callers' requests. It is used once the store or all the
+   * peers of the settings have been asked, so that an entry that starts again
+   * does not go back to a version older than one it had.
+   */
+  private get callersManifest(): Manifest | undefined {
+    const hasAsked = this.seeds.hasAsked || this.watch?.hasListed;
+    return hasAsked ? this.manifest.withRemoved : undefined;
   }
 
   private subscribe(): () => void {
@@ -429,7 +435,8 @@
         clockSkewMs: settings.recovery.clockSkewMs,
         ownsNew: (key) => this.ownsNew(key),
         resolve: (key, createdMs) => this.recovery.resolve(key, createdMs),
-        refuse: (submission, keptBytes) => admission.refuse(submission, keptBytes),
+        refuse: (submission, keptBytes, isContinued) =>
+          admission.refuse(submission, keptBytes, isContinued),
         retentionOf: (name) => service(name)?.retentionMs ?? this.manifest.longestRetentionMs,
         taskTimeoutOf: (name) => service(name)!.timeoutMs,
         jobTimeoutOf: (name) => service(name)!.jobTimeoutMs,
@@ -475,6 +482,8 @@
         metrics: this.options.metrics,
         self: this.self,
         viewNumber: () => this.views.number,
+        views: this.views,
+        configurations: this.configurations,
         witnessMs: settings.recovery.witnessMs,
         keepAlive: settings.heartbeat,
         heartbeat: () => this.heartbeat(),
@@ -507,7 +516,11 @@
       greet: (link) => this.greet(link),
       receive: (from, message) => {
         const { views, configurations, dispatcher, recovery, entryLinks, sightings } = this;
-        const parts = { views, configurations, dispatcher, recovery, entryLinks, sightings, from };
+        const heartbeat = (): PeerMessage => ({ case: 'heartbeat', value: this.heartbeat() });
+        const parts = {
+          ...{ views, configurations, dispatcher, recovery, entryLinks, sightings },
+          ...{ heartbeat, from },
+        };
         handleMessage(entryMessageHandlers, parts, message);
       },
       unlinked: (incarnation) => this.dispatcher.entryLost(incarnation),
@@ -515,11 +528,25 @@
     });
   }
 
+  private createSeedLinks(): SeedLinks {
+    const { timer, random, network, settings } = this.options;
+    return SeedLinks.create({
+      ...{ timer, random, network },
+      addresses: settings.peers,
+      self: this.self,
+      hello: () => this.hello(),
+      keepAlive: settings.heartbeat,
+      views: this.views,
+      configurations: this.configurations,
+      isNeeded: () => !this.leaving && !this.isMember && this.entryLinks.linked().length === 0,
+    });
+  }
+
   private createCallerServer(): CallerServer {
     const { settings, timer, random, log } = this.options;
     return CallerServer.create({
       limits: settings.limits,
-      manifest: () => this.manifest.current,
+      manifest: () => this.callersManifest,
       timer,
       random,
       isLeaving: () => this.leaving,
@@ -540,6 +567,7 @@
       isSuspected: (incarnation) => this.entryLinks.isSuspected(incarnation),
       retentionMs: () => this.manifest.longestRetentionMs,
       leaseMs: settings.store.leaseMs,
+      answered: (isAnswered) => this.watch?.note(isAnswered),
     });
   }
 
--- a/src/entry/JobsOptions.ts
+++ b/src/entry/JobsOptions.ts
@@ -13,8 +13,15 @@
   readonly ownsNew: (key: string) => boolean;
   /** Finds out what is known of a job that has no record here. */
   readonly resolve: (key: string, createdMs: number) => Promise<Provenance>;
-  /** The answer to a submission that can't be accepted now or ever, given the bytes already kept. */
-  readonly refuse: (submission: Submission, keptBytes: number) => Answer | undefined;
+  /**
+   * The answer to a submission that can't be accepted now or ever, given the
+   * bytes already kept and whether it continues a job.
+   */
+  readonly refuse: (
+    submission: Submission,
+    keptBytes: number,
+    isContinued: boolean,
+  ) => Answer | undefined;
   readonly retentionOf: (service: string) => number;
   readonly taskTimeoutOf: (service: string) => number;
   readonly jobTimeoutOf: (service: string) => number;
--- a/src/sidecar/Services.ts
+++ b/src/sidecar/Services.ts
@@ -19,12 +19,13 @@
 
 /** What a sidecar needs of the newest configuration that it has heard of. */
 export default class Services {
-  private readonly newest = Versioned.of(
+  /** The newest configuration that was put in force. */
+  readonly newest = Versioned.of(
     create(ConfigurationSchema),
     (configuration) => configuration.version,
   );
 
-  private limits = new Map<string, ServiceLimits>();
+  private readonly limits = new Map<string, ServiceLimits>();
 
   private constructor() {}
 
@@ -43,8 +44,10 @@
     if (configuration.version <= this.version) return ok(false);
     const manifest = parse(configuration.manifest);
     if (manifest.isErr()) return err(manifest.error);
-    const services = manifest.value.services ?? [];
-    this.limits = new Map(services.map((service) => [service.name, service]));
+    const retired = parse(configuration.retired || '{}').unwrapOr({ services: [] });
+    const services = [...(retired.services ?? []), ...(manifest.value.services ?? [])];
+    // A removed service keeps its limits for the work in flight.
+    services.forEach((service) => this.limits.set(service.name, service));
     return ok(this.newest.adopt(configuration));
   }
 
--- a/src/sidecar/messageHandlers.ts
+++ b/src/sidecar/messageHandlers.ts
@@ -1,4 +1,5 @@
 import type PeerMessage from '../link/PeerMessage';
+import catchUp from '../membership/catchUp';
 import type EntryPeer from './EntryPeer';
 import type SidecarParts from './SidecarParts';
 
@@ -16,6 +17,9 @@
     const service = parts.lease.current?.service;
     const load = heartbeat.loads.find((each) => each.service === service);
     peer.hearWait(load?.oldestWaitMs ?? 0);
+    const { view: views, configurations, heartbeat: own } = parts;
+    const send = (message: PeerMessage) => peer.send(message);
+    catchUp({ views, configurations, send, heartbeat: own }, heartbeat);
   },
   view: (parts, peer, view) => {
     const isFirst = !peer.hasSentView;
