--- a/src/callers/CallerServer.ts
+++ b/src/callers/CallerServer.ts
@@ -3,6 +3,7 @@
 import { create } from '@bufbuild/protobuf';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 import { type Answer, AnswerSchema, Outcome } from '../gen/magnoliakeel/v1/peer_pb';
+import ByteBudget from './ByteBudget';
 import type CallerServerOptions from './CallerServerOptions';
 import type CallerSubmission from './CallerSubmission';
 import findBodyMistake from './findBodyMistake';
@@ -30,6 +31,9 @@
   /** Connections that carried a request before the one ahead of it was answered. */
   private readonly pipelined = new WeakSet<Duplex>();
 
+  /** Memory for the bodies of all requests under way. */
+  private readonly bodies: ByteBudget;
+
   /** Ends the wait of each caller whose submission is under way. */
   private readonly waits = new Set<() => void>();
 
@@ -37,6 +41,7 @@
 
   private constructor(private readonly options: CallerServerOptions) {
     const { limits } = options;
+    this.bodies = ByteBudget.of(limits.openBodyBytes);
     this.server = http.createServer({
       maxHeaderSize: limits.headerBytes,
       headersTimeout: limits.headerTimeoutMs,
@@ -109,7 +114,7 @@
   private async answer(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const gone = new AbortController();
     res.on('close', () => gone.abort());
-    const parsed = await this.parse(req, res);
+    const parsed = await this.parse(req, res, gone.signal);
     const answer = parsed.isOk() ? await this.submit(parsed.value, gone.signal) : undefined;
     if (gone.signal.aborted || !req.socket.writable) return;
     if (this.closing || this.options.isLeaving()) res.setHeader('Connection', 'close');
@@ -138,6 +143,7 @@
   private async parse(
     req: http.IncomingMessage,
     res: http.ServerResponse,
+    gone: AbortSignal,
   ): Promise<Result<CallerSubmission, RequestError>> {
     const url = parseUrl(req.url);
     if (url.isErr()) return err(url.error);
@@ -146,10 +152,10 @@
     const mistake = findBodyMistake(req, this.options.limits.bodyBytes);
     if (mistake) return err(mistake);
     if (expectsContinue(req)) res.writeContinue();
-    const body = await readBody(req, this.options.limits.bodyBytes);
+    const body = await this.readBody(req, gone);
     if (body.isErr()) return err(body.error);
     const manifest = this.options.manifest();
-    if (!manifest) return err(notReady(req));
+    if (!manifest) return err(unprepared(req, 'no configuration is in force yet'));
     const names = namesIn(route.value, url.value.pathname);
     if (names.isErr()) return err(names.error);
     const caller = {
@@ -161,6 +167,21 @@
     return route.value.parse(caller, manifest, this.options.timer.wall());
   }
 
+  /** Reads the body; its memory is free again when the request is over. */
+  private async readBody(
+    req: http.IncomingMessage,
+    gone: AbortSignal,
+  ): Promise<Result<Buffer, RequestError>> {
+    const whenFull = unprepared(req, 'the memory for requests is full');
+    const { bodyBytes } = this.options.limits;
+    const body = await readBody(req, bodyBytes, this.bodies, whenFull);
+    if (body.isErr()) return body;
+    const free = () => this.bodies.give(body.value.length);
+    if (gone.aborted) free();
+    else gone.addEventListener('abort', free, { once: true });
+    return body;
+  }
+
   private refuse(res: http.ServerResponse, error: RequestError): void {
     // A body that was never asked for does not come; the next request can't be told from it.
     if (expectsContinue(res.req) && !res.req.complete) res.setHeader('Connection', 'close');
@@ -237,10 +258,10 @@
 }
 
 /** What has an id may have been run for an earlier submission; only what has none is known not to have run. */
-function notReady({ method, headers }: http.IncomingMessage): RequestError {
+function unprepared({ method, headers }: http.IncomingMessage, reason: string): RequestError {
   const isNew = method === 'POST' && headerOf(headers, 'idempotency-key') === undefined;
   const outcome = isNew ? Outcome.NOT_RUN : Outcome.UNKNOWN;
-  return refusal(outcome, 'no configuration is in force yet');
+  return refusal(outcome, reason);
 }
 
 function findRoute(method: string | undefined, path: string): Result<Route, RequestError> {
--- a/src/entry/Job.ts
+++ b/src/entry/Job.ts
@@ -29,6 +29,9 @@
   /** True once this entry may not act for the job any more; its next owner continues it. */
   abandoned = false;
 
+  /** Bytes of the inputs, which are kept while the job is open. */
+  inputBytes = 0;
+
   private finished = 0;
 
   private final: Answer | undefined;
@@ -49,7 +52,9 @@
   /** Creates the record of a job that was just accepted. */
   static fromSubmission(key: string, submission: Submission, now: number): Job {
     const { service, digest, createdMs, inputs } = submission;
-    return new Job(key, service, digest, Number(createdMs), inputs.length, now);
+    const job = new Job(key, service, digest, Number(createdMs), inputs.length, now);
+    job.inputBytes = inputs.reduce((sum, input) => sum + input.length, 0);
+    return job;
   }
 
   /** Creates the record of a job that another entry finished. */
--- a/src/entry/Jobs.ts
+++ b/src/entry/Jobs.ts
@@ -236,6 +236,7 @@
       this.taskOf(job, submission, input, index),
     );
     this.tasks.set(job, new Set(tasks));
+    this.keptBytes += job.inputBytes;
     const seen = bestEvidence(evidence);
     tasks.forEach((task) => {
       if (!job.answer) this.begin(job, task, seen.get(task.index), doubt);
@@ -330,7 +331,7 @@
     this.tasks.delete(job);
     this.options.metrics?.jobFinished(job.service, this.options.timer.now() - job.acceptedAt);
     if (job.answer?.outcome !== Outcome.COMPLETED) this.dispatcher.dequeue(tasks);
-    this.keptBytes += job.bytes;
+    this.keptBytes += job.bytes - job.inputBytes;
     if (job.answer?.outcome === Outcome.NOT_RUN) this.drop(job);
   }
 
--- a/src/gen/settingsSchema.ts
+++ b/src/gen/settingsSchema.ts
@@ -125,6 +125,13 @@
             "minimum": 1,
             "default": 4194304
           },
+          "openBodyBytes": {
+            "title": "a number of bytes",
+            "type": "integer",
+            "description": "Memory for the bodies of all requests of callers under way. When it is used up, requests are refused.",
+            "minimum": 1,
+            "default": 134217728
+          },
           "headerBytes": {
             "title": "a number of bytes",
             "type": "integer",
--- a/src/gen/validateEntrySettings.ts
+++ b/src/gen/validateEntrySettings.ts
@@ -5,7 +5,7 @@
 
 
 export default validate20 as unknown as ValidateFunction;
-const schema31 = {"type":"object","description":"Settings of an entry: it takes requests from callers and owns their jobs.","additionalProperties":false,"properties":{"role":{"const":"entry","description":"Role of the process."},"cluster":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Name of the cluster. Processes of different clusters refuse to link.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"instance":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Name of this instance, unique within the cluster and role.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"zone":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Availability zone that this instance runs in.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"listen":{"type":"object","description":"Addresses this process listens on. Port 0 takes any free port.","additionalProperties":false,"properties":{"callers":{"title":"an address \"ip:port\"","type":"string","description":"Address for the HTTP requests of callers.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"peers":{"title":"an address \"ip:port\"","type":"string","description":"Address for links from sidecars and other entries.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"operators":{"title":"an address \"ip:port\"","type":"string","description":"Address for health, readiness and metrics.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"}},"required":["callers","peers","operators"]},"advertise":{"title":"an address \"ip:port\"","type":"string","description":"Address at which other processes reach listen.peers. Defaults to listen.peers.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"store":{"type":"object","description":"The platform's key-value service.","additionalProperties":false,"properties":{"address":{"title":"an address \"ip:port\"","type":"string","description":"Address of the service.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"leaseMs":{"title":"a number of milliseconds","type":"integer","description":"Lifetime of this instance's lease. It is renewed well before.","minimum":1,"maximum":86400000,"default":5000},"timeoutMs":{"title":"a number of milliseconds","type":"integer","description":"Time allowed for one call.","minimum":1,"maximum":86400000,"default":2000},"callsPerSecond":{"type":"integer","description":"Limit of calls per second that this instance makes.","minimum":1,"maximum":10000,"default":20}},"required":["address"]},"peers":{"type":"array","description":"Addresses of other entries, asked for the manifest and the members while the key-value service is down.","items":{"title":"an address \"ip:port\"","type":"string","description":"Peer address of another entry.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"default":[]},"limits":{"type":"object","description":"Limits that protect this process.","additionalProperties":false,"properties":{"bodyBytes":{"title":"a number of bytes","type":"integer","description":"Largest body of a caller's request.","minimum":1,"default":4194304},"headerBytes":{"title":"a number of bytes","type":"integer","description":"Largest total size of a request's headers.","minimum":1,"default":16384},"bodyTimeoutMs":{"title":"a number of milliseconds","type":"integer","description":"Time allowed for receiving a whole request.","minimum":1,"maximum":86400000,"default":10000},"headerTimeoutMs":{"title":"a number of milliseconds","type":"integer","description":"Time allowed for receiving the headers.","minimum":1,"maximum":86400000,"default":5000},"connections":{"type":"integer","description":"Largest number of open connections of callers.","minimum":1,"maximum":1000000,"default":2000},"recordBytes":{"title":"a number of bytes","type":"integer","description":"Memory for jobs and their answers. When it is used up, submissions are refused.","minimum":1,"default":268435456}},"default":{}},"heartbeat":{"type":"object","description":"Heartbeats on the links to other processes.","additionalProperties":false,"properties":{"intervalMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which a heartbeat is sent.","minimum":1,"maximum":86400000,"default":1000},"suspectMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which the other process is suspected: it gets no new work.","minimum":1,"maximum":86400000,"default":3000},"closeMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which the link is closed.","minimum":1,"maximum":86400000,"default":10000}},"default":{}},"recovery":{"type":"object","description":"How jobs are continued after other processes are lost.","additionalProperties":false,"properties":{"witnessMs":{"title":"a number of milliseconds","type":"integer","description":"How long a lost sidecar is awaited before its open tasks count as unknown.","minimum":1,"maximum":86400000,"default":3000},"clockSkewMs":{"title":"a number of milliseconds","type":"integer","description":"Largest difference of wall clocks assumed between callers and entries.","minimum":1,"maximum":86400000,"default":30000}},"default":{}},"dispatch":{"type":"object","description":"How tasks are placed on sidecars.","additionalProperties":false,"properties":{"policy":{"title":"a dispatch policy","enum":["credits","leastOutstanding","powerOfTwo","roundRobin","random"],"description":"Policy that picks the sidecar of a task. All but credits are for comparison.","default":"credits"}},"default":{}},"log":{"type":"object","description":"What is logged.","additionalProperties":false,"properties":{"level":{"title":"a log level","enum":["error","warn","info","debug"],"description":"Least severe level that is logged.","default":"info"}},"default":{}},"traces":{"type":"object","description":"Where spans of traced requests go.","additionalProperties":false,"properties":{"sample":{"title":"a share","type":"number","description":"Share of the requests that are traced although their caller did not ask for it.","minimum":0,"maximum":1,"default":0},"otlp":{"title":"an http or https URL, or \"\"","type":"string","description":"URL that takes spans as OTLP over HTTP; empty for none.","pattern":"^(https?://\\S+)?$","default":""},"output":{"title":"a trace output","enum":["","stdout"],"description":"Where spans are printed as JSON lines; empty for nowhere.","default":""}},"default":{}},"stop":{"type":"object","description":"How the process stops on SIGTERM or SIGINT.","additionalProperties":false,"properties":{"drainMs":{"title":"a number of milliseconds","type":"integer","description":"Longest time for finishing what is in flight before the process exits.","minimum":1,"maximum":86400000,"default":30000}},"default":{}}},"required":["role","cluster","instance","zone","listen","store"]};
+const schema31 = {"type":"object","description":"Settings of an entry: it takes requests from callers and owns their jobs.","additionalProperties":false,"properties":{"role":{"const":"entry","description":"Role of the process."},"cluster":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Name of the cluster. Processes of different clusters refuse to link.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"instance":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Name of this instance, unique within the cluster and role.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"zone":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Availability zone that this instance runs in.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"listen":{"type":"object","description":"Addresses this process listens on. Port 0 takes any free port.","additionalProperties":false,"properties":{"callers":{"title":"an address \"ip:port\"","type":"string","description":"Address for the HTTP requests of callers.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"peers":{"title":"an address \"ip:port\"","type":"string","description":"Address for links from sidecars and other entries.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"operators":{"title":"an address \"ip:port\"","type":"string","description":"Address for health, readiness and metrics.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"}},"required":["callers","peers","operators"]},"advertise":{"title":"an address \"ip:port\"","type":"string","description":"Address at which other processes reach listen.peers. Defaults to listen.peers.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"store":{"type":"object","description":"The platform's key-value service.","additionalProperties":false,"properties":{"address":{"title":"an address \"ip:port\"","type":"string","description":"Address of the service.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"leaseMs":{"title":"a number of milliseconds","type":"integer","description":"Lifetime of this instance's lease. It is renewed well before.","minimum":1,"maximum":86400000,"default":5000},"timeoutMs":{"title":"a number of milliseconds","type":"integer","description":"Time allowed for one call.","minimum":1,"maximum":86400000,"default":2000},"callsPerSecond":{"type":"integer","description":"Limit of calls per second that this instance makes.","minimum":1,"maximum":10000,"default":20}},"required":["address"]},"peers":{"type":"array","description":"Addresses of other entries, asked for the manifest and the members while the key-value service is down.","items":{"title":"an address \"ip:port\"","type":"string","description":"Peer address of another entry.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"default":[]},"limits":{"type":"object","description":"Limits that protect this process.","additionalProperties":false,"properties":{"bodyBytes":{"title":"a number of bytes","type":"integer","description":"Largest body of a caller's request.","minimum":1,"default":4194304},"openBodyBytes":{"title":"a number of bytes","type":"integer","description":"Memory for the bodies of all requests of callers under way. When it is used up, requests are refused.","minimum":1,"default":134217728},"headerBytes":{"title":"a number of bytes","type":"integer","description":"Largest total size of a request's headers.","minimum":1,"default":16384},"bodyTimeoutMs":{"title":"a number of milliseconds","type":"integer","description":"Time allowed for receiving a whole request.","minimum":1,"maximum":86400000,"default":10000},"headerTimeoutMs":{"title":"a number of milliseconds","type":"integer","description":"Time allowed for receiving the headers.","minimum":1,"maximum":86400000,"default":5000},"connections":{"type":"integer","description":"Largest number of open connections of callers.","minimum":1,"maximum":1000000,"default":2000},"recordBytes":{"title":"a number of bytes","type":"integer","description":"Memory for jobs and their answers. When it is used up, submissions are refused.","minimum":1,"default":268435456}},"default":{}},"heartbeat":{"type":"object","description":"Heartbeats on the links to other processes.","additionalProperties":false,"properties":{"intervalMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which a heartbeat is sent.","minimum":1,"maximum":86400000,"default":1000},"suspectMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which the other process is suspected: it gets no new work.","minimum":1,"maximum":86400000,"default":3000},"closeMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which the link is closed.","minimum":1,"maximum":86400000,"default":10000}},"default":{}},"recovery":{"type":"object","description":"How jobs are continued after other processes are lost.","additionalProperties":false,"properties":{"witnessMs":{"title":"a number of milliseconds","type":"integer","description":"How long a lost sidecar is awaited before its open tasks count as unknown.","minimum":1,"maximum":86400000,"default":3000},"clockSkewMs":{"title":"a number of milliseconds","type":"integer","description":"Largest difference of wall clocks assumed between callers and entries.","minimum":1,"maximum":86400000,"default":30000}},"default":{}},"dispatch":{"type":"object","description":"How tasks are placed on sidecars.","additionalProperties":false,"properties":{"policy":{"title":"a dispatch policy","enum":["credits","leastOutstanding","powerOfTwo","roundRobin","random"],"description":"Policy that picks the sidecar of a task. All but credits are for comparison.","default":"credits"}},"default":{}},"log":{"type":"object","description":"What is logged.","additionalProperties":false,"properties":{"level":{"title":"a log level","enum":["error","warn","info","debug"],"description":"Least severe level that is logged.","default":"info"}},"default":{}},"traces":{"type":"object","description":"Where spans of traced requests go.","additionalProperties":false,"properties":{"sample":{"title":"a share","type":"number","description":"Share of the requests that are traced although their caller did not ask for it.","minimum":0,"maximum":1,"default":0},"otlp":{"title":"an http or https URL, or \"\"","type":"string","description":"URL that takes spans as OTLP over HTTP; empty for none.","pattern":"^(https?://\\S+)?$","default":""},"output":{"title":"a trace output","enum":["","stdout"],"description":"Where spans are printed as JSON lines; empty for nowhere.","default":""}},"default":{}},"stop":{"type":"object","description":"How the process stops on SIGTERM or SIGINT.","additionalProperties":false,"properties":{"drainMs":{"title":"a number of milliseconds","type":"integer","description":"Longest time for finishing what is in flight before the process exits.","minimum":1,"maximum":86400000,"default":30000}},"default":{}}},"required":["role","cluster","instance","zone","listen","store"]};
 const func1 = Object.prototype.hasOwnProperty;
 const pattern4 = new RegExp("^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$", "u");
 const pattern7 = new RegExp("^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$", "u");
@@ -577,6 +577,9 @@
 if(data16.bodyBytes === undefined){
 data16.bodyBytes = 4194304;
 }
+if(data16.openBodyBytes === undefined){
+data16.openBodyBytes = 134217728;
+}
 if(data16.headerBytes === undefined){
 data16.headerBytes = 16384;
 }
@@ -593,7 +596,7 @@
 data16.recordBytes = 268435456;
 }
 for(const key3 in data16){
-if(!((((((key3 === "bodyBytes") || (key3 === "headerBytes")) || (key3 === "bodyTimeoutMs")) || (key3 === "headerTimeoutMs")) || (key3 === "connections")) || (key3 === "recordBytes"))){
+if(!(((((((key3 === "bodyBytes") || (key3 === "openBodyBytes")) || (key3 === "headerBytes")) || (key3 === "bodyTimeoutMs")) || (key3 === "headerTimeoutMs")) || (key3 === "connections")) || (key3 === "recordBytes"))){
 const err44 = {instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key3},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.limits,data:data16};
 if(vErrors === null){
 vErrors = [err44];
@@ -627,9 +630,9 @@
 errors++;
 }
 }
-let data18 = data16.headerBytes;
+let data18 = data16.openBodyBytes;
 if(!(((typeof data18 == "number") && (!(data18 % 1) && !isNaN(data18))) && (isFinite(data18)))){
-const err47 = {instancePath:instancePath+"/limits/headerBytes",schemaPath:"#/properties/limits/properties/headerBytes/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.headerBytes.type,parentSchema:schema31.properties.limits.properties.headerBytes,data:data18};
+const err47 = {instancePath:instancePath+"/limits/openBodyBytes",schemaPath:"#/properties/limits/properties/openBodyBytes/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.openBodyBytes.type,parentSchema:schema31.properties.limits.properties.openBodyBytes,data:data18};
 if(vErrors === null){
 vErrors = [err47];
 }
@@ -640,7 +643,7 @@
 }
 if((typeof data18 == "number") && (isFinite(data18))){
 if(data18 < 1 || isNaN(data18)){
-const err48 = {instancePath:instancePath+"/limits/headerBytes",schemaPath:"#/properties/limits/properties/headerBytes/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.headerBytes,data:data18};
+const err48 = {instancePath:instancePath+"/limits/openBodyBytes",schemaPath:"#/properties/limits/properties/openBodyBytes/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.openBodyBytes,data:data18};
 if(vErrors === null){
 vErrors = [err48];
 }
@@ -650,9 +653,9 @@
 errors++;
 }
 }
-let data19 = data16.bodyTimeoutMs;
+let data19 = data16.headerBytes;
 if(!(((typeof data19 == "number") && (!(data19 % 1) && !isNaN(data19))) && (isFinite(data19)))){
-const err49 = {instancePath:instancePath+"/limits/bodyTimeoutMs",schemaPath:"#/properties/limits/properties/bodyTimeoutMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.bodyTimeoutMs.type,parentSchema:schema31.properties.limits.properties.bodyTimeoutMs,data:data19};
+const err49 = {instancePath:instancePath+"/limits/headerBytes",schemaPath:"#/properties/limits/properties/headerBytes/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.headerBytes.type,parentSchema:schema31.properties.limits.properties.headerBytes,data:data19};
 if(vErrors === null){
 vErrors = [err49];
 }
@@ -662,8 +665,8 @@
 errors++;
 }
 if((typeof data19 == "number") && (isFinite(data19))){
-if(data19 > 86400000 || isNaN(data19)){
-const err50 = {instancePath:instancePath+"/limits/bodyTimeoutMs",schemaPath:"#/properties/limits/properties/bodyTimeoutMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.limits.properties.bodyTimeoutMs,data:data19};
+if(data19 < 1 || isNaN(data19)){
+const err50 = {instancePath:instancePath+"/limits/headerBytes",schemaPath:"#/properties/limits/properties/headerBytes/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.headerBytes,data:data19};
 if(vErrors === null){
 vErrors = [err50];
 }
@@ -672,8 +675,10 @@
 }
 errors++;
 }
-if(data19 < 1 || isNaN(data19)){
-const err51 = {instancePath:instancePath+"/limits/bodyTimeoutMs",schemaPath:"#/properties/limits/properties/bodyTimeoutMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.bodyTimeoutMs,data:data19};
+}
+let data20 = data16.bodyTimeoutMs;
+if(!(((typeof data20 == "number") && (!(data20 % 1) && !isNaN(data20))) && (isFinite(data20)))){
+const err51 = {instancePath:instancePath+"/limits/bodyTimeoutMs",schemaPath:"#/properties/limits/properties/bodyTimeoutMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.bodyTimeoutMs.type,parentSchema:schema31.properties.limits.properties.bodyTimeoutMs,data:data20};
 if(vErrors === null){
 vErrors = [err51];
 }
@@ -682,10 +687,9 @@
 }
 errors++;
 }
-}
-let data20 = data16.headerTimeoutMs;
-if(!(((typeof data20 == "number") && (!(data20 % 1) && !isNaN(data20))) && (isFinite(data20)))){
-const err52 = {instancePath:instancePath+"/limits/headerTimeoutMs",schemaPath:"#/properties/limits/properties/headerTimeoutMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.headerTimeoutMs.type,parentSchema:schema31.properties.limits.properties.headerTimeoutMs,data:data20};
+if((typeof data20 == "number") && (isFinite(data20))){
+if(data20 > 86400000 || isNaN(data20)){
+const err52 = {instancePath:instancePath+"/limits/bodyTimeoutMs",schemaPath:"#/properties/limits/properties/bodyTimeoutMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.limits.properties.bodyTimeoutMs,data:data20};
 if(vErrors === null){
 vErrors = [err52];
 }
@@ -694,9 +698,8 @@
 }
 errors++;
 }
-if((typeof data20 == "number") && (isFinite(data20))){
-if(data20 > 86400000 || isNaN(data20)){
-const err53 = {instancePath:instancePath+"/limits/headerTimeoutMs",schemaPath:"#/properties/limits/properties/headerTimeoutMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.limits.properties.headerTimeoutMs,data:data20};
+if(data20 < 1 || isNaN(data20)){
+const err53 = {instancePath:instancePath+"/limits/bodyTimeoutMs",schemaPath:"#/properties/limits/properties/bodyTimeoutMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.bodyTimeoutMs,data:data20};
 if(vErrors === null){
 vErrors = [err53];
 }
@@ -705,8 +708,10 @@
 }
 errors++;
 }
-if(data20 < 1 || isNaN(data20)){
-const err54 = {instancePath:instancePath+"/limits/headerTimeoutMs",schemaPath:"#/properties/limits/properties/headerTimeoutMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.headerTimeoutMs,data:data20};
+}
+let data21 = data16.headerTimeoutMs;
+if(!(((typeof data21 == "number") && (!(data21 % 1) && !isNaN(data21))) && (isFinite(data21)))){
+const err54 = {instancePath:instancePath+"/limits/headerTimeoutMs",schemaPath:"#/properties/limits/properties/headerTimeoutMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.headerTimeoutMs.type,parentSchema:schema31.properties.limits.properties.headerTimeoutMs,data:data21};
 if(vErrors === null){
 vErrors = [err54];
 }
@@ -715,10 +720,9 @@
 }
 errors++;
 }
-}
-let data21 = data16.connections;
-if(!(((typeof data21 == "number") && (!(data21 % 1) && !isNaN(data21))) && (isFinite(data21)))){
-const err55 = {instancePath:instancePath+"/limits/connections",schemaPath:"#/properties/limits/properties/connections/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.connections.type,parentSchema:schema31.properties.limits.properties.connections,data:data21};
+if((typeof data21 == "number") && (isFinite(data21))){
+if(data21 > 86400000 || isNaN(data21)){
+const err55 = {instancePath:instancePath+"/limits/headerTimeoutMs",schemaPath:"#/properties/limits/properties/headerTimeoutMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.limits.properties.headerTimeoutMs,data:data21};
 if(vErrors === null){
 vErrors = [err55];
 }
@@ -727,9 +731,8 @@
 }
 errors++;
 }
-if((typeof data21 == "number") && (isFinite(data21))){
-if(data21 > 1000000 || isNaN(data21)){
-const err56 = {instancePath:instancePath+"/limits/connections",schemaPath:"#/properties/limits/properties/connections/maximum",keyword:"maximum",params:{comparison: "<=", limit: 1000000},message:"must be <= 1000000",schema:1000000,parentSchema:schema31.properties.limits.properties.connections,data:data21};
+if(data21 < 1 || isNaN(data21)){
+const err56 = {instancePath:instancePath+"/limits/headerTimeoutMs",schemaPath:"#/properties/limits/properties/headerTimeoutMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.headerTimeoutMs,data:data21};
 if(vErrors === null){
 vErrors = [err56];
 }
@@ -738,8 +741,10 @@
 }
 errors++;
 }
-if(data21 < 1 || isNaN(data21)){
-const err57 = {instancePath:instancePath+"/limits/connections",schemaPath:"#/properties/limits/properties/connections/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.connections,data:data21};
+}
+let data22 = data16.connections;
+if(!(((typeof data22 == "number") && (!(data22 % 1) && !isNaN(data22))) && (isFinite(data22)))){
+const err57 = {instancePath:instancePath+"/limits/connections",schemaPath:"#/properties/limits/properties/connections/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.connections.type,parentSchema:schema31.properties.limits.properties.connections,data:data22};
 if(vErrors === null){
 vErrors = [err57];
 }
@@ -748,10 +753,9 @@
 }
 errors++;
 }
-}
-let data22 = data16.recordBytes;
-if(!(((typeof data22 == "number") && (!(data22 % 1) && !isNaN(data22))) && (isFinite(data22)))){
-const err58 = {instancePath:instancePath+"/limits/recordBytes",schemaPath:"#/properties/limits/properties/recordBytes/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.recordBytes.type,parentSchema:schema31.properties.limits.properties.recordBytes,data:data22};
+if((typeof data22 == "number") && (isFinite(data22))){
+if(data22 > 1000000 || isNaN(data22)){
+const err58 = {instancePath:instancePath+"/limits/connections",schemaPath:"#/properties/limits/properties/connections/maximum",keyword:"maximum",params:{comparison: "<=", limit: 1000000},message:"must be <= 1000000",schema:1000000,parentSchema:schema31.properties.limits.properties.connections,data:data22};
 if(vErrors === null){
 vErrors = [err58];
 }
@@ -760,9 +764,8 @@
 }
 errors++;
 }
-if((typeof data22 == "number") && (isFinite(data22))){
 if(data22 < 1 || isNaN(data22)){
-const err59 = {instancePath:instancePath+"/limits/recordBytes",schemaPath:"#/properties/limits/properties/recordBytes/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.recordBytes,data:data22};
+const err59 = {instancePath:instancePath+"/limits/connections",schemaPath:"#/properties/limits/properties/connections/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.connections,data:data22};
 if(vErrors === null){
 vErrors = [err59];
 }
@@ -772,9 +775,9 @@
 errors++;
 }
 }
-}
-else {
-const err60 = {instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.limits.type,parentSchema:schema31.properties.limits,data:data16};
+let data23 = data16.recordBytes;
+if(!(((typeof data23 == "number") && (!(data23 % 1) && !isNaN(data23))) && (isFinite(data23)))){
+const err60 = {instancePath:instancePath+"/limits/recordBytes",schemaPath:"#/properties/limits/properties/recordBytes/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.recordBytes.type,parentSchema:schema31.properties.limits.properties.recordBytes,data:data23};
 if(vErrors === null){
 vErrors = [err60];
 }
@@ -783,20 +786,9 @@
 }
 errors++;
 }
-let data23 = data.heartbeat;
-if(data23 && typeof data23 == "object" && !Array.isArray(data23)){
-if(data23.intervalMs === undefined){
-data23.intervalMs = 1000;
-}
-if(data23.suspectMs === undefined){
-data23.suspectMs = 3000;
-}
-if(data23.closeMs === undefined){
-data23.closeMs = 10000;
-}
-for(const key4 in data23){
-if(!(((key4 === "intervalMs") || (key4 === "suspectMs")) || (key4 === "closeMs"))){
-const err61 = {instancePath:instancePath+"/heartbeat",schemaPath:"#/properties/heartbeat/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key4},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.heartbeat,data:data23};
+if((typeof data23 == "number") && (isFinite(data23))){
+if(data23 < 1 || isNaN(data23)){
+const err61 = {instancePath:instancePath+"/limits/recordBytes",schemaPath:"#/properties/limits/properties/recordBytes/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.recordBytes,data:data23};
 if(vErrors === null){
 vErrors = [err61];
 }
@@ -806,9 +798,9 @@
 errors++;
 }
 }
-let data24 = data23.intervalMs;
-if(!(((typeof data24 == "number") && (!(data24 % 1) && !isNaN(data24))) && (isFinite(data24)))){
-const err62 = {instancePath:instancePath+"/heartbeat/intervalMs",schemaPath:"#/properties/heartbeat/properties/intervalMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.heartbeat.properties.intervalMs.type,parentSchema:schema31.properties.heartbeat.properties.intervalMs,data:data24};
+}
+else {
+const err62 = {instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.limits.type,parentSchema:schema31.properties.limits,data:data16};
 if(vErrors === null){
 vErrors = [err62];
 }
@@ -817,9 +809,20 @@
 }
 errors++;
 }
-if((typeof data24 == "number") && (isFinite(data24))){
-if(data24 > 86400000 || isNaN(data24)){
-const err63 = {instancePath:instancePath+"/heartbeat/intervalMs",schemaPath:"#/properties/heartbeat/properties/intervalMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.heartbeat.properties.intervalMs,data:data24};
+let data24 = data.heartbeat;
+if(data24 && typeof data24 == "object" && !Array.isArray(data24)){
+if(data24.intervalMs === undefined){
+data24.intervalMs = 1000;
+}
+if(data24.suspectMs === undefined){
+data24.suspectMs = 3000;
+}
+if(data24.closeMs === undefined){
+data24.closeMs = 10000;
+}
+for(const key4 in data24){
+if(!(((key4 === "intervalMs") || (key4 === "suspectMs")) || (key4 === "closeMs"))){
+const err63 = {instancePath:instancePath+"/heartbeat",schemaPath:"#/properties/heartbeat/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key4},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.heartbeat,data:data24};
 if(vErrors === null){
 vErrors = [err63];
 }
@@ -828,8 +831,10 @@
 }
 errors++;
 }
-if(data24 < 1 || isNaN(data24)){
-const err64 = {instancePath:instancePath+"/heartbeat/intervalMs",schemaPath:"#/properties/heartbeat/properties/intervalMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.heartbeat.properties.intervalMs,data:data24};
+}
+let data25 = data24.intervalMs;
+if(!(((typeof data25 == "number") && (!(data25 % 1) && !isNaN(data25))) && (isFinite(data25)))){
+const err64 = {instancePath:instancePath+"/heartbeat/intervalMs",schemaPath:"#/properties/heartbeat/properties/intervalMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.heartbeat.properties.intervalMs.type,parentSchema:schema31.properties.heartbeat.properties.intervalMs,data:data25};
 if(vErrors === null){
 vErrors = [err64];
 }
@@ -838,10 +843,9 @@
 }
 errors++;
 }
-}
-let data25 = data23.suspectMs;
-if(!(((typeof data25 == "number") && (!(data25 % 1) && !isNaN(data25))) && (isFinite(data25)))){
-const err65 = {instancePath:instancePath+"/heartbeat/suspectMs",schemaPath:"#/properties/heartbeat/properties/suspectMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.heartbeat.properties.suspectMs.type,parentSchema:schema31.properties.heartbeat.properties.suspectMs,data:data25};
+if((typeof data25 == "number") && (isFinite(data25))){
+if(data25 > 86400000 || isNaN(data25)){
+const err65 = {instancePath:instancePath+"/heartbeat/intervalMs",schemaPath:"#/properties/heartbeat/properties/intervalMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.heartbeat.properties.intervalMs,data:data25};
 if(vErrors === null){
 vErrors = [err65];
 }
@@ -850,9 +854,8 @@
 }
 errors++;
 }
-if((typeof data25 == "number") && (isFinite(data25))){
-if(data25 > 86400000 || isNaN(data25)){
-const err66 = {instancePath:instancePath+"/heartbeat/suspectMs",schemaPath:"#/properties/heartbeat/properties/suspectMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.heartbeat.properties.suspectMs,data:data25};
+if(data25 < 1 || isNaN(data25)){
+const err66 = {instancePath:instancePath+"/heartbeat/intervalMs",schemaPath:"#/properties/heartbeat/properties/intervalMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.heartbeat.properties.intervalMs,data:data25};
 if(vErrors === null){
 vErrors = [err66];
 }
@@ -861,8 +864,10 @@
 }
 errors++;
 }
-if(data25 < 1 || isNaN(data25)){
-const err67 = {instancePath:instancePath+"/heartbeat/suspectMs",schemaPath:"#/properties/heartbeat/properties/suspectMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.heartbeat.properties.suspectMs,data:data25};
+}
+let data26 = data24.suspectMs;
+if(!(((typeof data26 == "number") && (!(data26 % 1) && !isNaN(data26))) && (isFinite(data26)))){
+const err67 = {instancePath:instancePath+"/heartbeat/suspectMs",schemaPath:"#/properties/heartbeat/properties/suspectMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.heartbeat.properties.suspectMs.type,parentSchema:schema31.properties.heartbeat.properties.suspectMs,data:data26};
 if(vErrors === null){
 vErrors = [err67];
 }
@@ -871,10 +876,9 @@
 }
 errors++;
 }
-}
-let data26 = data23.closeMs;
-if(!(((typeof data26 == "number") && (!(data26 % 1) && !isNaN(data26))) && (isFinite(data26)))){
-const err68 = {instancePath:instancePath+"/heartbeat/closeMs",schemaPath:"#/properties/heartbeat/properties/closeMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.heartbeat.properties.closeMs.type,parentSchema:schema31.properties.heartbeat.properties.closeMs,data:data26};
+if((typeof data26 == "number") && (isFinite(data26))){
+if(data26 > 86400000 || isNaN(data26)){
+const err68 = {instancePath:instancePath+"/heartbeat/suspectMs",schemaPath:"#/properties/heartbeat/properties/suspectMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.heartbeat.properties.suspectMs,data:data26};
 if(vErrors === null){
 vErrors = [err68];
 }
@@ -883,9 +887,8 @@
 }
 errors++;
 }
-if((typeof data26 == "number") && (isFinite(data26))){
-if(data26 > 86400000 || isNaN(data26)){
-const err69 = {instancePath:instancePath+"/heartbeat/closeMs",schemaPath:"#/properties/heartbeat/properties/closeMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.heartbeat.properties.closeMs,data:data26};
+if(data26 < 1 || isNaN(data26)){
+const err69 = {instancePath:instancePath+"/heartbeat/suspectMs",schemaPath:"#/properties/heartbeat/properties/suspectMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.heartbeat.properties.suspectMs,data:data26};
 if(vErrors === null){
 vErrors = [err69];
 }
@@ -894,8 +897,10 @@
 }
 errors++;
 }
-if(data26 < 1 || isNaN(data26)){
-const err70 = {instancePath:instancePath+"/heartbeat/closeMs",schemaPath:"#/properties/heartbeat/properties/closeMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.heartbeat.properties.closeMs,data:data26};
+}
+let data27 = data24.closeMs;
+if(!(((typeof data27 == "number") && (!(data27 % 1) && !isNaN(data27))) && (isFinite(data27)))){
+const err70 = {instancePath:instancePath+"/heartbeat/closeMs",schemaPath:"#/properties/heartbeat/properties/closeMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.heartbeat.properties.closeMs.type,parentSchema:schema31.properties.heartbeat.properties.closeMs,data:data27};
 if(vErrors === null){
 vErrors = [err70];
 }
@@ -904,10 +909,9 @@
 }
 errors++;
 }
-}
-}
-else {
-const err71 = {instancePath:instancePath+"/heartbeat",schemaPath:"#/properties/heartbeat/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.heartbeat.type,parentSchema:schema31.properties.heartbeat,data:data23};
+if((typeof data27 == "number") && (isFinite(data27))){
+if(data27 > 86400000 || isNaN(data27)){
+const err71 = {instancePath:instancePath+"/heartbeat/closeMs",schemaPath:"#/properties/heartbeat/properties/closeMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.heartbeat.properties.closeMs,data:data27};
 if(vErrors === null){
 vErrors = [err71];
 }
@@ -916,17 +920,8 @@
 }
 errors++;
 }
-let data27 = data.recovery;
-if(data27 && typeof data27 == "object" && !Array.isArray(data27)){
-if(data27.witnessMs === undefined){
-data27.witnessMs = 3000;
-}
-if(data27.clockSkewMs === undefined){
-data27.clockSkewMs = 30000;
-}
-for(const key5 in data27){
-if(!((key5 === "witnessMs") || (key5 === "clockSkewMs"))){
-const err72 = {instancePath:instancePath+"/recovery",schemaPath:"#/properties/recovery/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key5},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.recovery,data:data27};
+if(data27 < 1 || isNaN(data27)){
+const err72 = {instancePath:instancePath+"/heartbeat/closeMs",schemaPath:"#/properties/heartbeat/properties/closeMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.heartbeat.properties.closeMs,data:data27};
 if(vErrors === null){
 vErrors = [err72];
 }
@@ -936,9 +931,9 @@
 errors++;
 }
 }
-let data28 = data27.witnessMs;
-if(!(((typeof data28 == "number") && (!(data28 % 1) && !isNaN(data28))) && (isFinite(data28)))){
-const err73 = {instancePath:instancePath+"/recovery/witnessMs",schemaPath:"#/properties/recovery/properties/witnessMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.recovery.properties.witnessMs.type,parentSchema:schema31.properties.recovery.properties.witnessMs,data:data28};
+}
+else {
+const err73 = {instancePath:instancePath+"/heartbeat",schemaPath:"#/properties/heartbeat/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.heartbeat.type,parentSchema:schema31.properties.heartbeat,data:data24};
 if(vErrors === null){
 vErrors = [err73];
 }
@@ -947,9 +942,17 @@
 }
 errors++;
 }
-if((typeof data28 == "number") && (isFinite(data28))){
-if(data28 > 86400000 || isNaN(data28)){
-const err74 = {instancePath:instancePath+"/recovery/witnessMs",schemaPath:"#/properties/recovery/properties/witnessMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.recovery.properties.witnessMs,data:data28};
+let data28 = data.recovery;
+if(data28 && typeof data28 == "object" && !Array.isArray(data28)){
+if(data28.witnessMs === undefined){
+data28.witnessMs = 3000;
+}
+if(data28.clockSkewMs === undefined){
+data28.clockSkewMs = 30000;
+}
+for(const key5 in data28){
+if(!((key5 === "witnessMs") || (key5 === "clockSkewMs"))){
+const err74 = {instancePath:instancePath+"/recovery",schemaPath:"#/properties/recovery/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key5},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.recovery,data:data28};
 if(vErrors === null){
 vErrors = [err74];
 }
@@ -958,8 +961,10 @@
 }
 errors++;
 }
-if(data28 < 1 || isNaN(data28)){
-const err75 = {instancePath:instancePath+"/recovery/witnessMs",schemaPath:"#/properties/recovery/properties/witnessMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.recovery.properties.witnessMs,data:data28};
+}
+let data29 = data28.witnessMs;
+if(!(((typeof data29 == "number") && (!(data29 % 1) && !isNaN(data29))) && (isFinite(data29)))){
+const err75 = {instancePath:instancePath+"/recovery/witnessMs",schemaPath:"#/properties/recovery/properties/witnessMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.recovery.properties.witnessMs.type,parentSchema:schema31.properties.recovery.properties.witnessMs,data:data29};
 if(vErrors === null){
 vErrors = [err75];
 }
@@ -968,10 +973,9 @@
 }
 errors++;
 }
-}
-let data29 = data27.clockSkewMs;
-if(!(((typeof data29 == "number") && (!(data29 % 1) && !isNaN(data29))) && (isFinite(data29)))){
-const err76 = {instancePath:instancePath+"/recovery/clockSkewMs",schemaPath:"#/properties/recovery/properties/clockSkewMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.recovery.properties.clockSkewMs.type,parentSchema:schema31.properties.recovery.properties.clockSkewMs,data:data29};
+if((typeof data29 == "number") && (isFinite(data29))){
+if(data29 > 86400000 || isNaN(data29)){
+const err76 = {instancePath:instancePath+"/recovery/witnessMs",schemaPath:"#/properties/recovery/properties/witnessMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.recovery.properties.witnessMs,data:data29};
 if(vErrors === null){
 vErrors = [err76];
 }
@@ -980,9 +984,8 @@
 }
 errors++;
 }
-if((typeof data29 == "number") && (isFinite(data29))){
-if(data29 > 86400000 || isNaN(data29)){
-const err77 = {instancePath:instancePath+"/recovery/clockSkewMs",schemaPath:"#/properties/recovery/properties/clockSkewMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.recovery.properties.clockSkewMs,data:data29};
+if(data29 < 1 || isNaN(data29)){
+const err77 = {instancePath:instancePath+"/recovery/witnessMs",schemaPath:"#/properties/recovery/properties/witnessMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.recovery.properties.witnessMs,data:data29};
 if(vErrors === null){
 vErrors = [err77];
 }
@@ -991,8 +994,10 @@
 }
 errors++;
 }
-if(data29 < 1 || isNaN(data29)){
-const err78 = {instancePath:instancePath+"/recovery/clockSkewMs",schemaPath:"#/properties/recovery/properties/clockSkewMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.recovery.properties.clockSkewMs,data:data29};
+}
+let data30 = data28.clockSkewMs;
+if(!(((typeof data30 == "number") && (!(data30 % 1) && !isNaN(data30))) && (isFinite(data30)))){
+const err78 = {instancePath:instancePath+"/recovery/clockSkewMs",schemaPath:"#/properties/recovery/properties/clockSkewMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.recovery.properties.clockSkewMs.type,parentSchema:schema31.properties.recovery.properties.clockSkewMs,data:data30};
 if(vErrors === null){
 vErrors = [err78];
 }
@@ -1001,10 +1006,9 @@
 }
 errors++;
 }
-}
-}
-else {
-const err79 = {instancePath:instancePath+"/recovery",schemaPath:"#/properties/recovery/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.recovery.type,parentSchema:schema31.properties.recovery,data:data27};
+if((typeof data30 == "number") && (isFinite(data30))){
+if(data30 > 86400000 || isNaN(data30)){
+const err79 = {instancePath:instancePath+"/recovery/clockSkewMs",schemaPath:"#/properties/recovery/properties/clockSkewMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.recovery.properties.clockSkewMs,data:data30};
 if(vErrors === null){
 vErrors = [err79];
 }
@@ -1013,14 +1017,8 @@
 }
 errors++;
 }
-let data30 = data.dispatch;
-if(data30 && typeof data30 == "object" && !Array.isArray(data30)){
-if(data30.policy === undefined){
-data30.policy = "credits";
-}
-for(const key6 in data30){
-if(!(key6 === "policy")){
-const err80 = {instancePath:instancePath+"/dispatch",schemaPath:"#/properties/dispatch/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key6},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.dispatch,data:data30};
+if(data30 < 1 || isNaN(data30)){
+const err80 = {instancePath:instancePath+"/recovery/clockSkewMs",schemaPath:"#/properties/recovery/properties/clockSkewMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.recovery.properties.clockSkewMs,data:data30};
 if(vErrors === null){
 vErrors = [err80];
 }
@@ -1030,9 +1028,9 @@
 errors++;
 }
 }
-let data31 = data30.policy;
-if(!(((((data31 === "credits") || (data31 === "leastOutstanding")) || (data31 === "powerOfTwo")) || (data31 === "roundRobin")) || (data31 === "random"))){
-const err81 = {instancePath:instancePath+"/dispatch/policy",schemaPath:"#/properties/dispatch/properties/policy/enum",keyword:"enum",params:{allowedValues: schema31.properties.dispatch.properties.policy.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.dispatch.properties.policy.enum,parentSchema:schema31.properties.dispatch.properties.policy,data:data31};
+}
+else {
+const err81 = {instancePath:instancePath+"/recovery",schemaPath:"#/properties/recovery/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.recovery.type,parentSchema:schema31.properties.recovery,data:data28};
 if(vErrors === null){
 vErrors = [err81];
 }
@@ -1041,9 +1039,14 @@
 }
 errors++;
 }
+let data31 = data.dispatch;
+if(data31 && typeof data31 == "object" && !Array.isArray(data31)){
+if(data31.policy === undefined){
+data31.policy = "credits";
 }
-else {
-const err82 = {instancePath:instancePath+"/dispatch",schemaPath:"#/properties/dispatch/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.dispatch.type,parentSchema:schema31.properties.dispatch,data:data30};
+for(const key6 in data31){
+if(!(key6 === "policy")){
+const err82 = {instancePath:instancePath+"/dispatch",schemaPath:"#/properties/dispatch/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key6},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.dispatch,data:data31};
 if(vErrors === null){
 vErrors = [err82];
 }
@@ -1052,14 +1055,10 @@
 }
 errors++;
 }
-let data32 = data.log;
-if(data32 && typeof data32 == "object" && !Array.isArray(data32)){
-if(data32.level === undefined){
-data32.level = "info";
 }
-for(const key7 in data32){
-if(!(key7 === "level")){
-const err83 = {instancePath:instancePath+"/log",schemaPath:"#/properties/log/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key7},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.log,data:data32};
+let data32 = data31.policy;
+if(!(((((data32 === "credits") || (data32 === "leastOutstanding")) || (data32 === "powerOfTwo")) || (data32 === "roundRobin")) || (data32 === "random"))){
+const err83 = {instancePath:instancePath+"/dispatch/policy",schemaPath:"#/properties/dispatch/properties/policy/enum",keyword:"enum",params:{allowedValues: schema31.properties.dispatch.properties.policy.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.dispatch.properties.policy.enum,parentSchema:schema31.properties.dispatch.properties.policy,data:data32};
 if(vErrors === null){
 vErrors = [err83];
 }
@@ -1069,9 +1068,8 @@
 errors++;
 }
 }
-let data33 = data32.level;
-if(!((((data33 === "error") || (data33 === "warn")) || (data33 === "info")) || (data33 === "debug"))){
-const err84 = {instancePath:instancePath+"/log/level",schemaPath:"#/properties/log/properties/level/enum",keyword:"enum",params:{allowedValues: schema31.properties.log.properties.level.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.log.properties.level.enum,parentSchema:schema31.properties.log.properties.level,data:data33};
+else {
+const err84 = {instancePath:instancePath+"/dispatch",schemaPath:"#/properties/dispatch/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.dispatch.type,parentSchema:schema31.properties.dispatch,data:data31};
 if(vErrors === null){
 vErrors = [err84];
 }
@@ -1080,9 +1078,14 @@
 }
 errors++;
 }
+let data33 = data.log;
+if(data33 && typeof data33 == "object" && !Array.isArray(data33)){
+if(data33.level === undefined){
+data33.level = "info";
 }
-else {
-const err85 = {instancePath:instancePath+"/log",schemaPath:"#/properties/log/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.log.type,parentSchema:schema31.properties.log,data:data32};
+for(const key7 in data33){
+if(!(key7 === "level")){
+const err85 = {instancePath:instancePath+"/log",schemaPath:"#/properties/log/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key7},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.log,data:data33};
 if(vErrors === null){
 vErrors = [err85];
 }
@@ -1091,20 +1094,10 @@
 }
 errors++;
 }
-let data34 = data.traces;
-if(data34 && typeof data34 == "object" && !Array.isArray(data34)){
-if(data34.sample === undefined){
-data34.sample = 0;
-}
-if(data34.otlp === undefined){
-data34.otlp = "";
 }
-if(data34.output === undefined){
-data34.output = "";
-}
-for(const key8 in data34){
-if(!(((key8 === "sample") || (key8 === "otlp")) || (key8 === "output"))){
-const err86 = {instancePath:instancePath+"/traces",schemaPath:"#/properties/traces/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key8},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.traces,data:data34};
+let data34 = data33.level;
+if(!((((data34 === "error") || (data34 === "warn")) || (data34 === "info")) || (data34 === "debug"))){
+const err86 = {instancePath:instancePath+"/log/level",schemaPath:"#/properties/log/properties/level/enum",keyword:"enum",params:{allowedValues: schema31.properties.log.properties.level.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.log.properties.level.enum,parentSchema:schema31.properties.log.properties.level,data:data34};
 if(vErrors === null){
 vErrors = [err86];
 }
@@ -1114,10 +1107,8 @@
 errors++;
 }
 }
-let data35 = data34.sample;
-if((typeof data35 == "number") && (isFinite(data35))){
-if(data35 > 1 || isNaN(data35)){
-const err87 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/maximum",keyword:"maximum",params:{comparison: "<=", limit: 1},message:"must be <= 1",schema:1,parentSchema:schema31.properties.traces.properties.sample,data:data35};
+else {
+const err87 = {instancePath:instancePath+"/log",schemaPath:"#/properties/log/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.log.type,parentSchema:schema31.properties.log,data:data33};
 if(vErrors === null){
 vErrors = [err87];
 }
@@ -1126,8 +1117,20 @@
 }
 errors++;
 }
-if(data35 < 0 || isNaN(data35)){
-const err88 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema31.properties.traces.properties.sample,data:data35};
+let data35 = data.traces;
+if(data35 && typeof data35 == "object" && !Array.isArray(data35)){
+if(data35.sample === undefined){
+data35.sample = 0;
+}
+if(data35.otlp === undefined){
+data35.otlp = "";
+}
+if(data35.output === undefined){
+data35.output = "";
+}
+for(const key8 in data35){
+if(!(((key8 === "sample") || (key8 === "otlp")) || (key8 === "output"))){
+const err88 = {instancePath:instancePath+"/traces",schemaPath:"#/properties/traces/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key8},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.traces,data:data35};
 if(vErrors === null){
 vErrors = [err88];
 }
@@ -1137,8 +1140,10 @@
 errors++;
 }
 }
-else {
-const err89 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema31.properties.traces.properties.sample.type,parentSchema:schema31.properties.traces.properties.sample,data:data35};
+let data36 = data35.sample;
+if((typeof data36 == "number") && (isFinite(data36))){
+if(data36 > 1 || isNaN(data36)){
+const err89 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/maximum",keyword:"maximum",params:{comparison: "<=", limit: 1},message:"must be <= 1",schema:1,parentSchema:schema31.properties.traces.properties.sample,data:data36};
 if(vErrors === null){
 vErrors = [err89];
 }
@@ -1147,10 +1152,8 @@
 }
 errors++;
 }
-let data36 = data34.otlp;
-if(typeof data36 === "string"){
-if(!pattern13.test(data36)){
-const err90 = {instancePath:instancePath+"/traces/otlp",schemaPath:"#/properties/traces/properties/otlp/pattern",keyword:"pattern",params:{pattern: "^(https?://\\S+)?$"},message:"must match pattern \""+"^(https?://\\S+)?$"+"\"",schema:"^(https?://\\S+)?$",parentSchema:schema31.properties.traces.properties.otlp,data:data36};
+if(data36 < 0 || isNaN(data36)){
+const err90 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema31.properties.traces.properties.sample,data:data36};
 if(vErrors === null){
 vErrors = [err90];
 }
@@ -1161,7 +1164,7 @@
 }
 }
 else {
-const err91 = {instancePath:instancePath+"/traces/otlp",schemaPath:"#/properties/traces/properties/otlp/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.traces.properties.otlp.type,parentSchema:schema31.properties.traces.properties.otlp,data:data36};
+const err91 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema31.properties.traces.properties.sample.type,parentSchema:schema31.properties.traces.properties.sample,data:data36};
 if(vErrors === null){
 vErrors = [err91];
 }
@@ -1170,9 +1173,10 @@
 }
 errors++;
 }
-let data37 = data34.output;
-if(!((data37 === "") || (data37 === "stdout"))){
-const err92 = {instancePath:instancePath+"/traces/output",schemaPath:"#/properties/traces/properties/output/enum",keyword:"enum",params:{allowedValues: schema31.properties.traces.properties.output.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.traces.properties.output.enum,parentSchema:schema31.properties.traces.properties.output,data:data37};
+let data37 = data35.otlp;
+if(typeof data37 === "string"){
+if(!pattern13.test(data37)){
+const err92 = {instancePath:instancePath+"/traces/otlp",schemaPath:"#/properties/traces/properties/otlp/pattern",keyword:"pattern",params:{pattern: "^(https?://\\S+)?$"},message:"must match pattern \""+"^(https?://\\S+)?$"+"\"",schema:"^(https?://\\S+)?$",parentSchema:schema31.properties.traces.properties.otlp,data:data37};
 if(vErrors === null){
 vErrors = [err92];
 }
@@ -1183,7 +1187,7 @@
 }
 }
 else {
-const err93 = {instancePath:instancePath+"/traces",schemaPath:"#/properties/traces/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.traces.type,parentSchema:schema31.properties.traces,data:data34};
+const err93 = {instancePath:instancePath+"/traces/otlp",schemaPath:"#/properties/traces/properties/otlp/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.traces.properties.otlp.type,parentSchema:schema31.properties.traces.properties.otlp,data:data37};
 if(vErrors === null){
 vErrors = [err93];
 }
@@ -1192,14 +1196,9 @@
 }
 errors++;
 }
-let data38 = data.stop;
-if(data38 && typeof data38 == "object" && !Array.isArray(data38)){
-if(data38.drainMs === undefined){
-data38.drainMs = 30000;
-}
-for(const key9 in data38){
-if(!(key9 === "drainMs")){
-const err94 = {instancePath:instancePath+"/stop",schemaPath:"#/properties/stop/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key9},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.stop,data:data38};
+let data38 = data35.output;
+if(!((data38 === "") || (data38 === "stdout"))){
+const err94 = {instancePath:instancePath+"/traces/output",schemaPath:"#/properties/traces/properties/output/enum",keyword:"enum",params:{allowedValues: schema31.properties.traces.properties.output.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.traces.properties.output.enum,parentSchema:schema31.properties.traces.properties.output,data:data38};
 if(vErrors === null){
 vErrors = [err94];
 }
@@ -1209,9 +1208,8 @@
 errors++;
 }
 }
-let data39 = data38.drainMs;
-if(!(((typeof data39 == "number") && (!(data39 % 1) && !isNaN(data39))) && (isFinite(data39)))){
-const err95 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.stop.properties.drainMs.type,parentSchema:schema31.properties.stop.properties.drainMs,data:data39};
+else {
+const err95 = {instancePath:instancePath+"/traces",schemaPath:"#/properties/traces/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.traces.type,parentSchema:schema31.properties.traces,data:data35};
 if(vErrors === null){
 vErrors = [err95];
 }
@@ -1220,9 +1218,14 @@
 }
 errors++;
 }
-if((typeof data39 == "number") && (isFinite(data39))){
-if(data39 > 86400000 || isNaN(data39)){
-const err96 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.stop.properties.drainMs,data:data39};
+let data39 = data.stop;
+if(data39 && typeof data39 == "object" && !Array.isArray(data39)){
+if(data39.drainMs === undefined){
+data39.drainMs = 30000;
+}
+for(const key9 in data39){
+if(!(key9 === "drainMs")){
+const err96 = {instancePath:instancePath+"/stop",schemaPath:"#/properties/stop/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key9},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.stop,data:data39};
 if(vErrors === null){
 vErrors = [err96];
 }
@@ -1231,8 +1234,10 @@
 }
 errors++;
 }
-if(data39 < 1 || isNaN(data39)){
-const err97 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.stop.properties.drainMs,data:data39};
+}
+let data40 = data39.drainMs;
+if(!(((typeof data40 == "number") && (!(data40 % 1) && !isNaN(data40))) && (isFinite(data40)))){
+const err97 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.stop.properties.drainMs.type,parentSchema:schema31.properties.stop.properties.drainMs,data:data40};
 if(vErrors === null){
 vErrors = [err97];
 }
@@ -1241,26 +1246,47 @@
 }
 errors++;
 }
+if((typeof data40 == "number") && (isFinite(data40))){
+if(data40 > 86400000 || isNaN(data40)){
+const err98 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.stop.properties.drainMs,data:data40};
+if(vErrors === null){
+vErrors = [err98];
+}
+else {
+vErrors.push(err98);
+}
+errors++;
+}
+if(data40 < 1 || isNaN(data40)){
+const err99 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.stop.properties.drainMs,data:data40};
+if(vErrors === null){
+vErrors = [err99];
+}
+else {
+vErrors.push(err99);
+}
+errors++;
+}
 }
 }
 else {
-const err98 = {instancePath:instancePath+"/stop",schemaPath:"#/properties/stop/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.stop.type,parentSchema:schema31.properties.stop,data:data38};
+const err100 = {instancePath:instancePath+"/stop",schemaPath:"#/properties/stop/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.stop.type,parentSchema:schema31.properties.stop,data:data39};
 if(vErrors === null){
-vErrors = [err98];
+vErrors = [err100];
 }
 else {
-vErrors.push(err98);
+vErrors.push(err100);
 }
 errors++;
 }
 }
 else {
-const err99 = {instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.type,parentSchema:schema31,data};
+const err101 = {instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.type,parentSchema:schema31,data};
 if(vErrors === null){
-vErrors = [err99];
+vErrors = [err101];
 }
 else {
-vErrors.push(err99);
+vErrors.push(err101);
 }
 errors++;
 }
--- a/test/callers/badRequests.test.ts
+++ b/test/callers/badRequests.test.ts
@@ -53,6 +53,18 @@
   `);
 });
 
+test('bodies beyond the memory for all of them are refused until others are done', async () => {
+  const start = await CallerCase.start({ openBodyBytes: 200 });
+  const headers = 'Content-Length: 180\r\n\r\n';
+  const first = await start.open(`${HEAD}${headers}${'x'.repeat(179)}`);
+  const body = CallerCase.tasks('x'.repeat(20));
+  await expect.poll(() => start.send(undefined, { body })).toMatch(/^424 unknown/);
+  const single = start.send('/v1/services/booking/requests', { method: 'POST', body });
+  expect(await single).toMatch(/^503 not-run/);
+  first.destroy();
+  await expect.poll(() => start.send(undefined, { body })).toMatch(/^202 pending/);
+});
+
 test('a caller that asks first is not told to send an oversize body', async () => {
   const start = await CallerCase.start();
   const large = await start.raw(`${HEAD}Expect: 100-continue\r\nContent-Length: 5000\r\n\r\n`);
--- a/test/callers/serverFaults.test.ts
+++ b/test/callers/serverFaults.test.ts
@@ -8,7 +8,7 @@
 
 const limits = {
   ...{ connections: 10, headerBytes: 16_384, headerTimeoutMs: 5000 },
-  ...{ bodyTimeoutMs: 5000, bodyBytes: 65_536, recordBytes: 0 },
+  ...{ bodyTimeoutMs: 5000, bodyBytes: 65_536, openBodyBytes: 65_536, recordBytes: 0 },
 };
 const servers: CallerServer[] = [];
 
--- a/test/daemon/runDaemon.test.ts
+++ b/test/daemon/runDaemon.test.ts
@@ -1,4 +1,4 @@
-import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { expect, onTestFinished, test } from 'vitest';
@@ -63,18 +63,18 @@
   const folder = await mkdtemp(path.join(tmpdir(), 'magnoliakeel-test-'));
   onTestFinished(() => rm(folder, { recursive: true }));
   const file = path.join(folder, 'entry.yaml');
-  const text = await readFile('examples/entry.yaml', 'utf8');
-  const wrong = text
-    .replace('10.0.1.10:8080', '10.0.1.10')
-    .replace('connections: 4000', 'conections: 4000')
-    .replace('level: info', 'level: loud')
-    .replace('sample: 0.001', 'sample: 2');
-  await writeFile(file, wrong);
+  const text = [
+    '{ role: entry, cluster: c, instance: e, zone: z,',
+    'listen: { callers: 10.0.1.10, peers: 10.0.1.10:1, operators: 10.0.1.10:2 },',
+    'store: { address: 10.0.0.5:1 }, limits: { conections: 9 },',
+    'log: { level: loud }, traces: { sample: 2 } }',
+  ];
+  await writeFile(file, text.join('\n'));
   expect((await run(`--check --config ${file}`)).replaceAll(folder, '')).toMatchInlineSnapshot(`
     "3
-    err: /entry.yaml:9:12 listen.callers: found "10.0.1.10", expected an address "ip:port"
-    err: /entry.yaml:29:3 limits.conections: found an unknown key, expected "connections"
-    err: /entry.yaml:49:10 log.level: found "loud", expected one of "error", "warn", "info", "debug"
-    err: /entry.yaml:52:11 traces.sample: found 2, expected a share from 0 to 1"
+    err: /entry.yaml:2:20 listen.callers: found "10.0.1.10", expected an address "ip:port"
+    err: /entry.yaml:3:43 limits.conections: found an unknown key, expected "connections"
+    err: /entry.yaml:4:15 log.level: found "loud", expected one of "error", "warn", "info", "debug"
+    err: /entry.yaml:4:41 traces.sample: found 2, expected a share from 0 to 1"
   `);
 });
--- a/test/support/CallerCase.ts
+++ b/test/support/CallerCase.ts
@@ -36,6 +36,7 @@
 
 const LIMITS: EntrySettings['limits'] = {
   bodyBytes: 2048,
+  openBodyBytes: 2_000_000,
   headerBytes: 1024,
   bodyTimeoutMs: 100,
   headerTimeoutMs: 100,
--- a/test/support/System.ts
+++ b/test/support/System.ts
@@ -345,7 +345,12 @@
     store: { address: '127.0.0.1:1', leaseMs: 5000, timeoutMs: 2000, callsPerSecond: 20 },
     limits: {
       ...{ bodyBytes: 1_000_000, headerBytes: 16_384, bodyTimeoutMs: 10_000 },
-      ...{ headerTimeoutMs: 5000, connections: 100, recordBytes: 10_000_000 },
+      ...{
+        headerTimeoutMs: 5000,
+        connections: 100,
+        openBodyBytes: 10_000_000,
+        recordBytes: 10_000_000,
+      },
     },
     heartbeat: HEARTBEAT,
     recovery: { witnessMs: 3000, clockSkewMs: 30_000 },
