Start nothing twice when an owner dies while another entry leaves, and doubt less

Cause: sidecars named a lost owner's jobs to the member that weighs most, also to a leaving one, while the entries leave that one out: the owner that took over heard of no start and started the job anew. And an entry forgot what a sidecar had named as soon as the sidecar was lost, so that every job of the lost owner was in doubt. A leaving entry could also hand records to itself when its mark had not reached the store. Change: one function says who owns jobs in a view; confirmations are kept with their view and count where the job was this entry's in that view; a leaving entry never hands over to itself. Ruled out: counting a confirmation of any newer view, since in that view the sidecar may have named the job to another entry.

--- /dev/null
+++ b/src/core/ownersIn.ts
@@ -0,0 +1,8 @@
+interface Members {
+  readonly members: readonly { readonly incarnation: string; readonly leaving: boolean }[];
+}
+
+/** Incarnations of the members that own new jobs in a view: all but those that are leaving. */
+export default function ownersIn({ members }: Members): string[] {
+  return members.filter(({ leaving }) => !leaving).map(({ incarnation }) => incarnation);
+}
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -4,6 +4,7 @@
 import type CallerSubmission from '../callers/CallerSubmission';
 import listenProblem from '../core/listenProblem';
 import ownerOf from '../core/ownerOf';
+import ownersIn from '../core/ownersIn';
 import Versioned from '../core/Versioned';
 import Dispatcher from '../dispatch/Dispatcher';
 import {
@@ -245,7 +246,7 @@
     await membership.retire();
     await this.finishCallers();
     const { jobs, views, options } = this;
-    const isTaken = await handOver(jobs.answered(), views.current, options.network);
+    const isTaken = await handOver(jobs.answered(), views.current, this.self, options.network);
     await membership.leave(isTaken && jobs.open === 0);
     this.sidecarLinks.broadcast({ case: 'goodbye', value: create(GoodbyeSchema) });
     this.entryLinks.broadcast({ case: 'goodbye', value: create(GoodbyeSchema) });
@@ -354,9 +355,7 @@
   }
 
   private ownsNew(key: string): boolean {
-    const owners = this.views.current.members.filter(({ leaving }) => !leaving);
-    const names = owners.map(({ incarnation }) => incarnation);
-    return ownerOf(key, names) === this.self;
+    return ownerOf(key, ownersIn(this.views.current)) === this.self;
   }
 
   private wakeWatchers(): void {
--- a/src/entry/Router.ts
+++ b/src/entry/Router.ts
@@ -1,6 +1,7 @@
 import { create } from '@bufbuild/protobuf';
 import jobKey from '../core/jobKey';
 import ownerOf from '../core/ownerOf';
+import ownersIn from '../core/ownersIn';
 import {
   type Answer,
   AnswerSchema,
@@ -95,9 +96,7 @@
   }
 
   private ownerOf({ service, kind, id }: Submission): Member | undefined {
-    const owners = this.options.views.current.members.filter(({ leaving }) => !leaving);
-    const names = owners.map(({ incarnation }) => incarnation);
-    const name = ownerOf(jobKey(service, kind, id), names);
+    const name = ownerOf(jobKey(service, kind, id), ownersIn(this.options.views.current));
     return name === undefined ? undefined : this.memberOf(name);
   }
 
--- a/src/entry/SidecarLinks.ts
+++ b/src/entry/SidecarLinks.ts
@@ -143,7 +143,6 @@
     this.absences.delete(peer.incarnation);
     this.peers.delete(peer.incarnation);
     this.dispatcher.sidecarLost(peer.incarnation);
-    this.recovery.fences.drop(peer.incarnation);
     this.options.ended(peer);
   }
 
--- a/src/entry/handOver.ts
+++ b/src/entry/handOver.ts
@@ -10,9 +10,12 @@
 export default async function handOver(
   records: readonly JobRecord[],
   view: View,
+  self: string,
   network: Pick<Network, 'handover'>,
 ): Promise<boolean> {
-  const owners = view.members.filter(({ leaving }) => !leaving);
+  const owners = view.members.filter(
+    ({ leaving, incarnation }) => !leaving && incarnation !== self,
+  );
   const names = owners.map(({ incarnation }) => incarnation);
   if (names.length === 0) return records.length === 0;
   const byOwner = new Map<string, JobRecord[]>();
--- a/src/recovery/Fences.ts
+++ b/src/recovery/Fences.ts
@@ -2,7 +2,7 @@
 
 /** What sidecars have confirmed of views, and the jobs of removed owners that they named. */
 export default class Fences {
-  private readonly confirmed = new Map<string, bigint>();
+  private readonly confirmed = new Map<string, Set<bigint>>();
 
   private readonly named = new Map<string, Set<string>>();
 
@@ -17,8 +17,9 @@
 
   /** Takes a sidecar's confirmation. */
   add(sidecar: string, fenced: Fenced): void {
-    const known = this.confirmed.get(sidecar) ?? 0n;
-    if (fenced.viewNumber > known) this.confirmed.set(sidecar, fenced.viewNumber);
+    const views = this.confirmed.get(sidecar) ?? new Set();
+    views.add(fenced.viewNumber);
+    this.confirmed.set(sidecar, views);
     fenced.jobs.forEach((job) => {
       const sidecars = this.named.get(job) ?? new Set();
       sidecars.add(sidecar);
@@ -27,9 +28,12 @@
     this.changed();
   }
 
-  /** Whether a sidecar refuses the owners that are not in the view with this number. */
-  covers(sidecar: string, viewNumber: bigint): boolean {
-    return (this.confirmed.get(sidecar) ?? 0n) >= viewNumber;
+  /**
+   * Numbers of the views that a sidecar confirmed. It refuses starts of owners
+   * outside each of them ever after, also when it is lost later.
+   */
+  viewsOf(sidecar: string): bigint[] {
+    return [...(this.confirmed.get(sidecar) ?? [])];
   }
 
   /** The sidecars that named a job. */
@@ -37,10 +41,11 @@
     return [...(this.named.get(job) ?? [])];
   }
 
-  /** Forgets a sidecar that has ended; what it named stays known as named. */
-  drop(sidecar: string): void {
-    this.confirmed.delete(sidecar);
-    this.changed();
+  /** Forgets the confirmations of all sidecars but these. */
+  keepOnly(sidecars: ReadonlySet<string>): void {
+    [...this.confirmed.keys()]
+      .filter((sidecar) => !sidecars.has(sidecar))
+      .forEach((sidecar) => this.confirmed.delete(sidecar));
   }
 
   /** Forgets a job once it has a record. */
--- a/src/recovery/Recovery.ts
+++ b/src/recovery/Recovery.ts
@@ -1,4 +1,6 @@
 import { create } from '@bufbuild/protobuf';
+import ownerOf from '../core/ownerOf';
+import ownersIn from '../core/ownersIn';
 import {
   ClaimRequestSchema,
   type Fenced,
@@ -63,7 +65,7 @@
     const claimed = await this.claim(job, owners);
     if (claimed) return claimed;
     const removed = owners.filter((owner) => owner.address === undefined && !owner.departed);
-    const doubts = await Promise.all(removed.map((owner) => this.inDoubt(owner, createdMs)));
+    const doubts = await Promise.all(removed.map((owner) => this.inDoubt(job, owner, createdMs)));
     return this.collect(job, doubts.includes(true) || this.settlements.touches(job));
   }
 
@@ -71,6 +73,7 @@
   expire(wallMs: number): void {
     this.roster.expire(wallMs);
     this.settlements.expire(wallMs);
+    this.fences.keepOnly(new Set(this.roster.all().map(({ incarnation }) => incarnation)));
   }
 
   /** Asks the past owners that are still members; gives a verdict if one holds the job or can't be asked. */
@@ -97,42 +100,62 @@
 
   /**
    * Waits until every sidecar that may have started tasks for a removed owner
-   * has confirmed the present view. True when one is lost that the owner had
-   * not settled, for jobs that are old enough to have been started there.
+   * has named the jobs that it knows of it. True when one is lost that did not
+   * and that the owner had not settled, for jobs that are old enough.
    */
-  private async inDoubt(owner: PastOwner, createdMs: number): Promise<boolean> {
-    const { timer, views, witnessMs, clockSkewMs } = this.options;
+  private async inDoubt(job: string, owner: PastOwner, createdMs: number): Promise<boolean> {
+    const { timer, witnessMs, clockSkewMs } = this.options;
     const sinceMs = createdMs - clockSkewMs;
-    const viewNumber = views.number;
     const deadline = timer.now() + witnessMs;
-    let open = this.openWitnesses(owner, sinceMs, viewNumber);
-    while (this.isWorthWaiting(owner, open) && timer.now() < deadline) {
+    let open = this.openWitnesses(job, owner, sinceMs);
+    while (this.isWorthWaiting(job, owner, open) && timer.now() < deadline) {
       const over = new AbortController();
       await Promise.race([
         this.fences.nextChange(),
         timer.sleep(deadline - timer.now(), over.signal),
       ]);
       over.abort();
-      open = this.openWitnesses(owner, sinceMs, viewNumber);
+      open = this.openWitnesses(job, owner, sinceMs);
     }
     const oldEnough = createdMs <= owner.removedMs! + clockSkewMs;
     return oldEnough && (open.length > 0 || !this.isInformed(owner));
   }
 
   /** Whether an open witness may still confirm, or a roster may still come. */
-  private isWorthWaiting(owner: PastOwner, open: readonly RosterItem[]): boolean {
+  private isWorthWaiting(job: string, owner: PastOwner, open: readonly RosterItem[]): boolean {
+    if (!this.ownedIn(this.options.views.number, job)) return false;
     if (!this.isInformed(owner)) return true;
     const longAgo = this.options.timer.wall() - this.options.witnessMs;
     return open.some((item) => !item.ended || Number(item.seenMs) > longAgo);
   }
 
-  private openWitnesses(owner: PastOwner, sinceMs: number, viewNumber: bigint): RosterItem[] {
+  private openWitnesses(job: string, owner: PastOwner, sinceMs: number): RosterItem[] {
     return this.roster
       .activeSince(sinceMs)
-      .filter(({ incarnation }) => !this.fences.covers(incarnation, viewNumber))
+      .filter(({ incarnation }) => !this.hasNamed(incarnation, job, owner))
       .filter(({ incarnation }) => !this.settlements.has(incarnation, owner.incarnation));
   }
 
+  /**
+   * Whether a sidecar has named to this entry what it started for a removed
+   * owner, in a view in which the job was this entry's. That stays true.
+   */
+  private hasNamed(sidecar: string, job: string, { removedIn }: PastOwner): boolean {
+    return this.fences
+      .viewsOf(sidecar)
+      .some((number) => number >= removedIn! && this.ownedIn(number, job));
+  }
+
+  private ownedIn(number: bigint, job: string): boolean {
+    const { views, self } = this.options;
+    const { current } = views;
+    const owners =
+      number === current.number
+        ? ownersIn(current)
+        : current.past.find((past) => past.number === number)?.incarnations;
+    return owners !== undefined && ownerOf(job, owners) === self;
+  }
+
   /** Whether the roster comes from a process that was a member together with the owner. */
   private isInformed(owner: PastOwner): boolean {
     return this.options.views.current.past.some((past) => {
--- a/src/recovery/pastOwners.ts
+++ b/src/recovery/pastOwners.ts
@@ -17,16 +17,19 @@
 
 function describe(view: View, incarnation: string): PastOwner {
   const member = view.members.find((candidate) => candidate.incarnation === incarnation);
-  if (member) {
-    return { incarnation, address: member.address, removedMs: undefined, departed: false };
-  }
-  const departed = view.past.some((past) => past.departed.includes(incarnation));
-  const ends = view.past
-    .filter((past) => wasMember(past, incarnation))
-    .map((past) => Number(past.untilMs));
-  return { incarnation, address: undefined, removedMs: Math.max(...ends), departed };
+  if (member) return { incarnation, address: member.address, ...STILL_MEMBER };
+  const last = view.past.findLast((past) => wasMember(past, incarnation))!;
+  return {
+    incarnation,
+    address: undefined,
+    removedMs: Number(last.untilMs),
+    removedIn: last.number + 1n,
+    departed: last.departed.includes(incarnation),
+  };
 }
 
+const STILL_MEMBER = { removedMs: undefined, removedIn: undefined, departed: false };
+
 function wasMember(past: PastView, incarnation: string): boolean {
   return past.incarnations.includes(incarnation) || past.leaving.includes(incarnation);
 }
--- a/src/sidecar/Evidence.ts
+++ b/src/sidecar/Evidence.ts
@@ -1,6 +1,7 @@
 import { create } from '@bufbuild/protobuf';
 import type Versioned from '../core/Versioned';
 import ownerOf from '../core/ownerOf';
+import ownersIn from '../core/ownersIn';
 import {
   AdoptedSchema,
   FencedSchema,
@@ -68,11 +69,11 @@
     peer.send({ case: 'adopted', value: create(AdoptedSchema, { jobs: jobs.map(heldJob) }) });
   }
 
-  /** Jobs whose owner is not a member, by the member that owns them now. */
+  /** Jobs whose owner is not a member, by the member that owns them now; a leaving one owns none anew. */
   private orphans(): Map<string, string[]> {
     const view = this.parts.view.current;
-    const incarnations = view.members.map((member) => member.incarnation);
-    const members = new Set(incarnations);
+    const incarnations = ownersIn(view);
+    const members = new Set(view.members.map((member) => member.incarnation));
     const found = new Map<string, string[]>();
     [...this.parts.ledger.all()].forEach((job) => {
       if (members.has(job.owner)) return;
--- /dev/null
+++ b/test/faults/lostOwner.test.ts
@@ -0,0 +1,70 @@
+import { afterEach, expect, test } from 'vitest';
+import System from '../support/System';
+
+const systems: System[] = [];
+
+afterEach(() => systems.splice(0).forEach((system) => system.end()));
+
+async function started(): Promise<System> {
+  const system = await System.start();
+  systems.push(system);
+  return system;
+}
+
+/** An id that e1 owns, and `next` once e1 is gone. */
+function idOf(system: System, next: 'e2' | 'e3', from = 0): string {
+  for (let n = from; ; n += 1) {
+    const id = `job-${n}`;
+    const isWanted =
+      system.owner('job', id) === 'e1' && system.owner('job', id, ['e2', 'e3']) === next;
+    if (isWanted) return id;
+  }
+}
+
+function story(system: System, id: string): string[] {
+  return system.happenings.flatMap((event) => {
+    if (event.id !== id) return [];
+    if (event.kind === 'started') return ['started'];
+    return event.kind === 'answered' ? [event.outcome] : [];
+  });
+}
+
+test('a lost owner’s job that a leaving entry would own is continued by the next owner', async () => {
+  const system = await started();
+  const id = idOf(system, 'e2');
+  const kept = Array.from({ length: 50 }, (_, n) => `kept-${n}`).find(
+    (name) => system.owner('job', name) === 'e2',
+  )!;
+  system.call({ id: kept, kind: 'job', tasks: [9500, 9500, 9500, 9500], via: 'e2' });
+  await system.timer.advance(100);
+  system.leave('e2');
+  await system.timer.advance(500);
+  system.call({ id, kind: 'job', tasks: [50], via: 'e3', once: true });
+  await system.timer.advance(200);
+  system.kill('e1');
+  await system.until(
+    () => !system.view('e3').members.some(({ instance }) => instance === 'e1'),
+    9000,
+    10,
+  );
+  system.call({ id, kind: 'job', tasks: [50], via: 'e3', once: true });
+  await system.timer.advance(2000);
+  expect(story(system, id)).toEqual(['started', 'completed', 'completed']);
+});
+
+test('a sidecar that is lost after it told what a lost owner had started there leaves no doubt', async () => {
+  const system = await started();
+  const id = idOf(system, 'e2');
+  system.kill('e1');
+  await system.until(
+    () => !system.view('e2').members.some(({ instance }) => instance === 'e1'),
+    9000,
+    10,
+  );
+  await system.timer.advance(500);
+  system.kill('s1');
+  await system.timer.advance(5000);
+  system.call({ id, kind: 'job', tasks: [50], via: 'e3', once: true });
+  await system.timer.advance(6000);
+  expect(story(system, id)).toEqual(['started', 'completed']);
+});
