Measure how long a change takes to be in force everywhere

npm run measure:config starts real entries and sidecars (10, 40 and 100 processes) and changes the manifest through the code of magnoliakeelctl: one by one, in a burst, by two racing operators, with an entry cut from the store, with the store down, with processes killed and started or paused. It reads the processes' logs for the time from an apply to its being in force at each, and for steps back, and counts the store's calls. It ends with 1 on a reversion or a version missing anywhere.

--- /dev/null
+++ b/tools/measureConfig/Operator.ts
@@ -0,0 +1,53 @@
+import createContext from '../../src/ctl/createContext';
+import ManifestStore from '../../src/ctl/ManifestStore';
+import pause from '../measureCapacity/pause';
+import type Applied from './Applied';
+
+/** An operator whose pipeline changes the manifest, as magnoliakeelctl does it. */
+export default class Operator {
+  /** How often another operator was first. */
+  conflicts = 0;
+
+  /** How often the store could not be reached. */
+  failures = 0;
+
+  private changes = 0;
+
+  private constructor(
+    private readonly name: string,
+    private readonly store: ManifestStore,
+    private readonly base: { readonly services: readonly object[] },
+  ) {}
+
+  static create(
+    name: string,
+    storeAddress: string,
+    base: { readonly services: readonly object[] },
+  ): Operator {
+    return new Operator(name, ManifestStore.at(storeAddress, createContext()), base);
+  }
+
+  /** Changes the manifest and tries again until that succeeds. */
+  async apply(phase: string): Promise<Applied> {
+    this.changes += 1;
+    for (;;) {
+      const startedAt = Date.now();
+      const applied = await this.store
+        .current()
+        .andThen((current) => this.store.apply(this.manifest(), current));
+      if (applied.isOk() && applied.value.done) {
+        return { version: applied.value.stored!.version, phase, startedAt };
+      }
+      if (applied.isOk()) this.conflicts += 1;
+      else this.failures += 1;
+      if (applied.isErr()) await pause(RETRY_S);
+    }
+  }
+
+  private manifest(): object {
+    const service = { name: this.name, timeoutMs: 1000 + this.changes };
+    return { ...this.base, services: [...this.base.services, service] };
+  }
+}
+
+const RETRY_S = 0.2;
