--- a/src/entry/Job.ts
+++ b/src/entry/Job.ts
@@ -1,4 +1,4 @@
-import { create } from '@bufbuild/protobuf';
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import type Subscription from '../core/Subscription';
 import type TimerService from '../core/TimerService';
 import {
@@ -7,20 +7,25 @@
   Outcome,
   type Submission,
   type TaskResult,
-  type TaskStatus,
+  TaskStatus,
 } from '../gen/magnoliakeel/v1/peer_pb';
 import judge from './judge';
 
 /**
  * The one record of a job at its owner: its results as they come in, where its
  * tasks were started, and in the end its answer. Each task's result is bound
- * to its index; the first result counts and later ones are ignored.
+ * to its index; the first result counts and later ones are ignored. The answer
+ * is kept packed, since most records are never asked for again and there are
+ * very many of them.
  */
 export default class Job {
   /** Where each task was started last, by sidecar incarnation. */
   readonly places: (string | undefined)[];
 
-  private readonly results: (TaskResult | undefined)[];
+  private results: (TaskResult | undefined)[];
+
+  /** How each task ended; 0 while it has not. */
+  private readonly statuses: Uint8Array;
 
   private readonly waiters = new Set<(answer: Answer) => void>();
 
@@ -29,7 +34,7 @@
 
   private finished = 0;
 
-  private final: Answer | undefined;
+  private final: PackedAnswer | undefined;
 
   private constructor(
     readonly key: string,
@@ -40,6 +45,7 @@
   ) {
     this.places = new Array(size);
     this.results = new Array(size);
+    this.statuses = new Uint8Array(size);
   }
 
   /** Creates the record of a job that was just accepted. */
@@ -51,18 +57,28 @@
   /** Creates the record of a job that another entry finished. */
   static fromAnswer(key: string, digest: string, createdMs: number, answer: Answer): Job {
     const job = new Job(key, '', digest, createdMs, answer.size);
-    job.final = answer;
+    job.finish(answer);
     return job;
   }
 
-  /** The final answer, once there is one. */
+  /** Whether there is a final answer. */
+  get isAnswered(): boolean {
+    return this.final !== undefined;
+  }
+
+  /** The outcome of the final answer, once there is one. */
+  get outcome(): Outcome | undefined {
+    return this.final?.outcome;
+  }
+
+  /** The final answer, once there is one, unpacked anew at each call. */
   get answer(): Answer | undefined {
-    return this.final;
+    return this.final && fromBinary(AnswerSchema, this.final.bytes);
   }
 
-  /** Bytes that the record keeps for its answer. */
+  /** Bytes that the record keeps, once it has its answer. */
   get bytes(): number {
-    return RECORD_BYTES + (this.final?.results ?? []).reduce(addOutput, 0);
+    return RECORD_BYTES + this.size * TASK_BYTES + (this.final?.bytes.length ?? 0);
   }
 
   /** Notes that a task is about to be started at a sidecar. */
@@ -82,13 +98,14 @@
 
   /** How a task ended; undefined while it has not. */
   statusOf(index: number): TaskStatus | undefined {
-    return this.results[index]?.status;
+    return this.statuses[index] || undefined;
   }
 
   /** Takes a task's result and finishes the job when nothing else can change its outcome. */
   settle(result: TaskResult): void {
     if (this.final || this.results[result.index]) return;
     this.results[result.index] = result;
+    this.statuses[result.index] = result.status;
     this.finished += 1;
     const verdict = judge(this.results, this.finished, this.anyStarted);
     if (verdict) this.finish(verdict);
@@ -103,7 +120,7 @@
   /** Where the job stands now. */
   progress(): Answer {
     return (
-      this.final ??
+      this.answer ??
       create(AnswerSchema, {
         outcome: Outcome.PENDING,
         size: this.size,
@@ -129,24 +146,28 @@
 
   /** The answer, however long it takes. */
   answered(): Promise<Answer> {
-    if (this.final) return Promise.resolve(this.final);
+    const { answer } = this;
+    if (answer) return Promise.resolve(answer);
     return new Promise((resolve) => {
       this.waiters.add(resolve);
     });
   }
 
   private finish(answer: Answer): void {
-    this.final = answer;
+    this.final = { outcome: answer.outcome, bytes: toBinary(AnswerSchema, answer) };
+    this.results = [];
     [...this.waiters].forEach((settle) => settle(answer));
   }
 }
 
-/** What a record without results costs in memory, roughly. */
-const RECORD_BYTES = 400;
-
-function addOutput(sum: number, { output }: TaskResult): number {
-  return sum + output.length + RESULT_BYTES;
+/** An answer as protobuf bytes, with the outcome beside it. */
+interface PackedAnswer {
+  readonly outcome: Outcome;
+  readonly bytes: Uint8Array;
 }
 
-/** What one result costs beside its output, roughly. */
-const RESULT_BYTES = 100;
+/** Memory of a record without its answer and its tasks, as `npm run measure:capacity` shows it. */
+const RECORD_BYTES = 800;
+
+/** Memory that a record keeps for each task beside the answer: its place and its status. */
+const TASK_BYTES = 9;
--- a/src/entry/Jobs.ts
+++ b/src/entry/Jobs.ts
@@ -131,7 +131,7 @@
     this.records.forEach((job) => {
       const limit =
         job.createdMs + this.options.retentionOf(job.service) + this.options.clockSkewMs;
-      if (job.answer && limit < now) this.drop(job);
+      if (job.isAnswered && limit < now) this.drop(job);
     });
   }
 
@@ -148,7 +148,7 @@
   /** The answered records, for handing over. */
   answered(): JobRecord[] {
     return [...this.records.values()]
-      .filter((job) => job.answer)
+      .filter((job) => job.isAnswered)
       .map(({ key, digest, createdMs, answer }) =>
         create(JobRecordSchema, { job: key, digest, createdMs: BigInt(createdMs), answer }),
       );
@@ -234,7 +234,7 @@
     this.tasks.set(job, new Set(tasks));
     const seen = bestEvidence(evidence);
     tasks.forEach((task) => {
-      if (!job.answer) this.begin(job, task, seen.get(task.index), doubt);
+      if (!job.isAnswered) this.begin(job, task, seen.get(task.index), doubt);
     });
     this.limitTime(job, submission);
     return job;
@@ -279,18 +279,18 @@
       retryable: submission.kind === REQUEST_KIND && submission.idempotent,
       queuedAt: this.options.timer.now(),
       attempt: 0,
-      isWanted: () => !job.answer,
+      isWanted: () => !job.isAnswered,
       starting: (sidecar) => job.starting(index, sidecar),
       notStarted: () => job.notStarted(index),
       settled: (result) => {
         job.settle(result);
-        if (job.answer) this.finished(job);
+        if (job.isAnswered) this.finished(job);
       },
     };
   }
 
   private limitTime(job: Job, submission: Submission): void {
-    if (job.answer) return;
+    if (job.isAnswered) return;
     const limit = this.options.jobTimeoutOf(submission.service);
     const wanted = submission.deadlineMs || limit;
     const timeout = this.options.timer.after(Math.min(wanted, limit), () => {
@@ -313,9 +313,9 @@
     const tasks = this.tasks.get(job);
     if (!tasks) return;
     this.tasks.delete(job);
-    if (job.answer?.outcome !== Outcome.COMPLETED) this.dispatcher.dequeue(tasks);
+    if (job.outcome !== Outcome.COMPLETED) this.dispatcher.dequeue(tasks);
     this.keptBytes += job.bytes;
-    if (job.answer?.outcome === Outcome.NOT_RUN) this.drop(job);
+    if (job.outcome === Outcome.NOT_RUN) this.drop(job);
   }
 
   private drop(job: Job): void {
