Tell sidecars in heartbeats only what they use

Cause: a heartbeat to a sidecar carried the loads of all services with all teams that ever ran a task, which a sidecar does not look at beyond the age of the oldest task of its own service. Change: it gets that age, where a task waits; entries tell one another only of teams with running tasks. The measurement ends all its rounds when one fails.

--- a/src/dispatch/Dispatcher.ts
+++ b/src/dispatch/Dispatcher.ts
@@ -229,11 +229,23 @@
         idle: lane.pool.size,
         queued: lane.queue.length,
         oldestWaitMs: oldest === undefined ? 0 : Math.ceil(this.options.timer.now() - oldest),
-        teams: [...lane.teamsRunning].map(([team, running]) => ({ team, running })),
+        teams: [...lane.teamsRunning]
+          .filter(([, running]) => running > 0)
+          .map(([team, running]) => ({ team, running })),
       });
     });
   }
 
+  /** What a sidecar of some services needs of them: how long tasks have waited, where any wait. */
+  waitsOf(services: readonly string[]): ServiceLoad[] {
+    return services.flatMap((service) => {
+      const oldest = this.lanes.get(service)?.queue.oldestQueuedAt();
+      if (oldest === undefined) return [];
+      const oldestWaitMs = Math.ceil(this.options.timer.now() - oldest);
+      return create(ServiceLoadSchema, { service, oldestWaitMs });
+    });
+  }
+
   private laneOf(service: string): Lane {
     let lane = this.lanes.get(service);
     if (!lane) {
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -23,6 +23,7 @@
   MemberSchema,
   Outcome,
   Role,
+  type ServiceLoad,
   type View,
   ViewSchema,
 } from '../gen/magnoliakeel/v1/peer_pb';
@@ -270,12 +271,13 @@
     }
     if (link.peer.role !== Role.ENTRY) return;
     this.sightings.everything().forEach((message) => link.send(message));
-    link.send({ case: 'heartbeat', value: this.heartbeat() });
+    const loads = this.dispatcher.serviceLoads();
+    link.send({ case: 'heartbeat', value: this.heartbeat(loads) });
   }
 
-  private heartbeat(): Heartbeat {
+  private heartbeat(loads: ServiceLoad[]): Heartbeat {
     return create(HeartbeatSchema, {
-      loads: this.dispatcher.serviceLoads(),
+      loads,
       configurationVersion: this.configurations.number,
       viewNumber: this.views.number,
     });
@@ -447,7 +449,7 @@
         viewNumber: () => this.views.number,
         witnessMs: settings.recovery.witnessMs,
         keepAlive: settings.heartbeat,
-        heartbeat: () => this.heartbeat(),
+        heartbeat: (peer) => this.heartbeat(this.dispatcher.waitsOf(peer.services)),
         greet: (link) => this.greet(link),
         linked: (peer) => {
           log.info(`sidecar ${peer.instance} linked`);
@@ -472,7 +474,7 @@
       self: this.self,
       hello: () => this.hello(),
       keepAlive: settings.heartbeat,
-      heartbeat: () => this.heartbeat(),
+      heartbeat: () => this.heartbeat(this.dispatcher.serviceLoads()),
       greet: (link) => this.greet(link),
       receive: (from, message) => {
         const { views, configurations, dispatcher, recovery, entryLinks, sightings } = this;
--- a/src/entry/SidecarLinks.ts
+++ b/src/entry/SidecarLinks.ts
@@ -84,7 +84,7 @@
   async serve(link: Link): Promise<void> {
     const peer = this.open(link);
     const keepAlive = KeepAlive.start(link, this.options.timer, this.options.keepAlive, {
-      heartbeat: () => ({ case: 'heartbeat', value: this.options.heartbeat() }),
+      heartbeat: () => ({ case: 'heartbeat', value: this.options.heartbeat(peer) }),
       suspected: (suspected) => {
         peer.suspected = suspected;
       },
--- a/src/entry/SidecarLinksOptions.ts
+++ b/src/entry/SidecarLinksOptions.ts
@@ -12,7 +12,8 @@
   /** How long a sidecar may stay away before it counts as lost. */
   readonly witnessMs: number;
   readonly keepAlive: KeepAliveLimits;
-  readonly heartbeat: () => Heartbeat;
+  /** Makes the next heartbeat to a sidecar. */
+  readonly heartbeat: (peer: SidecarPeer) => Heartbeat;
   /** Sends what a newly linked process has to know. */
   readonly greet: (link: Link) => void;
   /** Told when a sidecar has linked. */
--- a/tools/measureCapacity/main.ts
+++ b/tools/measureCapacity/main.ts
@@ -45,8 +45,7 @@
 async function measure({ json, only = '' }: Flags): Promise<void> {
   const chosen = measures.filter(({ run }) => run.name.includes(only));
   for (const { run, sideBySide } of chosen) {
-    if (sideBySide) await Promise.all(ROUNDS.map((round) => run(round)));
-    else for (const round of ROUNDS) await run(round);
+    await rounds(run, sideBySide);
     const series = run.series();
     if (!json) series.forEach((each) => process.stdout.write(`${printSeries(each)}\n`));
   }
@@ -54,3 +53,14 @@
   if (json) process.stdout.write(`${JSON.stringify(all, undefined, 2)}\n`);
   process.exit(0);
 }
+
+/** Runs all rounds to their end, so that each ends its processes, and fails with the first that failed. */
+async function rounds(run: (round: number) => Promise<void>, sideBySide: boolean): Promise<void> {
+  if (!sideBySide) {
+    for (const round of ROUNDS) await run(round);
+    return;
+  }
+  const ended = await Promise.allSettled(ROUNDS.map((round) => run(round)));
+  const failed = ended.find((each) => each.status === 'rejected');
+  if (failed) throw failed.reason;
+}
--- a/tools/measureCapacity/measureSidecarLinks.ts
+++ b/tools/measureCapacity/measureSidecarLinks.ts
@@ -13,6 +13,9 @@
 const CHANGES_AT = [100, 400];
 const SLOTS = 8;
 const SETTLE_SECONDS = 2;
+/** Longer than an entry awaits a sidecar whose link has ended. */
+const ENDED_SECONDS = 4;
+const JOINED_SECONDS = 2;
 const WINDOW_SECONDS = 4;
 const CHANGES = 20;
 const TEAMS = [10, 56] as const;
@@ -81,10 +84,11 @@
     }
     for (let left = STEPS.length; left > 1; left -= 1) {
       await this.noteIdle(series.cpu, series.bytes, series.messages);
-      await this.links.removeLast();
+      await this.removeLast();
     }
     await this.links.add(STEPS.at(-1)!);
     await this.busy();
+    await this.removal();
   }
 
   private async noteMemory(): Promise<void> {
@@ -110,10 +114,15 @@
     await load.close();
     if (load.failed > 0) throw new Error(`${load.failed} jobs failed`);
     await this.noteIdle(series.busyCpu, series.busyBytes);
-    await this.links.removeLast();
+    await this.removeLast();
     await this.noteIdle(series.busyCpu, series.busyBytes);
   }
 
+  private async removeLast(): Promise<void> {
+    await this.links.removeLast();
+    await pause(ENDED_SECONDS);
+  }
+
   private async window() {
     const pid = this.cluster.processes.pid('entry-1');
     const before = sampleProcess(pid);
@@ -135,7 +144,6 @@
   private async change(): Promise<void> {
     for (const [at, teams] of TEAMS.entries()) await this.configurations(at, teams);
     await this.views();
-    await this.removal();
   }
 
   private async configurations(at: number, teams: number): Promise<void> {
@@ -163,16 +171,15 @@
     series.viewCpu.add(this.round, cost.cpuMs, this.links.count);
   }
 
-  /** Has a second entry join and die. */
+  /** Has a second entry join and die. Comes last: jobs of a removed entry wait for links that ended since. */
   private async removal(): Promise<void> {
     const { cluster, links } = this;
-    const known = links.report().view;
     await cluster.startEntry('entry-2');
-    await links.until(({ view }) => view > known);
-    await pause(AFTER_CHANGES_SECONDS);
+    const joined = await cluster.processes.waitFor('entry-1', /view (\d+): entry-1, entry-2/);
+    await pause(JOINED_SECONDS);
     const killed = Date.now();
     cluster.processes.signal('entry-2', 'SIGKILL');
-    const removed = await links.until(({ view }) => view > known + 1);
+    const removed = await links.until(({ view }) => view > Number(joined));
     series.removalMs.add(this.round, removed.viewAt - killed);
   }
 
