--- a/src/entry/EntryOptions.ts
+++ b/src/entry/EntryOptions.ts
@@ -2,6 +2,8 @@
 import type Random from '../core/Random';
 import type TimerService from '../core/TimerService';
 import type Network from '../link/Network';
+import type EntryMetrics from '../observe/EntryMetrics';
+import type Tracer from '../observe/Tracer';
 import type EntrySettings from '../settings/EntrySettings';
 import type Store from '../store/Store';
 
@@ -14,6 +16,10 @@
   readonly random: Random;
   readonly network: Network;
   readonly store: Store;
+  /** Told of what this entry does. */
+  readonly metrics?: EntryMetrics;
+  /** Traces requests; undefined when nothing is traced. */
+  readonly tracer?: Tracer;
   readonly log: Pick<ConsolaInstance, 'error' | 'info' | 'warn'>;
   /** Address of this process's operators' listener, once it listens; it is told to other processes. */
   readonly operators?: () => string;
--- a/src/entry/Job.ts
+++ b/src/entry/Job.ts
@@ -4,6 +4,8 @@
 import {
   type Answer,
   AnswerSchema,
+  type JobRecord,
+  JobRecordSchema,
   Outcome,
   type Submission,
   type TaskResult,
@@ -42,6 +44,8 @@
     readonly digest: string,
     readonly createdMs: number,
     readonly size: number,
+    /** When this entry accepted it, by the timer service. */
+    readonly acceptedAt: number,
   ) {
     this.places = new Array(size);
     this.results = new Array(size);
@@ -49,18 +53,28 @@
   }
 
   /** Creates the record of a job that was just accepted. */
-  static fromSubmission(key: string, submission: Submission): Job {
+  static fromSubmission(key: string, submission: Submission, now: number): Job {
     const { service, digest, createdMs, inputs } = submission;
-    return new Job(key, service, digest, Number(createdMs), inputs.length);
+    return new Job(key, service, digest, Number(createdMs), inputs.length, now);
   }
 
   /** Creates the record of a job that another entry finished. */
-  static fromAnswer(key: string, digest: string, createdMs: number, answer: Answer): Job {
-    const job = new Job(key, '', digest, createdMs, answer.size);
+  static fromRecord({ job: key, digest, createdMs, sidecars }: JobRecord, answer: Answer): Job {
+    const job = new Job(key, '', digest, Number(createdMs), answer.size, 0);
+    sidecars.forEach((sidecar, index) => job.starting(index, sidecar));
     job.finish(answer);
     return job;
   }
 
+  /** The record for the job's next owner, once there is an answer. */
+  get record(): JobRecord | undefined {
+    const { key: job, digest, answer } = this;
+    if (!answer) return undefined;
+    const sidecars = [...new Set(this.places)].filter((place) => place !== undefined);
+    const createdMs = BigInt(this.createdMs);
+    return create(JobRecordSchema, { job, digest, createdMs, answer, sidecars });
+  }
+
   /** Whether there is a final answer. */
   get isAnswered(): boolean {
     return this.final !== undefined;
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -93,6 +93,7 @@
       timer: opts.timer,
       client: opts.client,
       counters: opts.counters,
+      tracer: opts.tracer,
       unreachable: (lost) => this.loseBackend(lost),
       maxOutputBytes: (service) => this.services.maxOutputBytes(service),
     });
@@ -100,6 +101,8 @@
     this.dialler = this.createDialler();
     this.parts = {
       ...{ view, credits },
+      configurations: this.services.newest,
+      heartbeat: () => this.heartbeat(),
       lease: this.lease,
       tasks: this.tasks,
       evidence: this.evidence,
@@ -204,7 +207,7 @@
 
   /** Serves one link to its end. Messages that are unread at its end are dropped. */
   private async serve(link: Link): Promise<boolean> {
-    const peer = EntryPeer.of(link, this.opts.timer, this.opts.counters);
+    const peer = EntryPeer.of(link, this.opts.timer);
     if (!this.isWanted(link.peer) || !this.entries.add(peer)) {
       link.close();
       return false;
@@ -212,7 +215,6 @@
     this.opened(peer);
     for await (const message of link.messages()) {
       if (link.closed.aborted || this.isHeldUp()) break;
-      peer.hear(message);
       this.handle(peer, message);
     }
     link.close();
@@ -235,7 +237,7 @@
     this.opts.counters.links += 1;
     this.opts.log?.(`linked to entry ${peer.link.peer.instance}`);
     KeepAlive.start(peer.link, this.opts.timer, this.opts.heartbeat, {
-      heartbeat: () => this.heartbeatTo(peer),
+      heartbeat: () => this.heartbeat(),
       suspected: (suspected) => peer.suspect(suspected),
     });
     const { version } = this.services;
@@ -306,8 +308,7 @@
     return this.opts.timer.now() - this.beatAt > this.opts.heartbeat.closeMs;
   }
 
-  private heartbeatTo(peer: EntryPeer): PeerMessage {
-    peer.countSent('heartbeat');
+  private heartbeat(): PeerMessage {
     const value = create(HeartbeatSchema, {
       configurationVersion: this.services.version,
       viewNumber: this.view.number,
--- a/tools/harness/Processes.ts
+++ b/tools/harness/Processes.ts
@@ -10,7 +10,10 @@
 
   private readonly listeners = new Set<() => void>();
 
-  private constructor(private readonly watch: ProcessWatch) {}
+  private constructor(private readonly watch: ProcessWatch) {
+    // Whatever ends this program, nothing that it started stays behind.
+    process.once('exit', () => this.children.forEach((child) => child.kill('SIGKILL')));
+  }
 
   /** Creates an empty set of processes. */
   static create(watch: ProcessWatch = {}): Processes {
@@ -29,8 +32,9 @@
     return pid;
   }
 
-  /** Starts one of the built programs of `dist`. */
+  /** Starts one of the built programs of `dist`. A name stands for one process at a time. */
   start(name: string, program: string, args: readonly string[]): void {
+    if (this.children.has(name)) throw new Error(`${name} runs already`);
     const child = spawn(process.execPath, [`dist/${program}.js`, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
