--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -307,9 +307,10 @@
     link.send({ case: 'heartbeat', value: this.heartbeat() });
   }
 
-  private heartbeat(): Heartbeat {
+  /** A heartbeat with the loads of every service, or with those that concern the receiver. */
+  private heartbeat(loads = this.dispatcher.serviceLoads()): Heartbeat {
     return create(HeartbeatSchema, {
-      loads: this.dispatcher.serviceLoads(),
+      loads,
       configurationVersion: this.configurations.number,
       viewNumber: this.views.number,
     });
@@ -487,7 +488,7 @@
         configurations: this.configurations,
         witnessMs: settings.recovery.witnessMs,
         keepAlive: settings.heartbeat,
-        heartbeat: () => this.heartbeat(),
+        heartbeat: (peer) => this.heartbeat(this.dispatcher.waitsOf(peer.services)),
         greet: (link) => this.greet(link),
         linked: (peer) => {
           log.info(`sidecar ${peer.instance} linked`);
--- a/src/entry/SidecarLinks.ts
+++ b/src/entry/SidecarLinks.ts
@@ -85,7 +85,7 @@
   async serve(link: Link): Promise<void> {
     const peer = this.open(link);
     const keepAlive = KeepAlive.start(link, this.options.timer, this.options.keepAlive, {
-      heartbeat: () => ({ case: 'heartbeat', value: this.options.heartbeat() }),
+      heartbeat: () => ({ case: 'heartbeat', value: this.options.heartbeat(peer) }),
       suspected: (suspected) => {
         peer.suspected = suspected;
         if (suspected) this.options.metrics?.suspected('sidecar');
@@ -169,7 +169,7 @@
   heartbeat: ({ options, peer }, heartbeat) => {
     const { views, configurations } = options;
     const send = (message: PeerMessage) => peer.link?.send(message);
-    const beat = (): PeerMessage => ({ case: 'heartbeat', value: options.heartbeat() });
+    const beat = (): PeerMessage => ({ case: 'heartbeat', value: options.heartbeat(peer) });
     catchUp({ views, configurations, send, heartbeat: beat }, heartbeat);
   },
   grant: ({ dispatcher, peer }, grant) => dispatcher.granted(peer, grant),
