--- a/src/entry/Jobs.ts
+++ b/src/entry/Jobs.ts
@@ -131,7 +131,7 @@
     this.records.forEach((job) => {
       const limit =
         job.createdMs + this.options.retentionOf(job.service) + this.options.clockSkewMs;
-      if (job.answer && limit < now) this.drop(job);
+      if (job.isAnswered && limit < now) this.drop(job);
     });
   }
 
@@ -239,7 +239,7 @@
     this.keptBytes += job.inputBytes;
     const seen = bestEvidence(evidence);
     tasks.forEach((task) => {
-      if (!job.answer) this.begin(job, task, seen.get(task.index), doubt);
+      if (!job.isAnswered) this.begin(job, task, seen.get(task.index), doubt);
     });
     this.limitTime(job, submission);
     return job;
@@ -285,7 +285,7 @@
       retryable: submission.kind === REQUEST_KIND && submission.idempotent,
       queuedAt,
       attempt: 0,
-      isWanted: () => !job.answer,
+      isWanted: () => !job.isAnswered,
       starting: (sidecar) => job.starting(index, sidecar),
       notStarted: () => {
         if (task.attempt === 0) job.notStarted(index);
@@ -293,7 +293,7 @@
       settled: (result) => {
         this.countResult(job, result, queuedAt);
         job.settle(result);
-        if (job.answer) this.finished(job);
+        if (job.isAnswered) this.finished(job);
       },
     };
     return task;
@@ -301,12 +301,12 @@
 
   private countResult(job: Job, { status, runMs }: TaskResult, queuedAt: number): void {
     const { metrics, timer } = this.options;
-    if (job.answer) metrics?.wasted('result_untaken');
+    if (job.isAnswered) metrics?.wasted('result_untaken');
     else metrics?.taskSettled(job.service, status, timer.now() - queuedAt, runMs);
   }
 
   private limitTime(job: Job, submission: Submission): void {
-    if (job.answer) return;
+    if (job.isAnswered) return;
     const limit = this.options.jobTimeoutOf(submission.service);
     const wanted = submission.deadlineMs || limit;
     const timeout = this.options.timer.after(Math.min(wanted, limit), () => {
@@ -330,9 +330,9 @@
     if (!tasks) return;
     this.tasks.delete(job);
     this.options.metrics?.jobFinished(job.service, this.options.timer.now() - job.acceptedAt);
-    if (job.answer?.outcome !== Outcome.COMPLETED) this.dispatcher.dequeue(tasks);
+    if (job.outcome !== Outcome.COMPLETED) this.dispatcher.dequeue(tasks);
     this.keptBytes += job.bytes - job.inputBytes;
-    if (job.answer?.outcome === Outcome.NOT_RUN) this.drop(job);
+    if (job.outcome === Outcome.NOT_RUN) this.drop(job);
   }
 
   private drop(job: Job): void {
