Lose no credits when a borrower has no link, and show every fault at every step

Cause: credits lent to an entry without a link to their sidecar were dropped, and so were those whose start vanished on a half-open link; the sidecar held them for the lender, who had given them away, so their slots stayed idle for good. Change: a credit remembers its lender; what is of no use goes back in a Lend marked as returned, and the lender is asked again only after its next heartbeat. The fault matrix (24 faults and pairs at 13 steps) runs over System, with one job answered until final, one submitted once, and a request of each sort; afterwards a probe must run in all slots at once.

--- a/src/dispatch/CreditPool.ts
+++ b/src/dispatch/CreditPool.ts
@@ -1,4 +1,3 @@
-import type { Credit } from '../gen/magnoliakeel/v1/peer_pb';
 import type HeldCredit from './HeldCredit';
 
 /**
@@ -6,7 +5,7 @@
  * the sidecar with most of them, so that load spreads over the backend servers.
  */
 export default class CreditPool {
-  private readonly bySidecar = new Map<string, Credit[]>();
+  private readonly bySidecar = new Map<string, HeldCredit[]>();
 
   private count = 0;
 
@@ -23,15 +22,15 @@
   }
 
   /** Adds a credit; an older one of the same slot is replaced. */
-  add({ sidecar, credit }: HeldCredit): void {
-    const credits = this.bySidecar.get(sidecar) ?? [];
-    const same = credits.findIndex(({ slot }) => slot === credit.slot);
+  add(held: HeldCredit): void {
+    const credits = this.bySidecar.get(held.sidecar) ?? [];
+    const same = credits.findIndex(({ credit }) => credit.slot === held.credit.slot);
     if (same >= 0) {
-      if (credits[same]!.generation < credit.generation) credits[same] = credit;
+      if (credits[same]!.credit.generation < held.credit.generation) credits[same] = held;
       return;
     }
-    credits.push(credit);
-    this.bySidecar.set(sidecar, credits);
+    credits.push(held);
+    this.bySidecar.set(held.sidecar, credits);
     this.count += 1;
   }
 
@@ -60,22 +59,22 @@
     return taken;
   }
 
-  /** Forgets the credits of a sidecar, all or those of the slots named. */
-  drop(sidecar: string, slots?: readonly number[]): void {
-    const credits = this.bySidecar.get(sidecar);
-    if (!credits) return;
-    const kept = slots ? credits.filter(({ slot }) => !slots.includes(slot)) : [];
+  /** Forgets the credits of a sidecar, all or those of the slots named, and returns them. */
+  drop(sidecar: string, slots?: readonly number[]): HeldCredit[] {
+    const credits = this.bySidecar.get(sidecar) ?? [];
+    const isDropped = ({ credit }: HeldCredit) => !slots || slots.includes(credit.slot);
+    const kept = credits.filter((held) => !isDropped(held));
     this.count -= credits.length - kept.length;
     if (kept.length === 0) this.bySidecar.delete(sidecar);
     else this.bySidecar.set(sidecar, kept);
+    return credits.filter(isDropped);
   }
 
   private takeFrom(sidecar: string): HeldCredit | undefined {
     const credits = this.bySidecar.get(sidecar)!;
-    const credit = credits.pop();
+    const held = credits.pop();
     if (credits.length === 0) this.bySidecar.delete(sidecar);
-    if (!credit) return undefined;
-    this.count -= 1;
-    return { sidecar, credit };
+    if (held) this.count -= 1;
+    return held;
   }
 }
--- a/src/dispatch/Dispatcher.ts
+++ b/src/dispatch/Dispatcher.ts
@@ -5,6 +5,7 @@
   type Done,
   type Grant,
   type Lend,
+  type LentCredit,
   LendSchema,
   ReclaimSchema,
   ReconcileSchema,
@@ -101,9 +102,9 @@
     this.send(peer.incarnation, { case: 'reconcile', value });
   }
 
-  /** Drops the credits of a sidecar whose link has ended; its tasks stay awaited. */
+  /** Drops the credits of a sidecar whose link has ended, borrowed ones go back; its tasks stay awaited. */
   linkEnded(peer: SidecarPeer): void {
-    this.lanes.forEach(({ pool }) => pool.drop(peer.incarnation));
+    this.lanes.forEach((lane) => this.giveBack(lane, lane.pool.drop(peer.incarnation)));
   }
 
   /** Gives a sidecar up: its tasks may have run, and nothing more is expected of it. */
@@ -113,6 +114,7 @@
     const lost = [...(this.bySidecar.get(incarnation) ?? [])];
     lost.forEach((entry) => {
       this.forget(entry);
+      this.giveBackOf(entry);
       this.attemptLost(entry.task, 'the sidecar was lost');
     });
     this.bySidecar.delete(incarnation);
@@ -168,6 +170,7 @@
       const entry = this.running.get(taskKey(id.job, id.index));
       if (!entry || entry.sidecar !== peer.incarnation) return;
       this.forget(entry);
+      this.giveBackOf(entry);
       this.startAgain(entry.task);
     });
   }
@@ -182,17 +185,21 @@
     const { pool } = this.laneOf(borrow.service);
     const taken = pool.takeHalf(borrow.wanted);
     this.lentTo.set(entry, [...(this.lentTo.get(entry) ?? []), ...taken].slice(-LENT_KEPT));
-    return create(LendSchema, { service: borrow.service, credits: taken, idle: pool.size });
+    const credits = taken.map(({ sidecar, credit }) => ({ sidecar, credit }));
+    return create(LendSchema, { service: borrow.service, credits, idle: pool.size });
   }
 
-  /** Takes the credits that another entry lent. */
+  /** Takes the credits that another entry lent or returned; those that are of no use here go back. */
   lent(entry: string, lend: Lend): void {
     const lane = this.laneOf(lend.service);
-    lane.asking = undefined;
-    this.loads.setIdle(entry, lend.service, lend.idle);
-    lend.credits.forEach(({ sidecar, credit }) => {
-      if (credit && this.sidecars.get(sidecar)?.link) lane.pool.add({ sidecar, credit });
-    });
+    if (!lend.returned) lane.asking = undefined;
+    const held = lend.credits.map((lent) => this.heldOf(entry, lend, lent));
+    const isUsable = ({ sidecar }: HeldCredit) => this.sidecars.get(sidecar)?.link !== undefined;
+    const useless = held.filter((one) => !isUsable(one));
+    held.filter(isUsable).forEach((usable) => lane.pool.add(usable));
+    this.giveBack(lane, useless);
+    // An entry that lent useless credits is asked again only after its next heartbeat.
+    this.loads.setIdle(entry, lend.service, useless.length > 0 ? 0 : lend.idle);
     this.pump(lane);
   }
 
@@ -268,10 +275,11 @@
     return here + this.loads.running(lane.service, team) < limit;
   }
 
-  private start(lane: Lane, task: QueuedTask, { sidecar, credit }: HeldCredit): void {
+  private start(lane: Lane, task: QueuedTask, held: HeldCredit): void {
     const { timer, owner, viewNumber } = this.options;
+    const { sidecar, credit } = held;
     task.starting(sidecar);
-    this.track({ task, sidecar });
+    this.track({ task, sidecar, held });
     const oldest = lane.queue.oldestQueuedAt();
     const value = create(StartSchema, {
       task: taskIdOf(task),
@@ -302,6 +310,37 @@
     }
   }
 
+  private heldOf(entry: string, { returned }: Lend, { sidecar, credit }: LentCredit): HeldCredit {
+    if (!returned) return { sidecar, credit: credit!, lender: entry };
+    const lent = this.lentTo.get(entry) ?? [];
+    const at = lent.findIndex(
+      (one) =>
+        one.sidecar === sidecar &&
+        one.credit.slot === credit!.slot &&
+        one.credit.generation === credit!.generation,
+    );
+    return at < 0 ? { sidecar, credit: credit! } : lent.splice(at, 1)[0]!;
+  }
+
+  /** Returns borrowed credits to their lenders; a lender that is lost has had them renewed. */
+  private giveBack(lane: Lane, credits: readonly HeldCredit[]): void {
+    const { service, pool } = lane;
+    const lenders = new Set(credits.flatMap(({ lender }) => lender ?? []));
+    lenders.forEach((lender) => {
+      const own = credits.filter((held) => held.lender === lender);
+      const value = create(LendSchema, {
+        ...{ service, idle: pool.size, returned: true },
+        credits: own.map(({ sidecar, credit }) => ({ sidecar, credit })),
+      });
+      this.options.sendToEntry(lender, { case: 'lend', value });
+    });
+  }
+
+  /** Returns the credit of a start that may never have arrived; if it did, the credit is stale. */
+  private giveBackOf({ task, held }: RunningTask): void {
+    if (held) this.giveBack(this.laneOf(task.service), [held]);
+  }
+
   private startAgain(task: QueuedTask): void {
     task.notStarted();
     const lane = this.laneOf(task.service);
@@ -374,6 +413,8 @@
 interface RunningTask {
   readonly task: QueuedTask;
   readonly sidecar: string;
+  /** The credit it was started with; undefined for one that was adopted. */
+  readonly held?: HeldCredit;
 }
 
 /** How many lent credits are remembered for each entry; more than it can hold at once. */
--- a/src/dispatch/HeldCredit.ts
+++ b/src/dispatch/HeldCredit.ts
@@ -5,4 +5,6 @@
   /** The sidecar's incarnation. */
   readonly sidecar: string;
   readonly credit: Credit;
+  /** The entry that lent it; undefined when the sidecar granted it here. */
+  readonly lender?: string;
 }
--- /dev/null
+++ b/test/faults/steps.ts
@@ -0,0 +1,92 @@
+import type Cell from './Cell';
+
+/** Brings a cell to a step. Gives what to do shortly after the fault, or why the step was not met. */
+type Step = (cell: Cell) => Promise<(() => void | Promise<void>) | string>;
+
+const NOTHING = () => undefined;
+
+/** Asks, and stops the time when messages of a kind are held. */
+function holding(kind: string, pass = 0): Step {
+  return async (cell) => {
+    const held = cell.hold(kind, pass);
+    cell.ask();
+    const met = await cell.system.until(() => held.size > 0, 2000);
+    return met ? () => held.release() : `no ${kind} was sent`;
+  };
+}
+
+async function run(cell: Cell): Promise<void> {
+  cell.ask();
+  await cell.system.until(() => cell.starts('J') > 0, 2000);
+  await cell.system.timer.advance(100);
+}
+
+/** The steps of the matrix, by name. */
+const steps: Readonly<Record<string, Step>> = {
+  'before accept': async (cell) => () => cell.ask(),
+  accepted: async (cell) => {
+    const { system, roles } = cell;
+    const tasks = new Array(system.slots * system.sidecars.size).fill(700);
+    system.call({ id: 'filler', kind: 'job', tasks, via: roles.forwarder });
+    await system.timer.advance(50);
+    cell.ask();
+    await system.timer.advance(50);
+    return cell.starts('J') === 0 ? NOTHING : 'a task started although all slots were taken';
+  },
+  'start sent': holding('start'),
+  'start received': async (cell) => {
+    cell.ask();
+    const met = await cell.system.until(() => cell.starts('J') > 0, 2000);
+    return met ? NOTHING : 'no start was received';
+  },
+  running: async (cell) => {
+    await run(cell);
+    return NOTHING;
+  },
+  'done unreported': holding('done'),
+  reported: holding('done', 3),
+  answering: holding('forward.answer'),
+  'answered then resubmitted': async (cell) => {
+    cell.ask();
+    const met = await cell.system.until(() => cell.system.open === 0, 5000);
+    return met ? () => cell.ask() : 'no answer came';
+  },
+  fencing: async (cell) => {
+    const { system, roles } = cell;
+    await run(cell);
+    const held = system.network.hold(({ kind }) => kind === 'fenced');
+    system.kill(roles.owner);
+    const met = await system.until(() => held.size > 0, 12_000, 5);
+    const { owner, other, forwarder } = roles;
+    Object.assign(cell, { roles: { ...roles, owner: other, other: forwarder } });
+    return met
+      ? async () => {
+          held.release();
+          await system.restart(owner);
+        }
+      : 'no sidecar was to confirm a view';
+  },
+  'owner draining': async (cell) => {
+    await run(cell);
+    cell.system.leave(cell.roles.owner);
+    await cell.system.timer.advance(20);
+    return NOTHING;
+  },
+  'sidecar draining': async (cell) => {
+    await run(cell);
+    cell.system.leave(cell.roles.sidecar);
+    await cell.system.timer.advance(20);
+    return NOTHING;
+  },
+  'applying configuration': async (cell) => {
+    const { system } = cell;
+    await run(cell);
+    const kinds = ['configuration', 'inForce'];
+    const held = system.network.hold(({ kind }) => kinds.includes(kind));
+    await system.configure();
+    const met = await system.until(() => held.size > 0, 2000);
+    return met ? () => held.release() : 'no configuration was sent';
+  },
+};
+
+export default steps;
--- a/test/support/SimulatedProcess.ts
+++ b/test/support/SimulatedProcess.ts
@@ -13,10 +13,16 @@
 
   private late: (() => void)[] = [];
 
-  /** Aborts at the process's death. */
-  readonly death = new AbortController();
+  /** Resolves at the process's death. */
+  readonly death: Promise<undefined>;
 
-  private constructor(private readonly base: ManualTimer) {}
+  private die: () => void = () => undefined;
+
+  private constructor(private readonly base: ManualTimer) {
+    this.death = new Promise((resolve) => {
+      this.die = () => resolve(undefined);
+    });
+  }
 
   /** Starts a process that lives on the timer. */
   static start(base: ManualTimer): SimulatedProcess {
@@ -89,7 +95,7 @@
   kill(): void {
     this.state = 'dead';
     this.late = [];
-    this.death.abort();
+    this.die();
   }
 
   /** What comes from outside: resolves while the process runs, and never once it is dead. */
--- a/test/support/System.ts
+++ b/test/support/System.ts
@@ -30,6 +30,7 @@
 const PATIENCE_MS = 12_000;
 const AGAIN_MS = 300;
 const RENEW_MS = 1000;
+const SKEW_MS = 5000;
 const FINAL: ReadonlySet<string> = new Set([
   'completed',
   'failed',
@@ -118,7 +119,10 @@
     const stop = new AbortController();
     const run = { process, incarnation, entry, stop };
     this.entries.set(instance, run);
-    entry.run(stop.signal).then((ended) => this.entryEnded(instance, run, ended), note);
+    entry.run(stop.signal).then((ended) => {
+      note(`ended ${ended}`);
+      this.ended(instance, run);
+    }, note);
   }
 
   /** Starts a sidecar's process; its backend server announces itself to it. */
@@ -137,14 +141,14 @@
       counters: SidecarCounters.create(),
       entries: [1, 2, 3].map((n) => addressOf(`e${n}`)),
       heartbeat: HEARTBEAT,
-      ...{ ledgerBytes: 10_000_000, skewMs: 30_000, renewMs: RENEW_MS, drainMs: 30_000 },
+      ...{ ledgerBytes: 10_000_000, skewMs: SKEW_MS, renewMs: RENEW_MS, drainMs: 30_000 },
       log: (line) => this.logs.push(`${this.timer.now()} ${incarnation}: ${line}`),
     });
     const stop = new AbortController();
     const run = { process, sidecar, stop };
     this.sidecars.set(instance, run);
     sidecar.run(stop.signal).then(
-      () => this.isCurrent(instance, run) && this.kill(instance),
+      () => this.ended(instance, run),
       (cause) => this.logs.push(String(cause)),
     );
     this.keepAnnounced(instance, run, backend);
@@ -163,6 +167,11 @@
     else this.startSidecar(instance);
   }
 
+  /** Whether a process runs under the name. */
+  isRunning(instance: string): boolean {
+    return this.processOf(instance).isAlive;
+  }
+
   /** Stops a process as a stop signal does. */
   pause(instance: string): void {
     this.processOf(instance).pause();
@@ -241,14 +250,11 @@
   private async answerOf(ask: Ask, run: EntryRun, gone: AbortSignal) {
     const { process, entry, stop } = run;
     if (!process.isAlive || stop.signal.aborted || !entry.isReady) return LOST;
-    const death = new Promise<undefined>((resolve) => {
-      process.death.signal.addEventListener('abort', () => resolve(undefined), { once: true });
-    });
-    const { submission } = { submission: this.submissionOf(ask) };
+    const submission = this.submissionOf(ask);
     const asked = process
       .pass(Promise.resolve())
       .then(() => process.pass(entry.submit({ submission, keyed: true }, gone)));
-    const answer = await Promise.race([asked, death]);
+    const answer = await Promise.race([asked, process.death]);
     if (!answer) return LOST;
     const outputs = answer.results.map(({ output }) => Buffer.from(output).toString());
     const outcome = Outcome[answer.outcome].toLowerCase().replace('_', '-');
@@ -269,7 +275,7 @@
   /** Every submission of an id carries the time of its first one. */
   private createdOf(id: string): bigint {
     const first = this.happenings.find((event) => event.kind === 'asked' && event.id === id);
-    return BigInt(this.timer.wall() - this.timer.now() + first!.at);
+    return BigInt(this.timer.wall() - Math.floor(this.timer.now()) + Math.floor(first!.at));
   }
 
   private keepAnnounced(instance: string, run: SidecarRun, backend: SimulatedBackend): void {
@@ -284,16 +290,12 @@
     announce().catch(never);
   }
 
-  private entryEnded(instance: string, run: EntryRun, ended: string): void {
-    this.logs.push(`${this.timer.now()} ${run.incarnation}: ended ${ended}`);
-    if (this.entries.get(instance) !== run || !run.process.isAlive) return;
+  /** A process that ended by itself is started anew, as the platform does. */
+  private ended(instance: string, run: EntryRun | SidecarRun): void {
+    const current = this.entries.get(instance) ?? this.sidecars.get(instance);
+    if (current !== run || !run.process.isAlive) return;
     this.kill(instance);
-    // As the platform does with a process that ended.
-    if (ended === 'removed') this.timer.after(RENEW_MS, () => this.restart(instance));
-  }
-
-  private isCurrent(instance: string, run: SidecarRun): boolean {
-    return this.sidecars.get(instance) === run && run.process.isAlive;
+    this.timer.after(RENEW_MS, () => this.restart(instance));
   }
 
   private processOf(instance: string): SimulatedProcess {
@@ -336,7 +338,7 @@
       ...{ headerTimeoutMs: 5000, connections: 100, recordBytes: 10_000_000 },
     },
     heartbeat: HEARTBEAT,
-    recovery: { witnessMs: 3000, clockSkewMs: 30_000 },
+    recovery: { witnessMs: 3000, clockSkewMs: SKEW_MS },
     dispatch: { policy: 'credits' as const },
     log: { level: 'info' as const },
     traces: { sample: 0, output: '' as const, otlp: '' },
