--- a/src/dispatch/Dispatcher.ts
+++ b/src/dispatch/Dispatcher.ts
@@ -26,9 +26,12 @@
 import type DispatcherOptions from './DispatcherOptions';
 import EntryLoads from './EntryLoads';
 import type HeldCredit from './HeldCredit';
+import type Placement from './Placement';
+import pickers from './pickers';
 import type QueuedTask from './QueuedTask';
 import type SidecarPeer from './SidecarPeer';
 import TeamQueue from './TeamQueue';
+import traceStart from './traceStart';
 
 /**
  * Brings an entry's waiting tasks and its credits together. It starts a task
@@ -88,6 +91,7 @@
       bySidecar.set(sidecar, [...(bySidecar.get(sidecar) ?? []), task]);
     });
     bySidecar.forEach((cancelled, sidecar) => {
+      this.options.metrics?.wasted('cancelled', cancelled.length);
       const value = create(CancelSchema, { tasks: cancelled.map(taskIdOf) });
       this.send(sidecar, { case: 'cancel', value });
     });
@@ -144,6 +148,8 @@
     if (entry && matches) {
       this.forget(entry);
       this.settleDone(entry.task, done);
+    } else {
+      this.options.metrics?.wasted('result_untaken');
     }
     const service = entry?.task.service ?? peer.services[0];
     if (service === undefined) return;
@@ -156,12 +162,13 @@
   refused(peer: SidecarPeer, refuse: Refuse): void {
     const entry = refuse.task && this.running.get(taskKey(refuse.task.job, refuse.task.index));
     if (!entry || entry.sidecar !== peer.incarnation) return;
+    this.options.metrics?.startRefused(refuse.cause);
     this.forget(entry);
     if (refuse.cause === RefusalCause.DUPLICATE) {
       this.attemptLost(entry.task, 'the sidecar had started this task before');
       return;
     }
-    this.startAgain(entry.task);
+    this.startAgain(entry.task, `refused: ${RefusalCause[refuse.cause].toLowerCase()}`);
   }
 
   /** Queues the tasks again that a sidecar never started and, after its new link, never will. */
@@ -171,7 +178,7 @@
       if (!entry || entry.sidecar !== peer.incarnation) return;
       this.forget(entry);
       this.giveBackOf(entry);
-      this.startAgain(entry.task);
+      this.startAgain(entry.task, 'never started before the new link');
     });
   }
 
@@ -184,6 +191,7 @@
   borrowed(entry: string, borrow: Borrow): Lend {
     const { pool } = this.laneOf(borrow.service);
     const taken = pool.takeHalf(borrow.wanted);
+    this.options.metrics?.creditsLent(borrow.service, taken.length);
     this.lentTo.set(entry, [...(this.lentTo.get(entry) ?? []), ...taken].slice(-LENT_KEPT));
     const credits = taken.map(({ sidecar, credit }) => ({ sidecar, credit }));
     return create(LendSchema, { service: borrow.service, credits, idle: pool.size });
@@ -193,6 +201,7 @@
   lent(entry: string, lend: Lend): void {
     const lane = this.laneOf(lend.service);
     if (!lend.returned) lane.asking = undefined;
+    this.options.metrics?.creditsBorrowed(lend.service, lend.returned ? 0 : lend.credits.length);
     const held = lend.credits.map((lent) => this.heldOf(entry, lend, lent));
     const isUsable = ({ sidecar }: HeldCredit) => this.sidecars.get(sidecar)?.link !== undefined;
     const useless = held.filter((one) => !isUsable(one));
@@ -248,6 +257,7 @@
         pool: CreditPool.create(),
         teamsRunning: new Map(),
         asking: undefined,
+        placed: 0,
       };
       this.lanes.set(service, lane);
     }
@@ -255,19 +265,43 @@
   }
 
   private pump(lane: Lane): void {
-    while (lane.queue.length > 0 && lane.pool.size > 0) {
+    while (lane.queue.length > 0 && this.mayPlace(lane)) {
       const task = lane.queue.shift((team) => this.mayRun(lane, team));
       if (!task) return;
-      const held = lane.pool.take((sidecar) => this.sidecars.get(sidecar)?.suspected ?? true);
-      if (!held) {
+      const place = this.place(lane);
+      if (!place) {
         lane.queue.pushFront(task);
         break;
       }
-      this.start(lane, task, held);
+      this.start(lane, task, place);
     }
     if (lane.queue.length > 0) this.borrow(lane);
   }
 
+  private mayPlace(lane: Lane): boolean {
+    return this.options.policy !== 'credits' || lane.pool.size > 0;
+  }
+
+  private place(lane: Lane): Placement | undefined {
+    const { policy } = this.options;
+    if (policy !== 'credits') return this.placeFreely(lane, policy);
+    return lane.pool.take((sidecar) => this.sidecars.get(sidecar)?.suspected ?? true);
+  }
+
+  private placeFreely(lane: Lane, policy: keyof typeof pickers): Placement | undefined {
+    const candidates = [...this.sidecars.values()]
+      .filter((peer) => peer.link && !peer.suspected && !peer.leaving)
+      .filter((peer) => peer.services.includes(lane.service))
+      .map(({ incarnation }) => ({
+        incarnation,
+        outstanding: this.bySidecar.get(incarnation)?.size ?? 0,
+      }));
+    if (candidates.length === 0) return undefined;
+    lane.placed += 1;
+    const picked = pickers[policy](candidates, lane.placed, this.options.random);
+    return { sidecar: picked.incarnation };
+  }
+
   private mayRun(lane: Lane, team: string): boolean {
     const limit = this.options.maxRunningOf(team);
     if (limit === undefined) return true;
@@ -275,11 +309,12 @@
     return here + this.loads.running(lane.service, team) < limit;
   }
 
-  private start(lane: Lane, task: QueuedTask, held: HeldCredit): void {
-    const { timer, owner, viewNumber } = this.options;
-    const { sidecar, credit } = held;
+  private start(lane: Lane, task: QueuedTask, place: Placement): void {
+    const { timer, owner, viewNumber, metrics } = this.options;
+    const { sidecar, credit } = place;
+    metrics?.taskStarted(task.service, timer.now() - task.queuedAt);
     task.starting(sidecar);
-    this.track({ task, sidecar, held });
+    this.track({ task, sidecar, place });
     const oldest = lane.queue.oldestQueuedAt();
     const value = create(StartSchema, {
       task: taskIdOf(task),
@@ -293,18 +328,27 @@
       digest: task.digest,
       jobSize: task.jobSize,
       createdMs: task.createdMs,
-      traceparent: task.traceparent,
+      traceparent: this.trace(lane, task, { sidecar, credit }),
     });
     this.send(sidecar, { case: 'start', value });
   }
 
+  private trace(lane: Lane, task: QueuedTask, place: Placement): string {
+    const { tracer, policy } = this.options;
+    if (!tracer) return task.traceparent;
+    const peer = this.sidecars.get(place.sidecar);
+    const decision = { policy, place, peer, idle: lane.pool.size, queued: lane.queue.length };
+    return traceStart(tracer, task, decision);
+  }
+
   private borrow(lane: Lane): void {
-    if (lane.asking !== undefined) return;
+    if (lane.asking !== undefined || this.options.policy !== 'credits') return;
     const entry = this.loads.mostIdle(lane.service);
     if (entry === undefined) return;
     const value = create(BorrowSchema, { service: lane.service, wanted: lane.queue.length });
     if (this.options.sendToEntry(entry, { case: 'borrow', value })) {
       lane.asking = entry;
+      this.options.metrics?.borrowAsked(lane.service);
     } else {
       this.loads.drop(entry);
     }
@@ -337,12 +381,17 @@
   }
 
   /** Returns the credit of a start that may never have arrived; if it did, the credit is stale. */
-  private giveBackOf({ task, held }: RunningTask): void {
-    if (held) this.giveBack(this.laneOf(task.service), [held]);
+  private giveBackOf({ task, sidecar, place }: RunningTask): void {
+    if (!place?.credit) return;
+    this.giveBack(this.laneOf(task.service), [
+      { sidecar, credit: place.credit, lender: place.lender },
+    ]);
   }
 
-  private startAgain(task: QueuedTask): void {
+  private startAgain(task: QueuedTask, because: string): void {
     task.notStarted();
+    if (!task.isWanted()) return;
+    task.requeued = { at: this.options.timer.now(), because };
     const lane = this.laneOf(task.service);
     lane.queue.pushFront(task);
     this.pump(lane);
@@ -365,8 +414,10 @@
   }
 
   private attemptLost(task: QueuedTask, reason: string): void {
-    if (task.retryable && this.options.mayRetry(task.service)) {
+    if (task.retryable && task.isWanted() && this.options.mayRetry(task.service)) {
       task.attempt += 1;
+      task.requeued = { at: this.options.timer.now(), because: reason };
+      this.options.metrics?.taskRetried(task.service);
       const lane = this.laneOf(task.service);
       lane.queue.pushFront(task);
       this.pump(lane);
@@ -407,14 +458,16 @@
   readonly teamsRunning: Map<string, number>;
   /** The entry that was asked for credits and has not answered. */
   asking: string | undefined;
+  /** Tasks placed without a credit. */
+  placed: number;
 }
 
 /** A task with the sidecar that it was sent to. */
 interface RunningTask {
   readonly task: QueuedTask;
   readonly sidecar: string;
-  /** The credit it was started with; undefined for one that was adopted. */
-  readonly held?: HeldCredit;
+  /** Where it was placed, with the credit used; undefined for one that was adopted. */
+  readonly place?: Placement;
 }
 
 /** How many lent credits are remembered for each entry; more than it can hold at once. */
--- a/src/entry/Admission.ts
+++ b/src/entry/Admission.ts
@@ -20,15 +20,22 @@
     return new Admission(options, random);
   }
 
-  /** The answer to a submission that is not taken on; undefined for one that is. */
-  refuse(submission: Submission, keptBytes: number): Answer | undefined {
+  /**
+   * The answer to a submission that is not taken on; undefined for one that
+   * is. One that continues a job may be of a service or a team that was removed.
+   */
+  refuse(submission: Submission, keptBytes: number, isContinued: boolean): Answer | undefined {
     const { manifest, recordBytes, queued, isLeaving } = this.options;
     if (isLeaving()) return this.notRun('this entry is leaving');
     const service = manifest.service(submission.service);
-    if (!service || !manifest.offers(submission.service)) {
+    if (!service || (!isContinued && !manifest.offers(submission.service))) {
       const reason = `there is no service "${submission.service}"`;
       return create(AnswerSchema, { outcome: Outcome.INVALID, reason });
     }
+    if (!isContinued && !manifest.offersTeam(submission.team)) {
+      const reason = `there is no team "${submission.team}"`;
+      return create(AnswerSchema, { outcome: Outcome.INVALID, reason });
+    }
     if (keptBytes > recordBytes) return this.notRun('the memory for job records is full');
     if (queued(submission.service) + submission.inputs.length > service.queue.maxTasks) {
       return this.notRun('the queue of the service is full');
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -2,6 +2,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import CallerServer from '../callers/CallerServer';
 import type CallerSubmission from '../callers/CallerSubmission';
+import listenProblem from '../core/listenProblem';
 import ownerOf from '../core/ownerOf';
 import Versioned from '../core/Versioned';
 import Dispatcher from '../dispatch/Dispatcher';
@@ -30,10 +31,12 @@
 import type Link from '../link/Link';
 import type Listener from '../link/Listener';
 import type PeerHandlers from '../link/PeerHandlers';
+import type PeerMessage from '../link/PeerMessage';
 import PROTOCOL_VERSION from '../link/PROTOCOL_VERSION';
 import Membership from '../membership/Membership';
 import StoreWatch from '../membership/StoreWatch';
 import Recovery from '../recovery/Recovery';
+import type Manifest from '../settings/Manifest';
 import Admission from './Admission';
 import type EntryAddresses from './EntryAddresses';
 import EntryLinks from './EntryLinks';
@@ -46,7 +49,9 @@
 import RetryBudget from './RetryBudget';
 import Router from './Router';
 import SidecarLinks from './SidecarLinks';
+import SeedLinks from './SeedLinks';
 import Sightings from './Sightings';
+import traceRequest from './traceRequest';
 
 /**
  * The process that takes callers' requests. It owns the jobs that fall to it
@@ -88,6 +93,10 @@
 
   private listener: Listener | undefined;
 
+  private watch: StoreWatch | undefined;
+
+  private readonly seeds: SeedLinks;
+
   private constructor(private readonly options: EntryOptions) {
     this.budget = RetryBudget.create((name) => this.manifest.service(name)?.retryBudget ?? 0);
     this.dispatcher = this.createDispatcher();
@@ -97,6 +106,7 @@
     this.sightings = this.createSightings();
     this.sidecarLinks = this.createSidecarLinks();
     this.entryLinks = this.createEntryLinks();
+    this.seeds = this.createSeedLinks();
     this.callers = this.createCallerServer();
   }
 
@@ -105,6 +115,11 @@
     return new Entry(options);
   }
 
+  /** The name of this run of the process. */
+  get incarnation(): string {
+    return this.options.incarnation;
+  }
+
   /** Whether the view names this entry, so that it can own jobs. */
   get isMember(): boolean {
     return this.isIn(this.views.current);
@@ -112,7 +127,7 @@
 
   /** Whether requests can be served: a configuration is in force and there is a view. */
   get isReady(): boolean {
-    return !this.leaving && this.manifest.current !== undefined && this.views.number > 0n;
+    return !this.leaving && this.callersManifest !== undefined && this.views.number > 0n;
   }
 
   /** The addresses in use, once it listens. */
@@ -126,7 +141,7 @@
     if (peers.isErr()) return err(peers.error);
     const { listen } = this.options.settings;
     const callers = await this.callers.listen(listen.callers);
-    if (callers.isErr()) return err(`${listen.callers}: ${callers.error.message}`);
+    if (callers.isErr()) return err(`${listen.callers}: ${listenProblem(callers.error)}`);
     this.addresses = { callers: callers.value, peers: peers.value };
     return ok(this.addresses);
   }
@@ -149,8 +164,8 @@
   async run(signal: AbortSignal): Promise<'stopped' | 'removed'> {
     const stop = new AbortController();
     const membership = this.createMembership();
-    const watch = this.createWatch(membership);
-    const watching = watch.run(stop.signal);
+    this.watch = this.createWatch(membership);
+    const watching = Promise.all([this.watch.run(stop.signal), this.seeds.run(stop.signal)]);
     const unsubscribe = this.subscribe();
     const sweep = this.options.timer.every(SWEEP_MS, () => this.sweep());
     const ended = await Promise.race([membership.run(stop.signal), whenAborted(signal)]);
@@ -165,7 +180,17 @@
   }
 
   /** The answer to a caller's submission. */
-  async submit({ submission, keyed }: CallerSubmission, gone: AbortSignal): Promise<Answer> {
+  async submit(request: CallerSubmission, gone: AbortSignal): Promise<Answer> {
+    const { tracer } = this.options;
+    const answer = await traceRequest(tracer, request, (traced) => this.answerTo(traced, gone));
+    this.options.metrics?.requestAnswered(request.submission.service, answer.outcome);
+    return answer;
+  }
+
+  private async answerTo(
+    { submission, keyed }: CallerSubmission,
+    gone: AbortSignal,
+  ): Promise<Answer> {
     this.budget.earn(submission.service);
     if (keyed) return this.router.submit(submission, gone);
     if (!this.isMember) return notRun('this entry is not a member of the view');
@@ -177,6 +202,16 @@
     return inspectEntry(this, this.options, this.leaving, req.job);
   }
 
+  /**
+   * The manifest for callers' requests. It is used once the store or all the
+   * peers of the settings have been asked, so that an entry that starts again
+   * does not go back to a version older than one it had.
+   */
+  private get callersManifest(): Manifest | undefined {
+    const hasAsked = this.seeds.hasAsked || this.watch?.hasListed;
+    return hasAsked ? this.manifest.withRemoved : undefined;
+  }
+
   private subscribe(): () => void {
     const unsubscribeView = this.views.subscribe((view) => this.viewChanged(view));
     const unsubscribe = this.configurations.subscribe((value) => {
@@ -193,6 +228,7 @@
   private viewChanged(view: View): void {
     const names = view.members.map(({ instance }) => instance).join(', ');
     this.options.log.info(`view ${view.number}: ${names}`);
+    this.options.metrics?.viewChanged(view);
     this.sidecarLinks.broadcast({ case: 'view', value: view });
     this.entryLinks.broadcast({ case: 'view', value: view });
     this.entryLinks.follow(view);
@@ -208,8 +244,9 @@
     this.options.log.info('leaving');
     await membership.retire();
     await this.finishCallers();
-    await handOver(this.jobs.answered(), this.views.current, this.options.network);
-    await membership.leave();
+    const { jobs, views, options } = this;
+    const isTaken = await handOver(jobs.answered(), views.current, options.network);
+    await membership.leave(isTaken && jobs.open === 0);
     this.sidecarLinks.broadcast({ case: 'goodbye', value: create(GoodbyeSchema) });
     this.entryLinks.broadcast({ case: 'goodbye', value: create(GoodbyeSchema) });
   }
@@ -218,8 +255,8 @@
   private async finishCallers(): Promise<void> {
     const { timer, settings } = this.options;
     const deadline = timer.now() + settings.stop.drainMs;
-    const closed = this.callers.close();
-    await Promise.race([closed, timer.sleep(settings.stop.drainMs)]);
+    const closed = this.callers.close(settings.stop.drainMs);
+    await Promise.race([closed, timer.sleep(settings.stop.drainMs + LINGER_MS)]);
     while (this.jobs.open > 0 && timer.now() < deadline) await timer.sleep(DRAIN_POLL_MS);
   }
 
@@ -252,6 +289,7 @@
       handover: async ({ view, records }) => {
         if (view) this.views.adopt(view);
         this.jobs.takeOver(records);
+        this.sightings.took(records);
         return create(HandoverResponseSchema);
       },
       inspect: async (req) => this.inspect(req),
@@ -286,6 +324,7 @@
       incarnation,
       zone: settings.zone,
       address: this.member().address,
+      operators: this.options.operators?.() ?? '',
     });
   }
 
@@ -297,6 +336,7 @@
       incarnation,
       address,
       zone: settings.zone,
+      operators: this.options.operators?.() ?? '',
     });
   }
 
@@ -352,6 +392,10 @@
   private createDispatcher(): Dispatcher {
     return Dispatcher.create({
       timer: this.options.timer,
+      metrics: this.options.metrics,
+      tracer: this.options.tracer,
+      random: this.options.random,
+      policy: this.options.settings.dispatch.policy,
       owner: this.self,
       viewNumber: () => this.views.number,
       shareOf: (team) => this.manifest.shareOf(team),
@@ -389,10 +433,12 @@
     return Jobs.create(
       {
         timer,
+        metrics: this.options.metrics,
         clockSkewMs: settings.recovery.clockSkewMs,
         ownsNew: (key) => this.ownsNew(key),
         resolve: (key, createdMs) => this.recovery.resolve(key, createdMs),
-        refuse: (submission, keptBytes) => admission.refuse(submission, keptBytes),
+        refuse: (submission, keptBytes, isContinued) =>
+          admission.refuse(submission, keptBytes, isContinued),
         retentionOf: (name) => service(name)?.retentionMs ?? this.manifest.longestRetentionMs,
         taskTimeoutOf: (name) => service(name)!.timeoutMs,
         jobTimeoutOf: (name) => service(name)!.jobTimeoutMs,
@@ -407,6 +453,7 @@
       {
         timer,
         network,
+        tracer: this.options.tracer,
         self: this.self,
         views: this.views,
         ownerWaitMs: settings.store.leaseMs + settings.heartbeat.suspectMs,
@@ -434,8 +481,11 @@
     return SidecarLinks.create(
       {
         timer,
+        metrics: this.options.metrics,
         self: this.self,
         viewNumber: () => this.views.number,
+        views: this.views,
+        configurations: this.configurations,
         witnessMs: settings.recovery.witnessMs,
         keepAlive: settings.heartbeat,
         heartbeat: () => this.heartbeat(),
@@ -458,6 +508,7 @@
     const { timer, random, network, settings } = this.options;
     return EntryLinks.create({
       timer,
+      metrics: this.options.metrics,
       random,
       network,
       self: this.self,
@@ -467,7 +518,11 @@
       greet: (link) => this.greet(link),
       receive: (from, message) => {
         const { views, configurations, dispatcher, recovery, entryLinks, sightings } = this;
-        const parts = { views, configurations, dispatcher, recovery, entryLinks, sightings, from };
+        const heartbeat = (): PeerMessage => ({ case: 'heartbeat', value: this.heartbeat() });
+        const parts = {
+          ...{ views, configurations, dispatcher, recovery, entryLinks, sightings },
+          ...{ heartbeat, from },
+        };
         handleMessage(entryMessageHandlers, parts, message);
       },
       unlinked: (incarnation) => this.dispatcher.entryLost(incarnation),
@@ -475,14 +530,31 @@
     });
   }
 
+  private createSeedLinks(): SeedLinks {
+    const { timer, random, network, settings } = this.options;
+    return SeedLinks.create({
+      ...{ timer, random, network },
+      addresses: settings.peers,
+      self: this.self,
+      hello: () => this.hello(),
+      keepAlive: settings.heartbeat,
+      views: this.views,
+      configurations: this.configurations,
+      isNeeded: () => !this.leaving && !this.isMember && this.entryLinks.linked().length === 0,
+    });
+  }
+
   private createCallerServer(): CallerServer {
-    const { settings, timer } = this.options;
+    const { settings, timer, random, log } = this.options;
     return CallerServer.create({
       limits: settings.limits,
-      manifest: () => this.manifest.current,
-      wall: () => timer.wall(),
+      manifest: () => this.callersManifest,
+      timer,
+      random,
       isLeaving: () => this.leaving,
       submit: (submission, gone) => this.submit(submission, gone),
+      failed: (error) =>
+        log.error(`internal error at a request: ${(error as Error).stack ?? error}`),
     });
   }
 
@@ -497,9 +569,17 @@
       isSuspected: (incarnation) => this.entryLinks.isSuspected(incarnation),
       retentionMs: () => this.manifest.longestRetentionMs,
       leaseMs: settings.store.leaseMs,
+      answered: (isAnswered) => this.watch?.note(isAnswered),
     });
   }
 
+  private storeReached(failure: string | undefined): void {
+    const { log, settings } = this.options;
+    const { address } = settings.store;
+    if (failure === undefined) log.info(`store ${address} answers again`);
+    else log.warn(`store ${address} cannot be reached: ${failure}; going on with what is known`);
+  }
+
   private createWatch(membership: Membership): StoreWatch {
     const { store, timer, random } = this.options;
     return StoreWatch.create({
@@ -509,6 +589,7 @@
       views: this.views,
       configurations: this.configurations,
       onPresent: (present) => membership.observe(present),
+      onReach: (failure) => this.storeReached(failure),
     });
   }
 }
--- a/src/entry/Job.ts
+++ b/src/entry/Job.ts
@@ -4,9 +4,12 @@
 import {
   type Answer,
   AnswerSchema,
+  type JobRecord,
+  JobRecordSchema,
   Outcome,
   type Submission,
   type TaskResult,
+  type TaskStatus,
 } from '../gen/magnoliakeel/v1/peer_pb';
 import judge from './judge';
 
@@ -36,24 +39,36 @@
     readonly digest: string,
     readonly createdMs: number,
     readonly size: number,
+    /** When this entry accepted it, by the timer service. */
+    readonly acceptedAt: number,
   ) {
     this.places = new Array(size);
     this.results = new Array(size);
   }
 
   /** Creates the record of a job that was just accepted. */
-  static fromSubmission(key: string, submission: Submission): Job {
+  static fromSubmission(key: string, submission: Submission, now: number): Job {
     const { service, digest, createdMs, inputs } = submission;
-    return new Job(key, service, digest, Number(createdMs), inputs.length);
+    return new Job(key, service, digest, Number(createdMs), inputs.length, now);
   }
 
   /** Creates the record of a job that another entry finished. */
-  static fromAnswer(key: string, digest: string, createdMs: number, answer: Answer): Job {
-    const job = new Job(key, '', digest, createdMs, answer.size);
+  static fromRecord({ job: key, digest, createdMs, sidecars }: JobRecord, answer: Answer): Job {
+    const job = new Job(key, '', digest, Number(createdMs), answer.size, 0);
+    sidecars.forEach((sidecar, index) => job.starting(index, sidecar));
     job.final = answer;
     return job;
   }
 
+  /** The record for the job's next owner, once there is an answer. */
+  get record(): JobRecord | undefined {
+    if (!this.final) return undefined;
+    const sidecars = [...new Set(this.places)].filter((place) => place !== undefined);
+    const { key: job, digest, final: answer } = this;
+    const createdMs = BigInt(this.createdMs);
+    return create(JobRecordSchema, { job, digest, createdMs, answer, sidecars });
+  }
+
   /** The final answer, once there is one. */
   get answer(): Answer | undefined {
     return this.final;
@@ -79,6 +94,11 @@
     return this.places.some((place) => place !== undefined);
   }
 
+  /** How a task ended; undefined while it has not. */
+  statusOf(index: number): TaskStatus | undefined {
+    return this.results[index]?.status;
+  }
+
   /** Takes a task's result and finishes the job when nothing else can change its outcome. */
   settle(result: TaskResult): void {
     if (this.final || this.results[result.index]) return;
--- a/src/entry/Jobs.ts
+++ b/src/entry/Jobs.ts
@@ -7,9 +7,9 @@
   type Answer,
   AnswerSchema,
   type JobRecord,
-  JobRecordSchema,
   Outcome,
   type Submission,
+  type TaskResult,
   TaskResultSchema,
   TaskStatus,
 } from '../gen/magnoliakeel/v1/peer_pb';
@@ -71,13 +71,13 @@
   async submit(submission: Submission): Promise<OwnerReply> {
     const key = keyOf(submission);
     const known = this.records.get(key);
-    if (known) return this.join(known, submission);
+    if (known) return this.joinAgain(known, submission);
     if (!this.options.ownsNew(key)) return NOT_OWNER;
     const untimely = this.checkAge(submission);
     if (untimely) return answerOf(untimely);
     const provenance = await this.resolve(key, Number(submission.createdMs));
     const meanwhile = this.records.get(key);
-    if (meanwhile) return this.join(meanwhile, submission);
+    if (meanwhile) return this.joinAgain(meanwhile, submission);
     if (!this.options.ownsNew(key)) return NOT_OWNER;
     return this.acceptFrom(provenance, key, submission);
   }
@@ -137,10 +137,10 @@
 
   /** Takes records that a leaving entry hands over. */
   takeOver(records: readonly JobRecord[]): void {
-    records.forEach(({ job: key, digest, createdMs, answer }) => {
-      if (!answer || this.records.has(key)) return;
-      const job = Job.fromAnswer(key, digest, Number(createdMs), answer);
-      this.records.set(key, job);
+    records.forEach((record) => {
+      if (!record.answer || this.records.has(record.job)) return;
+      const job = Job.fromRecord(record, record.answer);
+      this.records.set(job.key, job);
       this.keptBytes += job.bytes;
     });
   }
@@ -148,10 +148,8 @@
   /** The answered records, for handing over. */
   answered(): JobRecord[] {
     return [...this.records.values()]
-      .filter((job) => job.answer)
-      .map(({ key, digest, createdMs, answer }) =>
-        create(JobRecordSchema, { job: key, digest, createdMs: BigInt(createdMs), answer }),
-      );
+      .map(({ record }) => record)
+      .filter((record) => record !== undefined);
   }
 
   /** Keys of the jobs that had tasks on a sidecar. */
@@ -170,6 +168,11 @@
     });
   }
 
+  private joinAgain(job: Job, submission: Submission): Promise<OwnerReply> {
+    this.options.metrics?.wasted('duplicate_submission');
+    return this.join(job, submission);
+  }
+
   private async join(job: Job, submission: Submission): Promise<OwnerReply> {
     if (job.digest !== submission.digest) {
       return answerOf(refusal(Outcome.CONFLICT, 'this id was submitted before with another body'));
@@ -194,6 +197,7 @@
     if (running) return running;
     const started = this.options.resolve(key, createdMs);
     this.resolving.set(key, started);
+    started.then(({ kind }) => this.options.metrics?.jobResolved(kind));
     started.finally(() => this.resolving.delete(key));
     return started;
   }
@@ -207,7 +211,7 @@
     if (provenance.kind === 'unavailable') {
       return answerOf(refusal(Outcome.UNKNOWN, provenance.reason, RESOLVE_AGAIN_MS));
     }
-    const refused = this.refuseUnready(submission);
+    const refused = this.refuseUnready(submission, provenance.kind !== 'fresh');
     if (refused && provenance.kind === 'fresh') return answerOf(refused);
     if (refused) {
       return answerOf(refusal(Outcome.UNKNOWN, refused.reason, refused.retryAfterMs));
@@ -226,7 +230,7 @@
     evidence: readonly LocatedTask[],
     doubt = false,
   ): Job {
-    const job = Job.fromSubmission(key, submission);
+    const job = Job.fromSubmission(key, submission, this.options.timer.now());
     this.records.set(key, job);
     const tasks = submission.inputs.map((input, index) =>
       this.taskOf(job, submission, input, index),
@@ -265,7 +269,8 @@
   }
 
   private taskOf(job: Job, submission: Submission, input: Uint8Array, index: number): QueuedTask {
-    return {
+    const queuedAt = this.options.timer.now();
+    const task: QueuedTask = {
       job: job.key,
       index,
       service: submission.service,
@@ -277,15 +282,26 @@
       timeoutMs: this.options.taskTimeoutOf(submission.service),
       traceparent: submission.traceparent,
       retryable: submission.kind === REQUEST_KIND && submission.idempotent,
-      queuedAt: this.options.timer.now(),
+      queuedAt,
       attempt: 0,
+      isWanted: () => !job.answer,
       starting: (sidecar) => job.starting(index, sidecar),
-      notStarted: () => job.notStarted(index),
+      notStarted: () => {
+        if (task.attempt === 0) job.notStarted(index);
+      },
       settled: (result) => {
+        this.countResult(job, result, queuedAt);
         job.settle(result);
         if (job.answer) this.finished(job);
       },
     };
+    return task;
+  }
+
+  private countResult(job: Job, { status, runMs }: TaskResult, queuedAt: number): void {
+    const { metrics, timer } = this.options;
+    if (job.answer) metrics?.wasted('result_untaken');
+    else metrics?.taskSettled(job.service, status, timer.now() - queuedAt, runMs);
   }
 
   private limitTime(job: Job, submission: Submission): void {
@@ -312,6 +328,7 @@
     const tasks = this.tasks.get(job);
     if (!tasks) return;
     this.tasks.delete(job);
+    this.options.metrics?.jobFinished(job.service, this.options.timer.now() - job.acceptedAt);
     if (job.answer?.outcome !== Outcome.COMPLETED) this.dispatcher.dequeue(tasks);
     this.keptBytes += job.bytes;
     if (job.answer?.outcome === Outcome.NOT_RUN) this.drop(job);
@@ -338,8 +355,8 @@
     return undefined;
   }
 
-  private refuseUnready(submission: Submission): Answer | undefined {
-    return this.options.refuse(submission, this.keptBytes);
+  private refuseUnready(submission: Submission, isContinued = false): Answer | undefined {
+    return this.options.refuse(submission, this.keptBytes, isContinued);
   }
 }
 
--- a/src/entry/ManifestView.ts
+++ b/src/entry/ManifestView.ts
@@ -1,14 +1,20 @@
 import type Versioned from '../core/Versioned';
+import validateManifest from '../gen/validateManifest';
 import type { Configuration } from '../gen/magnoliakeel/v1/peer_pb';
 import type Manifest from '../settings/Manifest';
 import type ServiceConfig from '../settings/ServiceConfig';
+import type TeamConfig from '../settings/TeamConfig';
 
 /** The manifest in force, with the look-ups that the parts of an entry make. */
 export default class ManifestView {
   private manifest: Manifest | undefined;
 
+  private all: Manifest | undefined;
+
   private readonly services = new Map<string, ServiceConfig>();
 
+  private readonly teams = new Map<string, TeamConfig>();
+
   private constructor() {}
 
   /** Follows the configurations that a process adopts. */
@@ -24,6 +30,14 @@
     return this.manifest;
   }
 
+  /**
+   * The manifest together with the services and teams that were removed: what
+   * was submitted for them before can still be asked for.
+   */
+  get withRemoved(): Manifest | undefined {
+    return this.all;
+  }
+
   /**
    * A service's configuration. One that has been removed from the manifest
    * stays known as it last was, so that its work in flight can finish.
@@ -37,14 +51,21 @@
     return this.manifest?.services.some((service) => service.name === name) ?? false;
   }
 
+  /** Whether new work of the team is taken. */
+  offersTeam(team: string): boolean {
+    if (!this.manifest) return false;
+    const { teams, system } = this.manifest;
+    return team === system.defaultTeam || teams.some(({ name }) => name === team);
+  }
+
   /** A team's weight in queues. */
   shareOf(team: string): number {
-    return this.manifest?.teams.find(({ name }) => name === team)?.share ?? 1;
+    return this.teams.get(team)?.share ?? 1;
   }
 
   /** How many tasks of a team may run at once; undefined for no limit. */
   maxRunningOf(team: string): number | undefined {
-    return this.manifest?.teams.find(({ name }) => name === team)?.maxRunning;
+    return this.teams.get(team)?.maxRunning;
   }
 
   /** The longest retention of all services, in milliseconds. */
@@ -52,8 +73,27 @@
     return Math.max(0, ...[...this.services.values()].map(({ retentionMs }) => retentionMs));
   }
 
+  /** Puts a configuration in force, with its defaults filled in; what is no manifest leaves the last one. */
   private read(configuration: Configuration): void {
-    this.manifest = JSON.parse(configuration.manifest) as Manifest;
-    this.manifest.services.forEach((service) => this.services.set(service.name, service));
+    const manifest = parse(configuration.manifest);
+    if (!validateManifest(manifest)) return;
+    this.manifest = manifest as Manifest;
+    const retired = (parse(configuration.retired) ?? {}) as Partial<Manifest>;
+    [...(retired.services ?? []), ...this.manifest.services].forEach((service) =>
+      this.services.set(service.name, service),
+    );
+    [...(retired.teams ?? []), ...this.manifest.teams].forEach((team) =>
+      this.teams.set(team.name, team),
+    );
+    const services = [...this.services.values()];
+    this.all = { ...this.manifest, services, teams: [...this.teams.values()] };
+  }
+}
+
+function parse(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
   }
 }
--- a/src/entry/SidecarLinksOptions.ts
+++ b/src/entry/SidecarLinksOptions.ts
@@ -1,18 +1,23 @@
 import type TimerService from '../core/TimerService';
 import type SidecarPeer from '../dispatch/SidecarPeer';
-import type { Heartbeat } from '../gen/magnoliakeel/v1/peer_pb';
+import type Versioned from '../core/Versioned';
+import type { Configuration, Heartbeat, View } from '../gen/magnoliakeel/v1/peer_pb';
 import type KeepAliveLimits from '../link/KeepAliveLimits';
 import type Link from '../link/Link';
+import type EntryMetrics from '../observe/EntryMetrics';
 
 /** What the links to sidecars need from the entry around them. */
 export default interface SidecarLinksOptions {
   readonly timer: TimerService;
+  readonly metrics?: EntryMetrics;
   readonly self: string;
   readonly viewNumber: () => bigint;
   /** How long a sidecar may stay away before it counts as lost. */
   readonly witnessMs: number;
   readonly keepAlive: KeepAliveLimits;
   readonly heartbeat: () => Heartbeat;
+  readonly views: Versioned<View>;
+  readonly configurations: Versioned<Configuration>;
   /** Sends what a newly linked process has to know. */
   readonly greet: (link: Link) => void;
   /** Told when a sidecar has linked. */
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -93,6 +93,7 @@
       timer: opts.timer,
       client: opts.client,
       counters: opts.counters,
+      tracer: opts.tracer,
       unreachable: (lost) => this.loseBackend(lost),
       maxOutputBytes: (service) => this.services.maxOutputBytes(service),
     });
@@ -100,6 +101,8 @@
     this.dialler = this.createDialler();
     this.parts = {
       ...{ view, credits },
+      configurations: this.services.newest,
+      heartbeat: () => this.heartbeat(),
       lease: this.lease,
       tasks: this.tasks,
       evidence: this.evidence,
@@ -124,6 +127,11 @@
     return this.services.version;
   }
 
+  /** Whether it can be given tasks: linked, with a backend server announced and not leaving. */
+  get isReady(): boolean {
+    return !this.isLeaving && this.entries.size > 0 && this.lease.current !== undefined;
+  }
+
   /** Entries linked now. */
   get linkCount(): number {
     return this.entries.size;
@@ -193,12 +201,13 @@
       protocol: PROTOCOL_VERSION,
       role: Role.SIDECAR,
       services: service === undefined ? [] : [service],
+      operators: this.opts.operators?.() ?? '',
     });
   }
 
   /** Serves one link to its end. Messages that are unread at its end are dropped. */
   private async serve(link: Link): Promise<boolean> {
-    const peer = EntryPeer.of(link, this.opts.timer, this.opts.counters);
+    const peer = EntryPeer.of(link, this.opts.timer);
     if (!this.isWanted(link.peer) || !this.entries.add(peer)) {
       link.close();
       return false;
@@ -206,7 +215,6 @@
     this.opened(peer);
     for await (const message of link.messages()) {
       if (link.closed.aborted || this.isHeldUp()) break;
-      peer.hear(message);
       this.handle(peer, message);
     }
     link.close();
@@ -229,7 +237,7 @@
     this.opts.counters.links += 1;
     this.opts.log?.(`linked to entry ${peer.link.peer.instance}`);
     KeepAlive.start(peer.link, this.opts.timer, this.opts.heartbeat, {
-      heartbeat: () => this.heartbeatTo(peer),
+      heartbeat: () => this.heartbeat(),
       suspected: (suspected) => peer.suspect(suspected),
     });
     const { version } = this.services;
@@ -279,6 +287,7 @@
   private closeBackend(backend: Announcement): void {
     this.opts.log?.(`backend server ${backend.address} takes no further tasks`);
     this.credits.withdraw(false);
+    this.tasks.startWaiting();
     this.opts.client.forget(backend);
   }
 
@@ -299,8 +308,7 @@
     return this.opts.timer.now() - this.beatAt > this.opts.heartbeat.closeMs;
   }
 
-  private heartbeatTo(peer: EntryPeer): PeerMessage {
-    peer.countSent('heartbeat');
+  private heartbeat(): PeerMessage {
     const value = create(HeartbeatSchema, {
       configurationVersion: this.services.version,
       viewNumber: this.view.number,
--- a/src/sidecar/Tasks.ts
+++ b/src/sidecar/Tasks.ts
@@ -11,6 +11,7 @@
   type TaskId,
   type View,
 } from '../gen/magnoliakeel/v1/peer_pb';
+import type Tracer from '../observe/Tracer';
 import type Announcement from './Announcement';
 import type BackendAnswer from './BackendAnswer';
 import type BackendClient from './BackendClient';
@@ -23,6 +24,7 @@
 import type RunningTask from './RunningTask';
 import SidecarCounters from './SidecarCounters';
 import type Slots from './Slots';
+import TaskTrace from './TaskTrace';
 import isMember from './isMember';
 
 const NO_OUTPUT = new Uint8Array();
@@ -36,6 +38,7 @@
   readonly view: Versioned<View>;
   readonly client: BackendClient;
   readonly counters: SidecarCounters;
+  readonly tracer: Tracer | undefined;
   /** The backend server that takes tasks now. */
   readonly backend: () => Announcement | undefined;
   /** Called when the backend server cannot be reached at all. */
@@ -55,6 +58,9 @@
 
   private readonly drained = new Set<() => void>();
 
+  /** Starts without a credit that wait for a free slot, oldest first. */
+  private waiting: WaitingStart[] = [];
+
   private isLeaving = false;
 
   private constructor(private readonly parts: TasksParts) {}
@@ -76,18 +82,26 @@
     peer.hearWait(start.nextWaitMs);
     const backend = this.parts.backend();
     const cause = this.refusalOf(task, start, backend);
+    const trace = TaskTrace.begin(this.parts.tracer, start, peer.link.peer.instance);
     if (cause !== undefined || !backend) {
-      this.refuse(peer, task, cause ?? RefusalCause.BACKEND_GONE);
+      this.refuse(peer, task, cause ?? RefusalCause.BACKEND_GONE, trace);
       this.takeBack(start.credit);
       return;
     }
-    this.run(peer, task, start, backend);
+    if (start.credit) {
+      this.parts.slots.take(start.credit, peer.incarnation);
+      this.run(peer, start, backend, start.credit.slot, trace);
+      return;
+    }
+    this.waiting.push({ peer, start, trace });
+    this.startWaiting();
   }
 
   /** Ends the calls of running tasks that their owner no longer wants. */
-  cancel(peer: EntryPeer, ids: TaskId[]): void {
+  cancel(from: EntryPeer, ids: TaskId[]): void {
+    this.cancelWaiting(from, new Set(ids.map(nameOf)));
     ids.forEach((id) => {
-      if (this.parts.ledger.job(id.job)?.owner !== peer.incarnation) return;
+      if (this.parts.ledger.job(id.job)?.owner !== from.incarnation) return;
       this.running.get(nameOf(id))?.call.abort();
     });
   }
@@ -102,6 +116,22 @@
   /** Refuses all further starts as leaving. */
   leave(): void {
     this.isLeaving = true;
+    this.startWaiting();
+  }
+
+  /** Starts what waits for a slot. What came on a link that has ended since is dropped unrun. */
+  startWaiting(): void {
+    this.waiting = this.waiting.filter(({ peer }) => !peer.link.closed.aborted);
+    while (this.waiting.length > 0) {
+      const { peer, start, trace } = this.waiting[0]!;
+      const backend = this.parts.backend();
+      const cause = this.refusalOf(start.task!, start, backend);
+      const slot = cause === undefined ? this.parts.slots.takeIdle(peer.incarnation) : undefined;
+      if (cause === undefined && slot === undefined) return;
+      this.waiting.shift();
+      if (backend && slot !== undefined) this.run(peer, start, backend, slot, trace);
+      else this.refuse(peer, start.task!, cause ?? RefusalCause.BACKEND_GONE, trace);
+    }
   }
 
   /** Resolves when no task is running. */
@@ -130,13 +160,13 @@
     if (this.isLeaving) return RefusalCause.LEAVING;
     if (backend?.service !== start.service) return RefusalCause.BACKEND_GONE;
     if (!isMember(this.parts.view.current, start.owner)) return RefusalCause.FENCED;
-    if (!start.credit || !this.parts.slots.isCurrent(start.credit))
-      return RefusalCause.STALE_CREDIT;
+    if (start.credit && !this.parts.slots.isCurrent(start.credit)) return RefusalCause.STALE_CREDIT;
     if (!this.parts.ledger.hasRoom) return RefusalCause.LEDGER_FULL;
     return undefined;
   }
 
-  private refuse(peer: EntryPeer, task: TaskId, cause: RefusalCause): void {
+  private refuse(peer: EntryPeer, task: TaskId, cause: RefusalCause, trace?: TaskTrace): void {
+    trace?.refused(cause);
     SidecarCounters.add(this.parts.counters.refusals, RefusalCause[cause]);
     peer.send({ case: 'refuse', value: create(RefuseSchema, { task, cause }) });
   }
@@ -145,9 +175,26 @@
     if (credit && this.parts.slots.end(credit)) this.parts.credits.spread();
   }
 
-  private run(peer: EntryPeer, id: TaskId, start: Start, backend: Announcement): void {
-    const { slot } = start.credit!;
-    this.parts.slots.take(start.credit!, peer.incarnation);
+  private cancelWaiting(from: EntryPeer, names: ReadonlySet<string>): void {
+    const isCancelled = ({ peer, start }: WaitingStart): boolean =>
+      peer === from && names.has(nameOf(start.task!));
+    const cancelled = this.waiting.filter(isCancelled);
+    this.waiting = this.waiting.filter((each) => !isCancelled(each));
+    cancelled.forEach(({ start: { task }, trace }) => {
+      const result = resultOf(TaskStatus.CANCELLED, 'cancelled before it ran');
+      trace?.concluded(result.status, result.reason);
+      from.send({ case: 'done', value: create(DoneSchema, { task, ...result }) });
+    });
+  }
+
+  private run(
+    peer: EntryPeer,
+    start: Start,
+    backend: Announcement,
+    slot: number,
+    trace: TaskTrace | undefined,
+  ): void {
+    const id = start.task!;
     const task: RunningTask = {
       id,
       record: this.parts.ledger.record(id, start),
@@ -157,6 +204,7 @@
       startedAt: this.parts.timer.now(),
       call: new AbortController(),
       timeout: this.parts.timer.after(start.timeoutMs, () => this.timeOut(task)),
+      trace,
     };
     this.running.set(nameOf(id), task);
     this.parts.counters.starts += 1;
@@ -164,7 +212,7 @@
       task: nameOf(id),
       input: start.input,
       timeoutMs: start.timeoutMs,
-      traceparent: start.traceparent,
+      traceparent: trace?.calling(backend) ?? start.traceparent,
     };
     this.parts.client.run(backend, call, task.call.signal).match(
       (answer) => this.answered(task, answer),
@@ -177,6 +225,7 @@
   }
 
   private answered(task: RunningTask, answer: BackendAnswer): void {
+    task.trace?.callEnded(answer.ok ? undefined : answer.reason);
     const limit = this.parts.maxOutputBytes(task.service);
     const result =
       answer.output.byteLength > limit
@@ -191,6 +240,7 @@
   }
 
   private unanswered(task: RunningTask, backend: Announcement, err: BackendError): void {
+    task.trace?.callEnded(err.reason);
     if (task.call.signal.aborted) {
       this.end(task, resultOf(TaskStatus.CANCELLED, 'cancelled while it ran'));
       return;
@@ -210,6 +260,7 @@
     this.forget(task);
     this.parts.unreachable(backend);
     this.parts.slots.release(task.slot);
+    if (!isReported) task.trace?.refused(RefusalCause.BACKEND_GONE);
     if (peer && !isReported) this.refuse(peer, task.id, RefusalCause.BACKEND_GONE);
   }
 
@@ -223,6 +274,7 @@
     if (!isReported) this.conclude(task, result, ridesBack ? credit : undefined);
     const user = this.parts.entries.get(task.user);
     if (credit && !ridesBack && user) this.parts.credits.grant(user, [credit]);
+    this.startWaiting();
   }
 
   private conclude(task: RunningTask, result: TaskResult, credit?: Credit): void {
@@ -231,6 +283,7 @@
     const timed = { ...result, runMs };
     this.parts.ledger.finish(task.record, timed);
     SidecarCounters.add(this.parts.counters.done, TaskStatus[result.status]);
+    task.trace?.concluded(result.status, result.reason);
     this.report(task.id, timed, credit);
   }
 
@@ -243,6 +296,13 @@
   }
 }
 
+/** A start that came without a credit, on the link it came on. */
+interface WaitingStart {
+  readonly peer: EntryPeer;
+  readonly start: Start;
+  readonly trace: TaskTrace | undefined;
+}
+
 function nameOf(id: TaskId): string {
   return `${id.job}/${id.index}/${id.attempt}`;
 }
--- a/tools/harness/Cluster.ts
+++ b/tools/harness/Cluster.ts
@@ -3,13 +3,20 @@
 import path from 'node:path';
 import { request } from 'undici';
 import { stringify } from 'yaml';
+import type StandInFaults from '../backend/StandInFaults';
 import type ClusterSize from './ClusterSize';
+import type ProcessWatch from './ProcessWatch';
 import Processes from './Processes';
 
-/** Settings that differ from the daemon's defaults, by role. */
+/** What differs from a plain cluster: settings by role, and who is told of processes and starts. */
 interface Overrides {
   readonly entry?: object;
   readonly sidecar?: object;
+  readonly watch?: ProcessWatch;
+  /** Address that backend servers report each start to before they run it, "ip:port". */
+  readonly recorder?: string;
+  /** The program that daemons are run from, when it is not the daemon as it ships. */
+  readonly program?: string;
 }
 
 /**
@@ -17,7 +24,7 @@
  * backend server stand-ins, each a process of its own on loopback.
  */
 export default class Cluster {
-  readonly processes = Processes.create();
+  readonly processes: Processes;
 
   private platformAddress = '';
 
@@ -25,13 +32,20 @@
 
   private readonly peers = new Map<string, string>();
 
+  private readonly operators = new Map<string, string>();
+
   private readonly backends = new Map<string, string>();
 
+  /** Where the sidecars take announcements; kept over restarts. */
+  private readonly desks = new Map<string, string>();
+
   private constructor(
     readonly size: ClusterSize,
     private readonly folder: string,
     private readonly overrides: Overrides,
-  ) {}
+  ) {
+    this.processes = Processes.create(overrides.watch);
+  }
 
   /** Starts all processes and waits until every backend server has its sidecar linked. */
   static async start(
@@ -67,6 +81,11 @@
     return `http://${this.callers.get(entry)}`;
   }
 
+  /** Operators' address of an entry or a sidecar, "ip:port". */
+  operatorsOf(name: string): string {
+    return this.operators.get(name)!;
+  }
+
   /** Base address of a backend server stand-in. */
   backendAddress(backend: string): string {
     return `http://${this.backends.get(backend)}`;
@@ -87,24 +106,46 @@
     this.peers.set(name, peers!);
   }
 
-  /** Starts a sidecar and its backend server, for the first time or again. */
+  /** Starts a sidecar and its backend server. */
   async startBackend(sidecar: string): Promise<void> {
+    await this.startSidecar(sidecar);
+    await this.startBackendServer(sidecar.replace('sidecar', 'backend'));
+    await this.processes.waitFor(sidecar, /offers/);
+  }
+
+  /** Starts a sidecar, for the first time or again at the same address for its backend server. */
+  async startSidecar(name: string): Promise<void> {
+    const backend = this.desks.get(name) ?? ANY;
     const settings = {
-      ...{ role: 'sidecar', cluster: 'local', instance: sidecar, zone: this.zoneOf(sidecar) },
-      listen: { backend: ANY, operators: ANY },
+      ...{ role: 'sidecar', cluster: 'local', instance: name, zone: this.zoneOf(name) },
+      listen: { backend, operators: ANY },
       entries: [...this.peers.values()],
       ...this.overrides.sidecar,
     };
-    await this.startDaemon(sidecar, settings);
-    const address = await this.processes.waitFor(sidecar, /backend server on ([\d.:]+)/);
-    const backend = sidecar.replace('sidecar', 'backend');
+    await this.startDaemon(name, settings);
+    this.desks.set(name, await this.processes.waitFor(name, /backend server on ([\d.:]+)/));
+  }
+
+  /** Starts a backend server beside its sidecar, for the first time or again. */
+  async startBackendServer(name: string): Promise<void> {
     const { slots, connections } = this.size;
-    this.processes.start(backend, 'backend', [
-      ...['--sidecar', address, '--slots', `${slots}`, '--connections', `${connections}`],
+    const desk = this.desks.get(name.replace('backend', 'sidecar'))!;
+    const { recorder } = this.overrides;
+    this.processes.start(name, 'backend', [
+      ...['--sidecar', desk, '--slots', `${slots}`, '--connections', `${connections}`],
+      ...(recorder === undefined ? [] : ['--recorder', recorder, '--name', name]),
     ]);
-    const listening = await this.processes.waitFor(backend, /listening on ([\d.:]+)/);
-    this.backends.set(backend, listening);
-    await this.processes.waitFor(sidecar, /offers/);
+    const listening = await this.processes.waitFor(name, /listening on ([\d.:]+)/);
+    this.backends.set(name, listening);
+  }
+
+  /** Tells a backend server stand-in to show faults. */
+  async putFaults(backend: string, faults: Partial<StandInFaults>): Promise<void> {
+    const { body } = await request(`${this.backendAddress(backend)}/faults`, {
+      method: 'PUT',
+      body: JSON.stringify(faults),
+    });
+    await body.dump();
   }
 
   /** How often each task was started, over all backend servers. */
@@ -142,7 +183,8 @@
   private async startDaemon(name: string, settings: object): Promise<void> {
     const file = path.join(this.folder, `${name}.yaml`);
     await writeFile(file, stringify(settings));
-    this.processes.start(name, 'magnoliakeeld', ['--config', file]);
+    this.processes.start(name, this.overrides.program ?? 'magnoliakeeld', ['--config', file]);
+    this.operators.set(name, await this.processes.waitFor(name, /for operators on ([\d.:]+)/));
   }
 
   private zoneOf(name: string): string {
