Let the keep-alive's test of whole waits fail without them

Cause: the test landed with the change passed without it too, against what its note said: its rests were whole by chance. Change: messages pass at a broken millisecond. Run against the former KeepAlive it fails, against the present one it passes.

--- a/test/link/KeepAlive.test.ts
+++ b/test/link/KeepAlive.test.ts
@@ -97,15 +97,16 @@
 });
 
 it('waits whole milliseconds, so that a rest below the clock can tell does not spin', async () => {
-  const { timer, near, keep } = await linked();
+  const { timer, near, far, keep } = await linked();
   const delays: number[] = [];
   const after = timer.after.bind(timer);
   timer.after = (delayMs, handler) => {
     delays.push(delayMs);
     return after(delayMs, handler);
   };
-  await timer.advance(0.1);
   keep(near);
-  await timer.advance(10_000);
+  await timer.advance(500.3);
+  [near, far].forEach((link) => link.send(heartbeat()));
+  await timer.advance(9000);
   expect(delays.filter((delayMs) => !Number.isInteger(delayMs))).toEqual([]);
 });
