Bring back a link that was cut for two seconds before its tasks are given up

Cause: a sidecar redialled after up to 5 s, longer than the witness time of 3 s. Conclusion: kept; an entry that is down gets about one dial a second from each sidecar until it is removed.

--- a/src/sidecar/Dialler.ts
+++ b/src/sidecar/Dialler.ts
@@ -9,7 +9,8 @@
 import type SidecarCounters from './SidecarCounters';
 
 const FIRST_DELAY_MS = 100;
-const LIMIT_DELAY_MS = 5000;
+/** Well below the witness time, so that a link that was cut shortly is back before its tasks are given up. */
+const LIMIT_DELAY_MS = 1000;
 
 interface DiallerOptions {
   readonly timer: TimerService;
