Let a later owner learn from the former one what lost sidecars had told

Change: the answer to a claim carries, for each sidecar, the newest view in which it named what it had started while the job was the receiver's, and the sidecars that named this job. Such a testimony stays true after the sidecar. Ruled out: an entry clearing a lost owner as a whole; a sidecar that linked later would keep it from doing so.

--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -285,7 +285,10 @@
       },
       claim: async ({ job, view }) => {
         if (view) this.views.adopt(view);
-        return create(ClaimResponseSchema, { held: this.jobs.holds(job) });
+        return create(ClaimResponseSchema, {
+          held: this.jobs.holds(job),
+          ...this.recovery.testify(job),
+        });
       },
       handover: async ({ view, records }) => {
         if (view) this.views.adopt(view);
--- a/src/recovery/Fences.ts
+++ b/src/recovery/Fences.ts
@@ -36,6 +36,11 @@
     return [...(this.confirmed.get(sidecar) ?? [])];
   }
 
+  /** The sidecars that confirmed any view. */
+  get sidecars(): string[] {
+    return [...this.confirmed.keys()];
+  }
+
   /** The sidecars that named a job. */
   sidecarsOf(job: string): string[] {
     return [...(this.named.get(job) ?? [])];
--- a/src/recovery/Recovery.ts
+++ b/src/recovery/Recovery.ts
@@ -3,13 +3,17 @@
 import ownersIn from '../core/ownersIn';
 import {
   ClaimRequestSchema,
+  type ClaimResponse,
   type Fenced,
   type HeldJob,
   type RosterItem,
   type Settlement,
+  type Testimony,
+  TestimonySchema,
   type View,
 } from '../gen/magnoliakeel/v1/peer_pb';
 import Fences from './Fences';
+import type Inquiry from './Inquiry';
 import type PastOwner from './PastOwner';
 import pastOwners from './pastOwners';
 import type Provenance from './Provenance';
@@ -62,11 +66,26 @@
   async resolve(job: string, createdMs: number): Promise<Provenance> {
     const sinceMs = createdMs - this.options.clockSkewMs;
     const owners = pastOwners(this.options.views.current, job, sinceMs, this.options.self);
-    const claimed = await this.claim(job, owners);
-    if (claimed) return claimed;
+    const claims = await this.claim(job, owners);
+    const verdict = claims.find(isHeld) ?? claims.find(isVerdict);
+    if (verdict) return verdict;
+    const told = claims.filter(isTold);
+    const testimonies = told.flatMap((claim) => claim.testimonies);
+    const named = told.flatMap((claim) => claim.named);
+    const inquiry = { job, createdMs, testimonies, named };
     const removed = owners.filter((owner) => owner.address === undefined && !owner.departed);
-    const doubts = await Promise.all(removed.map((owner) => this.inDoubt(job, owner, createdMs)));
-    return this.collect(job, doubts.includes(true) || this.settlements.touches(job));
+    const doubts = await Promise.all(removed.map((owner) => this.inDoubt(inquiry, owner)));
+    return this.collect(inquiry, doubts.includes(true) || this.settlements.touches(job));
+  }
+
+  /** What sidecars have told this entry of a job while it was its own, for the job's next owner. */
+  testify(job: string): { testimonies: Testimony[]; named: string[] } {
+    const testimonies = this.fences.sidecars.flatMap((sidecar) => {
+      const number = this.fences.viewsOf(sidecar).findLast((view) => this.ownedIn(view, job));
+      if (number === undefined) return [];
+      return [create(TestimonySchema, { sidecar, viewNumber: number })];
+    });
+    return { testimonies, named: this.fences.sidecarsOf(job) };
   }
 
   /** Forgets what no job that can still be submitted depends on. */
@@ -76,26 +95,28 @@
     this.fences.keepOnly(new Set(this.roster.all().map(({ incarnation }) => incarnation)));
   }
 
-  /** Asks the past owners that are still members; gives a verdict if one holds the job or can't be asked. */
-  private async claim(job: string, owners: readonly PastOwner[]): Promise<Provenance | undefined> {
+  /** Asks the past owners that are still members: each gives a verdict or tells what it heard. */
+  private claim(
+    job: string,
+    owners: readonly PastOwner[],
+  ): Promise<(Provenance | ClaimResponse)[]> {
     const view = this.options.views.current;
     const asked = owners.filter((owner) => owner.address !== undefined);
-    const verdicts = await Promise.all(asked.map((owner) => this.claimOne(job, owner, view)));
-    return verdicts.find((verdict) => verdict?.kind === 'held') ?? verdicts.find(Boolean);
+    return Promise.all(asked.map((owner) => this.claimOne(job, owner, view)));
   }
 
   private async claimOne(
     job: string,
     { incarnation, address }: PastOwner,
     view: View,
-  ): Promise<Provenance | undefined> {
+  ): Promise<Provenance | ClaimResponse> {
     const req = create(ClaimRequestSchema, { job, view });
     const reply = await this.options.network.claim(address!, req);
     if (reply.isErr()) {
       const reason = `the job's former owner can't be asked: ${reply.error.reason}`;
       return { kind: 'unavailable', reason };
     }
-    return reply.value.held ? { kind: 'held', incarnation } : undefined;
+    return reply.value.held ? { kind: 'held', incarnation } : reply.value;
   }
 
   /**
@@ -103,11 +124,11 @@
    * has named the jobs that it knows of it. True when one is lost that did not
    * and that the owner had not settled, for jobs that are old enough.
    */
-  private async inDoubt(job: string, owner: PastOwner, createdMs: number): Promise<boolean> {
+  private async inDoubt(inquiry: Inquiry, owner: PastOwner): Promise<boolean> {
     const { timer, witnessMs, clockSkewMs } = this.options;
-    const sinceMs = createdMs - clockSkewMs;
+    const { job, createdMs } = inquiry;
     const deadline = timer.now() + witnessMs;
-    let open = this.openWitnesses(job, owner, sinceMs);
+    let open = this.openWitnesses(inquiry, owner);
     while (this.isWorthWaiting(job, owner, open) && timer.now() < deadline) {
       const over = new AbortController();
       await Promise.race([
@@ -115,7 +136,7 @@
         timer.sleep(deadline - timer.now(), over.signal),
       ]);
       over.abort();
-      open = this.openWitnesses(job, owner, sinceMs);
+      open = this.openWitnesses(inquiry, owner);
     }
     const oldEnough = createdMs <= owner.removedMs! + clockSkewMs;
     return oldEnough && (open.length > 0 || !this.isInformed(owner));
@@ -129,21 +150,27 @@
     return open.some((item) => !item.ended || Number(item.seenMs) > longAgo);
   }
 
-  private openWitnesses(job: string, owner: PastOwner, sinceMs: number): RosterItem[] {
+  private openWitnesses(inquiry: Inquiry, owner: PastOwner): RosterItem[] {
     return this.roster
-      .activeSince(sinceMs)
-      .filter(({ incarnation }) => !this.hasNamed(incarnation, job, owner))
+      .activeSince(inquiry.createdMs - this.options.clockSkewMs)
+      .filter(({ incarnation }) => !this.hasNamed(incarnation, inquiry, owner))
       .filter(({ incarnation }) => !this.settlements.has(incarnation, owner.incarnation));
   }
 
   /**
-   * Whether a sidecar has named to this entry what it started for a removed
-   * owner, in a view in which the job was this entry's. That stays true.
+   * Whether a sidecar has named what it started for a removed owner, to this
+   * entry or to a former owner, in a view in which the job was the hearer's.
+   * That stays true.
    */
-  private hasNamed(sidecar: string, job: string, { removedIn }: PastOwner): boolean {
-    return this.fences
+  private hasNamed(sidecar: string, inquiry: Inquiry, { removedIn }: PastOwner): boolean {
+    const { job, testimonies } = inquiry;
+    const isHeard = this.fences
       .viewsOf(sidecar)
       .some((number) => number >= removedIn! && this.ownedIn(number, job));
+    return (
+      isHeard ||
+      testimonies.some((told) => told.sidecar === sidecar && told.viewNumber >= removedIn!)
+    );
   }
 
   private ownedIn(number: bigint, job: string): boolean {
@@ -165,8 +192,8 @@
     });
   }
 
-  private async collect(job: string, doubt: boolean): Promise<Provenance> {
-    const sidecars = this.fences.sidecarsOf(job);
+  private async collect({ job, named }: Inquiry, doubt: boolean): Promise<Provenance> {
+    const sidecars = [...new Set([...this.fences.sidecarsOf(job), ...named])];
     if (sidecars.length === 0 && !doubt) return { kind: 'fresh' };
     const reports = await Promise.all(sidecars.map((name) => this.options.adopt(name, job)));
     const tasks = reports.flatMap((report, at) =>
@@ -176,3 +203,15 @@
     return { kind: 'continued', digest, tasks, doubt: doubt || reports.includes(undefined) };
   }
 }
+
+function isVerdict(claim: Provenance | ClaimResponse): claim is Provenance {
+  return 'kind' in claim;
+}
+
+function isTold(claim: Provenance | ClaimResponse): claim is ClaimResponse {
+  return !isVerdict(claim);
+}
+
+function isHeld(claim: Provenance | ClaimResponse): claim is Provenance {
+  return isVerdict(claim) && claim.kind === 'held';
+}
--- a/test/faults/lostOwner.test.ts
+++ b/test/faults/lostOwner.test.ts
@@ -68,3 +68,22 @@
   await system.timer.advance(6000);
   expect(story(system, id)).toEqual(['started', 'completed']);
 });
+
+test('an entry that comes later learns from a former owner what lost sidecars had told', async () => {
+  const system = await started();
+  system.kill('e1');
+  const isGone = () => !system.view('e2').members.some(({ instance }) => instance === 'e1');
+  await system.until(isGone, 9000, 10);
+  await system.timer.advance(500);
+  system.kill('s1');
+  await system.timer.advance(4000);
+  await system.restart('e1');
+  await system.timer.advance(3000);
+  const ids = Array.from({ length: 40 }, (_, n) => `job-${n}`).filter(
+    (id) => system.owner('job', id) === 'e1',
+  );
+  ids.forEach((id) => system.call({ id, kind: 'job', tasks: [50], via: 'e3', once: true }));
+  await system.until(() => system.open === 0, 20_000, 10);
+  const outcomes = ids.map((id) => story(system, id).join(' '));
+  expect([...new Set(outcomes)]).toEqual(['started completed']);
+});
