Leave an ask for credits open at an entry that has none to lend

Cause: an entry with a queue and no credit asked only entries known to have idle ones, and learned of those by heartbeats sent into silence, up to a second late. Change: with none known it asks the others in turn, at most three; one that has no credit says so at once and lends as soon as it has an idle one. An ask stays open for a second.

--- a/src/dispatch/Dispatcher.ts
+++ b/src/dispatch/Dispatcher.ts
@@ -25,6 +25,7 @@
 import type DispatcherOptions from './DispatcherOptions';
 import EntryLoads from './EntryLoads';
 import type HeldCredit from './HeldCredit';
+import OpenAsks from './OpenAsks';
 import type Placement from './Placement';
 import pickers from './pickers';
 import type QueuedTask from './QueuedTask';
@@ -186,18 +187,21 @@
 
   /** Answers another entry's ask for credits with half of the idle ones. */
   borrowed(entry: string, borrow: Borrow): Lend {
-    const { pool } = this.laneOf(borrow.service);
-    const taken = pool.takeHalf(borrow.wanted);
-    this.options.metrics?.creditsLent(borrow.service, taken.length);
-    this.lentTo.set(entry, [...(this.lentTo.get(entry) ?? []), ...taken].slice(-LENT_KEPT));
-    return create(LendSchema, { service: borrow.service, credits: taken, idle: pool.size });
+    const lane = this.laneOf(borrow.service);
+    this.loads.setIdle(entry, borrow.service, 0);
+    const lend = this.lend(lane, entry, borrow.wanted);
+    if (lend.credits.length > 0) lane.wants.close(entry);
+    else lane.wants.open(entry, borrow.wanted, this.options.timer.now());
+    return lend;
   }
 
   /** Takes the credits that another entry lent. */
   lent(entry: string, lend: Lend): void {
     const lane = this.laneOf(lend.service);
-    lane.asking = undefined;
     this.options.metrics?.creditsBorrowed(lend.service, lend.credits.length);
+    if (lane.asking === entry) lane.asking = undefined;
+    if (lend.credits.length > 0) lane.asked.close(entry);
+    else lane.asked.open(entry, lane.queue.length, this.options.timer.now());
     this.loads.setIdle(entry, lend.service, lend.idle);
     lend.credits.forEach(({ sidecar, credit }) => {
       if (credit && this.sidecars.get(sidecar)?.link) lane.pool.add({ sidecar, credit });
@@ -210,6 +214,8 @@
     this.loads.drop(entry);
     this.lanes.forEach((lane) => {
       if (lane.asking === entry) lane.asking = undefined;
+      lane.asked.close(entry);
+      lane.wants.close(entry);
     });
     const bySidecar = new Map<string, HeldCredit[]>();
     (this.lentTo.get(entry) ?? []).forEach((held) => {
@@ -250,6 +256,8 @@
         pool: CreditPool.create(),
         teamsRunning: new Map(),
         asking: undefined,
+        asked: OpenAsks.create(),
+        wants: OpenAsks.create(),
         placed: 0,
       };
       this.lanes.set(service, lane);
@@ -269,6 +277,30 @@
       this.start(lane, task, place);
     }
     if (lane.queue.length > 0) this.borrow(lane);
+    else this.lendToWaiting(lane);
+  }
+
+  /** Lends credits that are idle now to the entries that asked when there were none. */
+  private lendToWaiting(lane: Lane): void {
+    while (lane.pool.size > 0) {
+      const ask = lane.wants.takeOldest(this.options.timer.now());
+      if (!ask) return;
+      const value = this.lend(lane, ask.entry, ask.wanted);
+      if (!this.options.sendToEntry(ask.entry, { case: 'lend', value })) this.takeBack(lane, value);
+    }
+  }
+
+  private lend(lane: Lane, entry: string, wanted: number): Lend {
+    const taken = lane.pool.takeHalf(wanted);
+    this.options.metrics?.creditsLent(lane.service, taken.length);
+    this.lentTo.set(entry, [...(this.lentTo.get(entry) ?? []), ...taken].slice(-LENT_KEPT));
+    return create(LendSchema, { service: lane.service, credits: taken, idle: lane.pool.size });
+  }
+
+  private takeBack(lane: Lane, { credits }: Lend): void {
+    credits.forEach(({ sidecar, credit }) => {
+      if (credit) lane.pool.add({ sidecar, credit });
+    });
   }
 
   private mayPlace(lane: Lane): boolean {
@@ -335,7 +367,7 @@
 
   private borrow(lane: Lane): void {
     if (lane.asking !== undefined || this.options.policy !== 'credits') return;
-    const entry = this.loads.mostIdle(lane.service);
+    const entry = this.lenderFor(lane);
     if (entry === undefined) return;
     const value = create(BorrowSchema, { service: lane.service, wanted: lane.queue.length });
     if (this.options.sendToEntry(entry, { case: 'borrow', value })) {
@@ -346,6 +378,15 @@
     }
   }
 
+  /** The entry thought to have most idle credits; else one that will lend as soon as it has one. */
+  private lenderFor(lane: Lane): string | undefined {
+    const known = this.loads.mostIdle(lane.service);
+    if (known !== undefined) return known;
+    const open = lane.asked.entries(this.options.timer.now());
+    if (open.size >= MOST_OPEN_ASKS) return undefined;
+    return this.loads.entries().find((entry) => !open.has(entry));
+  }
+
   private startAgain(task: QueuedTask, because: string): void {
     task.notStarted();
     if (!task.isWanted()) return;
@@ -416,6 +457,10 @@
   readonly teamsRunning: Map<string, number>;
   /** The entry that was asked for credits and has not answered. */
   asking: string | undefined;
+  /** Entries that were asked, had no credit and will lend the next idle one. */
+  readonly asked: OpenAsks;
+  /** Entries that asked when there was no credit here. */
+  readonly wants: OpenAsks;
   /** Tasks placed without a credit. */
   placed: number;
 }
@@ -426,6 +471,9 @@
   readonly sidecar: string;
 }
 
+/** How many entries may have an unanswered need of this one noted at a time. */
+const MOST_OPEN_ASKS = 3;
+
 /** How many lent credits are remembered for each entry; more than it can hold at once. */
 const LENT_KEPT = 16_384;
 
--- a/src/dispatch/EntryLoads.ts
+++ b/src/dispatch/EntryLoads.ts
@@ -27,6 +27,11 @@
     this.byEntry.delete(entry);
   }
 
+  /** The entries that have said anything. */
+  entries(): string[] {
+    return [...this.byEntry.keys()];
+  }
+
   /** The entry thought to have the most idle credits for a service. */
   mostIdle(service: string): string | undefined {
     let best: string | undefined;
--- /dev/null
+++ b/test/dispatch/borrowing.test.ts
@@ -0,0 +1,71 @@
+import { create } from '@bufbuild/protobuf';
+import { expect, it } from 'vitest';
+import { BorrowSchema, LendSchema } from '../../src/gen/magnoliakeel/v1/peer_pb';
+import DispatcherCase from '../support/DispatcherCase';
+
+function hear(run: DispatcherCase, idle: Record<string, number>): void {
+  Object.entries(idle).forEach(([entry, count]) =>
+    run.dispatcher.loads.heard(entry, [{ service: 'booking', idle: count } as never]),
+  );
+}
+
+function lend(run: DispatcherCase, entry: string, slots: number[], sidecar = 'x'): void {
+  const credits = slots.map((slot) => ({ sidecar, credit: { slot, generation: 1 } }));
+  run.dispatcher.lent(entry, create(LendSchema, { service: 'booking', credits }));
+}
+
+it('asks the entry with most idle credits first, then the others, each once', async () => {
+  const run = DispatcherCase.of();
+  run.link('x');
+  hear(run, { b: 0, c: 4 });
+  run.enqueue('j', { count: 2 });
+  lend(run, 'c', []);
+  lend(run, 'b', []);
+  run.dispatcher.pumpAll();
+  const atOnce = run.take();
+  await run.timer.advance(1000);
+  run.dispatcher.pumpAll();
+  expect({ atOnce, aSecondLater: run.take() }).toMatchInlineSnapshot(`
+    {
+      "aSecondLater": "b: borrow 2",
+      "atOnce": "c: borrow 1
+    b: borrow 2",
+    }
+  `);
+});
+
+it('lends as soon as a credit is idle to an entry that asked when there was none', async () => {
+  const run = DispatcherCase.of();
+  run.link('x');
+  hear(run, { b: 0 });
+  const borrow = create(BorrowSchema, { service: 'booking', wanted: 3 });
+  const answered = run.dispatcher.borrowed('b', borrow).credits.length;
+  run.grant('x', 4);
+  const lent = run.take();
+  run.grant('x', 4);
+  expect({ answered, lent, later: run.take() }).toMatchInlineSnapshot(`
+    {
+      "answered": 0,
+      "later": "",
+      "lent": "b: lend 2",
+    }
+  `);
+});
+
+it('forgets an ask that has been open for long', async () => {
+  const run = DispatcherCase.of();
+  run.link('x');
+  run.dispatcher.borrowed('b', create(BorrowSchema, { service: 'booking', wanted: 1 }));
+  await run.timer.advance(1000);
+  run.grant('x', 1);
+  expect(run.take()).toBe('');
+});
+
+it('keeps the credits for which the asking entry cannot be reached any more', () => {
+  const run = DispatcherCase.of({ sendToEntry: () => false });
+  run.link('x');
+  run.dispatcher.borrowed('b', create(BorrowSchema, { service: 'booking', wanted: 1 }));
+  run.grant('x', 1);
+  run.enqueue('j');
+  expect(run.take()).toBe('x: start j/0');
+});
--- a/tools/measure/RunResult.ts
+++ b/tools/measure/RunResult.ts
@@ -16,5 +16,8 @@
   readonly throughput: number;
   /** Starts that backend servers saw of tasks that were started before. */
   readonly doubled: number;
+  /** Counts at the end of the load. */
   readonly counts: Awaited<ReturnType<CountReader['totals']>>;
+  /** Counts once the last answer was there. */
+  readonly final: RunResult['counts'];
 }
--- a/tools/measure/Workload.ts
+++ b/tools/measure/Workload.ts
@@ -17,6 +17,8 @@
   readonly slots: number;
   readonly entries: number;
   readonly warmUpMs: number;
+  /** Factor by which tasks and the time between arrivals are longer than usual. */
+  readonly slower: number;
 }
 
 /**
@@ -38,7 +40,7 @@
 
   /** Adds the arrivals of a phase. */
   phase({ fromMs, toMs, load, jobShare = 0, team = DEFAULT_TEAM }: Phase): this {
-    const tasksPerMs = (load * this.offer.slots) / MEAN_RUN_MS;
+    const tasksPerMs = (load * this.offer.slots) / (MEAN_RUN_MS * this.offer.slower);
     const perTask = 1 - jobShare + jobShare / MEAN_JOB_TASKS;
     const jobPart = jobShare / MEAN_JOB_TASKS / perTask;
     let atMs = fromMs;
@@ -70,10 +72,12 @@
 
   private run(): number {
     const { random } = this;
+    const { slower } = this.offer;
     if (random.unit() < LONG_SHARE) {
-      return Math.round(LONG_MS.least + random.unit() * (LONG_MS.most - LONG_MS.least));
+      const ms = LONG_MS.least + random.unit() * (LONG_MS.most - LONG_MS.least);
+      return Math.round(ms * slower);
     }
-    return Math.round(spread(random, SHORT_MS));
+    return Math.round(spread(random, SHORT_MS) * slower);
   }
 
   private jobSize(): number {
--- a/tools/measure/describeResult.ts
+++ b/tools/measure/describeResult.ts
@@ -40,8 +40,8 @@
 }
 
 /** Starts that did not lead to a completed answer, and by what they ended. */
-function wasteLine({ counts, completed, offered }: RunResult): string {
-  const sums = sumKinds(counts);
+function wasteLine({ final, completed, offered }: RunResult): string {
+  const sums = sumKinds(final);
   const starts = sums.find(([kind]) => kind === 'start')?.[1].messages ?? 0;
   const causes = sums
     .filter(([kind]) => /^(refuse|done)\./.test(kind) && kind !== 'done.COMPLETED')
--- a/tools/measure/main.ts
+++ b/tools/measure/main.ts
@@ -15,6 +15,7 @@
   readonly plot?: string;
   readonly seed: number;
   readonly seconds?: number;
+  readonly slower: number;
   readonly entries: number;
   readonly backends: number;
 }
@@ -33,6 +34,9 @@
   .option('--plot <file>', 'Write the distributions of stretch as SVG')
   .option('--seed <number>', 'Seed of the load', { default: 1 })
   .option('--seconds <number>', 'Length of each load')
+  .option('--slower <factor>', 'Tasks and arrivals that much slower, for a busy machine', {
+    default: 1,
+  })
   .option('--entries <number>', 'Entries', { default: 3 })
   .option('--backends <number>', 'Backend servers', { default: 11 })
   .action(measure);
@@ -47,7 +51,7 @@
   for (const scenario of names) {
     for (const policy of policiesFor(scenario, flags)) {
       const result = await runScenario({
-        ...{ scenario, policy, seed: flags.seed },
+        ...{ scenario, policy, seed: flags.seed, slower: flags.slower },
         size: {
           entries: flags.entries,
           backends: flags.backends,
@@ -55,7 +59,7 @@
           connections: 64,
           zones: 3,
         },
-        lengthMs: (flags.seconds ?? (flags.quick ? QUICK_SECONDS : SECONDS)) * 1000,
+        lengthMs: (flags.seconds ?? (flags.quick ? QUICK_SECONDS : SECONDS)) * 1000 * flags.slower,
       });
       results.push(result);
       if (!flags.json) process.stdout.write(`${describeResult(result)}\n`);
--- a/tools/measure/replayIdeal.ts
+++ b/tools/measure/replayIdeal.ts
@@ -1,12 +1,15 @@
 import type Arrival from './Arrival';
-import HOP_MS from './HOP_MS';
 import Stretches from './Stretches';
 
 /**
  * What the same arrivals would get from one queue with perfect knowledge: each
  * task takes the slot that is free first, in the order of arrival.
  */
-export default function replayIdeal(arrivals: readonly Arrival[], slots: number): Stretches {
+export default function replayIdeal(
+  arrivals: readonly Arrival[],
+  slots: number,
+  hopMs: number,
+): Stretches {
   const freeAt = new Array<number>(slots).fill(0);
   const stretches = Stretches.create();
   arrivals.forEach((arrival) => {
@@ -16,7 +19,7 @@
       freeAt[slot] = Math.max(freeAt[slot]!, arrival.atMs) + run;
       return freeAt[slot];
     });
-    const responseMs = Math.max(...ends) + 2 * HOP_MS - arrival.atMs;
+    const responseMs = Math.max(...ends) + 2 * hopMs - arrival.atMs;
     if (arrival.measured) stretches.add(arrival, responseMs, slots);
   });
   return stretches;
--- a/tools/measure/runScenario.ts
+++ b/tools/measure/runScenario.ts
@@ -21,6 +21,8 @@
   readonly seed: number;
   /** Length of the load after the warm-up. */
   readonly lengthMs: number;
+  /** Factor by which tasks, hops and the time between arrivals are longer than usual. */
+  readonly slower: number;
 }
 
 /** Runs a scenario on real processes and measures it against the ideal queue. */
@@ -33,12 +35,14 @@
     const counts = CountReader.create(cluster.processes);
     await counts.begin();
     const fault = faultLater(scenario, cluster, counts, WARM_UP_MS + options.lengthMs / 2);
+    const counted = countAtEnd(counts, WARM_UP_MS + options.lengthMs);
     const answers = await LoadGenerator.create(cluster, scenario.deadlineMs).run(arrivals);
     await fault;
     return {
       ...summarize(options, scenario, arrivals, answers),
       doubled: [...(await cluster.starts()).values()].filter((starts) => starts > 1).length,
-      counts: await counts.totals(),
+      counts: await counted,
+      final: await counts.totals(),
     };
   } finally {
     await cluster.stop();
@@ -47,25 +51,34 @@
 
 const WARM_UP_MS = 2000;
 
-function arrivalsOf(scenario: Scenario, { size, seed, lengthMs }: RunOptions): readonly Arrival[] {
+function arrivalsOf(
+  scenario: Scenario,
+  { size, seed, lengthMs, slower }: RunOptions,
+): readonly Arrival[] {
   const slots = size.backends * size.slots;
-  const offer = { slots, entries: size.entries, warmUpMs: WARM_UP_MS };
+  const offer = { slots, entries: size.entries, warmUpMs: WARM_UP_MS, slower };
   const workload = Workload.create(Random.fromSeed(seed), offer);
   scenario.load(workload, 0, WARM_UP_MS + lengthMs);
   return workload.build();
 }
 
-async function startCluster({ size, policy }: RunOptions): Promise<Cluster> {
+async function startCluster({ size, policy, slower }: RunOptions): Promise<Cluster> {
   const cluster = await Cluster.start(size, measuredManifest, {
     entry: { dispatch: { policy } },
     program: 'measuredDaemon',
   });
   await Promise.all(
-    cluster.backendNames.map((name) => cluster.putFaults(name, { delayMs: 2 * HOP_MS })),
+    cluster.backendNames.map((name) => cluster.putFaults(name, { delayMs: 2 * HOP_MS * slower })),
   );
   return cluster;
 }
 
+/** Counts stop with the load, so that the silence while the last tasks run does not count. */
+async function countAtEnd(counts: CountReader, afterMs: number): Promise<RunResult['counts']> {
+  await sleep(afterMs);
+  return counts.totals();
+}
+
 async function faultLater(
   { fault }: Scenario,
   cluster: Cluster,
@@ -73,18 +86,16 @@
   afterMs: number,
 ): Promise<void> {
   if (!fault) return;
-  await new Promise((resolve) => {
-    setTimeout(resolve, afterMs);
-  });
+  await sleep(afterMs);
   await fault(cluster, counts);
 }
 
 function summarize(
-  { scenario: name, policy, size, lengthMs }: RunOptions,
+  { scenario: name, policy, size, lengthMs, slower }: RunOptions,
   scenario: Scenario,
   arrivals: readonly Arrival[],
   answers: readonly Answered[],
-): Omit<RunResult, 'counts' | 'doubled'> {
+): Omit<RunResult, 'counts' | 'final' | 'doubled'> {
   const slots = size.backends * size.slots;
   const stretches = Stretches.create();
   const outcomes: Record<string, number> = {};
@@ -100,7 +111,7 @@
     scenario: name,
     policy,
     stretches,
-    ideal: replayIdeal(arrivals, scenario.idealSlots ?? slots),
+    ideal: replayIdeal(arrivals, scenario.idealSlots ?? slots, HOP_MS * slower),
     outcomes,
     offered: arrivals.reduce((sum, { runs }) => sum + runs.length, 0),
     completed: completed.reduce((sum, { arrival }) => sum + arrival.runs.length, 0),
@@ -108,6 +119,12 @@
   };
 }
 
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
 function inLoad(atMs: number, lengthMs: number): boolean {
   return atMs >= WARM_UP_MS && atMs <= WARM_UP_MS + lengthMs;
 }
