Never take a new process's word for a former owner at its address

Cause: a claim asked an address. When a killed owner's next process had taken it before the view knew, it said that it held nothing, the job counted as new, and its tasks were started again. Change: a claim names the incarnation that is asked; another process says that it is a stranger, and the claim waits for the former owner's removal.

--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -282,8 +282,9 @@
         if (view) this.views.adopt(view);
         return this.router.forwarded(submission!, never);
       },
-      claim: async ({ job, view }) => {
+      claim: async ({ job, view, owner }) => {
         if (view) this.views.adopt(view);
+        if (owner !== this.self) return create(ClaimResponseSchema, { stranger: true });
         return create(ClaimResponseSchema, { held: this.jobs.holds(job) });
       },
       handover: async ({ view, records }) => {
--- a/src/recovery/Recovery.ts
+++ b/src/recovery/Recovery.ts
@@ -86,12 +86,18 @@
     { incarnation, address }: PastOwner,
     view: View,
   ): Promise<Provenance | undefined> {
-    const req = create(ClaimRequestSchema, { job, view });
+    const req = create(ClaimRequestSchema, { job, view, owner: incarnation });
     const reply = await this.options.network.claim(address!, req);
     if (reply.isErr()) {
       const reason = `the job's former owner can't be asked: ${reply.error.reason}`;
       return { kind: 'unavailable', reason };
     }
+    if (reply.value.stranger) {
+      return {
+        kind: 'unavailable',
+        reason: 'the job’s former owner was replaced; its removal is awaited',
+      };
+    }
     return reply.value.held ? { kind: 'held', incarnation } : undefined;
   }
 
--- /dev/null
+++ b/test/faults/claims.test.ts
@@ -0,0 +1,22 @@
+import { expect, it } from 'vitest';
+import System from '../support/System';
+import checkOutcomes from './checkOutcomes';
+
+it('does not take the word of a new process at a former owner’s address', async () => {
+  const system = await System.start();
+  const ids = Array.from({ length: 200 }, (_, n) => `r${n}`);
+  const own = ids.filter((id) => system.owner('request', id) === 'e1').slice(0, 12);
+  own.forEach((id) => system.call({ id, kind: 'request', tasks: [1000], via: 'e2' }));
+  await system.timer.advance(100);
+  system.leave('e1');
+  await system.timer.advance(20);
+  system.engine.setFaults({ down: true });
+  system.kill('e1');
+  await system.timer.advance(200);
+  await system.restart('e1');
+  await system.timer.advance(4000);
+  system.engine.setFaults({});
+  await system.until(() => system.open === 0, 40_000, 50);
+  system.end();
+  expect(checkOutcomes(system.happenings, 12_000)).toEqual([]);
+});
