Wait for a dead owner's removal instead of answering unknown at once

Cause: the next owner of a leaving entry's job answered unknown when the leaving entry could not be asked, although its removal would have told. Change: it says that it can't act as the owner yet, and the entry that has the submission tries again within its patience; the same when the holder of a record can't be reached.

--- a/src/entry/Jobs.ts
+++ b/src/entry/Jobs.ts
@@ -186,9 +186,7 @@
     const created = Number(submission.createdMs) || this.options.timer.wall();
     const provenance = await this.resolve(key, created);
     if (provenance.kind === 'held') return { kind: 'heldBy', incarnation: provenance.incarnation };
-    if (provenance.kind === 'unavailable') {
-      return answerOf(refusal(Outcome.UNKNOWN, provenance.reason, RESOLVE_AGAIN_MS));
-    }
+    if (provenance.kind === 'unavailable') return NOT_OWNER;
     return undefined;
   }
 
@@ -208,9 +206,7 @@
     submission: Submission,
   ): Promise<OwnerReply> {
     if (provenance.kind === 'held') return { kind: 'heldBy', incarnation: provenance.incarnation };
-    if (provenance.kind === 'unavailable') {
-      return answerOf(refusal(Outcome.UNKNOWN, provenance.reason, RESOLVE_AGAIN_MS));
-    }
+    if (provenance.kind === 'unavailable') return NOT_OWNER;
     const refused = this.refuseUnready(submission, provenance.kind !== 'fresh');
     if (refused && provenance.kind === 'fresh') return answerOf(refused);
     if (refused) {
--- a/src/entry/Router.ts
+++ b/src/entry/Router.ts
@@ -51,17 +51,16 @@
   /** Acts on a submission that another entry forwarded. */
   async forwarded(submission: Submission, gone: AbortSignal): Promise<ForwardResponse> {
     const reply = await this.jobs.handle(submission);
-    if (reply.kind === 'notOwner') {
-      const value = this.options.views.current;
-      const { mayHaveRun } = reply;
-      return create(ForwardResponseSchema, { result: { case: 'notOwner', value }, mayHaveRun });
-    }
-    const value =
-      reply.kind === 'answer'
-        ? reply.answer
-        : ((await this.passOn(submission, this.memberOf(reply.incarnation), gone)).answer ??
-          giveUp());
-    return create(ForwardResponseSchema, { result: { case: 'answer', value } });
+    if (reply.kind === 'notOwner') return this.notOwner(reply.mayHaveRun);
+    if (reply.kind === 'answer') return answeredWith(reply.answer);
+    const { answer, sent } = await this.passOn(submission, this.memberOf(reply.incarnation), gone);
+    return answer ? answeredWith(answer) : this.notOwner(sent);
+  }
+
+  /** Has the sender try again, with the newest view. */
+  private notOwner(mayHaveRun: boolean): ForwardResponse {
+    const value = this.options.views.current;
+    return create(ForwardResponseSchema, { result: { case: 'notOwner', value }, mayHaveRun });
   }
 
   private async tryOwner(submission: Submission, gone: AbortSignal): Promise<Attempt> {
@@ -127,6 +126,10 @@
   return { ...answer, outcome: Outcome.UNKNOWN };
 }
 
+function answeredWith(value: Answer): ForwardResponse {
+  return create(ForwardResponseSchema, { result: { case: 'answer', value } });
+}
+
 /** Without the owner nobody can say whether an earlier submission of the id was run. */
 function giveUp(): Answer {
   return create(AnswerSchema, {
