--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -4,6 +4,7 @@
 import type CallerSubmission from '../callers/CallerSubmission';
 import listenProblem from '../core/listenProblem';
 import ownerOf from '../core/ownerOf';
+import ownersIn from '../core/ownersIn';
 import Versioned from '../core/Versioned';
 import Dispatcher from '../dispatch/Dispatcher';
 import {
@@ -245,7 +246,7 @@
     await membership.retire();
     await this.finishCallers();
     const { jobs, views, options } = this;
-    const isTaken = await handOver(jobs.answered(), views.current, options.network);
+    const isTaken = await handOver(jobs.answered(), views.current, this.self, options.network);
     await membership.leave(isTaken && jobs.open === 0);
     this.sidecarLinks.broadcast({ case: 'goodbye', value: create(GoodbyeSchema) });
     this.entryLinks.broadcast({ case: 'goodbye', value: create(GoodbyeSchema) });
@@ -285,7 +286,10 @@
       claim: async ({ job, view, owner }) => {
         if (view) this.views.adopt(view);
         if (owner !== this.self) return create(ClaimResponseSchema, { stranger: true });
-        return create(ClaimResponseSchema, { held: this.jobs.holds(job) });
+        return create(ClaimResponseSchema, {
+          held: this.jobs.holds(job),
+          ...this.recovery.testify(job),
+        });
       },
       handover: async ({ view, records }) => {
         if (view) this.views.adopt(view);
@@ -307,9 +311,10 @@
     link.send({ case: 'heartbeat', value: this.heartbeat() });
   }
 
-  private heartbeat(): Heartbeat {
+  /** A heartbeat with the loads of every service, or with those that concern the receiver. */
+  private heartbeat(loads = this.dispatcher.serviceLoads()): Heartbeat {
     return create(HeartbeatSchema, {
-      loads: this.dispatcher.serviceLoads(),
+      loads,
       configurationVersion: this.configurations.number,
       viewNumber: this.views.number,
     });
@@ -355,9 +360,7 @@
   }
 
   private ownsNew(key: string): boolean {
-    const owners = this.views.current.members.filter(({ leaving }) => !leaving);
-    const names = owners.map(({ incarnation }) => incarnation);
-    return ownerOf(key, names) === this.self;
+    return ownerOf(key, ownersIn(this.views.current)) === this.self;
   }
 
   private wakeWatchers(): void {
@@ -489,7 +492,7 @@
         configurations: this.configurations,
         witnessMs: settings.recovery.witnessMs,
         keepAlive: settings.heartbeat,
-        heartbeat: () => this.heartbeat(),
+        heartbeat: (peer) => this.heartbeat(this.dispatcher.waitsOf(peer.services)),
         greet: (link) => this.greet(link),
         linked: (peer) => {
           log.info(`sidecar ${peer.instance} linked`);
