Cut no idle connection of a caller when an entry leaves

Change: the listener stops, idle connections stay until their next answer, which closes them, or until the time for a request's headers is over. Ruled out: closing them by halves, since the answer could not be written then. Conclusion: an orderly stop is not seen on a connection in use.

--- a/src/callers/CallerServer.ts
+++ b/src/callers/CallerServer.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import net from 'node:net';
 import type { Duplex } from 'node:stream';
 import { create } from '@bufbuild/protobuf';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
@@ -73,12 +74,15 @@
   /**
    * Stops accepting; resolves once all answers under way are out. A caller
    * that still waits when the time is over is told so, which is an answer too.
+   * An idle connection is not cut, since a request may be on its way on it: it
+   * ends with its next answer or after the keep-alive time that callers know.
    */
   async close(drainMs: number): Promise<void> {
     const { timer, limits } = this.options;
     this.closing = true;
     const closed = new Promise<void>((resolve) => {
-      this.server.close(() => resolve());
+      // The method of http.Server would cut the idle connections.
+      net.Server.prototype.close.call(this.server, () => resolve());
     });
     const silent = timer.after(Math.min(limits.headerTimeoutMs, drainMs), () => this.dropSilent());
     const over = timer.after(drainMs, () => this.endWaits());
--- a/test/callers/callersThatGo.test.ts
+++ b/test/callers/callersThatGo.test.ts
@@ -148,3 +148,17 @@
   socket.destroy();
   expect(start.faults).toEqual([]);
 });
+
+test('a request on an idle connection is still answered when the server closes meanwhile', async () => {
+  const start = await CallerCase.start();
+  const socket = await start.open(HEAD + BODY);
+  await once(socket, 'data');
+  const closed = start.server.close(60_000);
+  socket.write(HEAD + BODY);
+  const [answer] = (await once(socket, 'data')) as [Buffer];
+  await closed;
+  expect(/HTTP\/1.1 (\d+)[^]*\r\n(Connection: \w+)/.exec(String(answer))?.slice(1)).toEqual([
+    '202',
+    'Connection: close',
+  ]);
+});
