--- a/src/ctl/waitInForce.ts
+++ b/src/ctl/waitInForce.ts
@@ -23,10 +23,12 @@
   const startedAt = timer.now();
   for (;;) {
     const status = await fetchStatus(entries, context);
-    const late = status.isOk() ? lateOnes(status.value, version) : undefined;
     const tookMs = Math.round(timer.now() - startedAt);
-    if (status.isOk() && late!.length === 0) return ok(allThere(status.value, version, tookMs));
-    if (tookMs >= limitMs) return err(status.isErr() ? status.error : missing(late!, version));
+    const late = status.isOk() ? lateOnes(status.value, version) : [];
+    // An entry without a view has only just started and doesn't know the others.
+    const isTelling = status.isOk() && status.value.viewNumber > 0;
+    if (isTelling && late.length === 0) return ok(allThere(status.value, version, tookMs));
+    if (tookMs >= limitMs) return err(status.isErr() ? status.error : missing(late, version));
     await timer.sleep(POLL_MS);
   }
 }
--- a/src/operators/collectStatus.ts
+++ b/src/operators/collectStatus.ts
@@ -61,8 +61,9 @@
   answers
     .flatMap(({ sidecars }) => sidecars)
     .forEach((told) => {
-      const { instance, incarnation, zone, operators, services } = told;
+      const { instance, incarnation, zone, operators } = told;
       const known = merged.get(incarnation);
+      const services = [...new Set([...(known?.services ?? []), ...told.services])];
       merged.set(incarnation, {
         ...unknown,
         ...{ instance, incarnation, zone, operators, services },
