--- a/src/entry/SidecarLinksOptions.ts
+++ b/src/entry/SidecarLinksOptions.ts
@@ -15,7 +15,8 @@
   /** How long a sidecar may stay away before it counts as lost. */
   readonly witnessMs: number;
   readonly keepAlive: KeepAliveLimits;
-  readonly heartbeat: () => Heartbeat;
+  /** Makes the next heartbeat to a sidecar. */
+  readonly heartbeat: (peer: SidecarPeer) => Heartbeat;
   readonly views: Versioned<View>;
   readonly configurations: Versioned<Configuration>;
   /** Sends what a newly linked process has to know. */
--- a/test/support/TraceCase.ts
+++ b/test/support/TraceCase.ts
@@ -147,7 +147,10 @@
   }
 }
 
-const SERVICE = { name: 'booking', timeoutMs: 1000, jobTimeoutMs: 10_000, retentionMs: 60_000 };
+const SERVICE = {
+  ...{ name: 'booking', maxTasks: 320, timeoutMs: 1000, jobTimeoutMs: 10_000 },
+  ...{ retentionMs: 60_000, retryBudget: 0.1, queue: { maxTasks: 1000 } },
+};
 
 const WAIT_MS = 2000;
 
