Let no caller meet an older configuration than it has met

Cause: for the moment that a change takes to reach all entries, a job of a new service that one entry forwarded was refused for good as invalid by an owner that did not know the service yet; and a caller could meet the new configuration at one entry and the old one at the next. Change: forwards and their answers carry the configuration version; the side that is behind waits up to 2 s for it, then tells the caller to come back. Responses have Magnoliakeel-Configuration; a caller that sends it back meets no older one. The test of the forward fails without the wait (invalid in place of completed). The race in the command-line tests is now arranged, not left to file reads.

--- a/src/callers/CallerServer.ts
+++ b/src/callers/CallerServer.ts
@@ -7,6 +7,7 @@
 import type CallerSubmission from './CallerSubmission';
 import findBodyMistake from './findBodyMistake';
 import headerOf from './headerOf';
+import parseVersion from './parseVersion';
 import readBody from './readBody';
 import refusal from './refusal';
 import refuseConnection from './refuseConnection';
@@ -112,6 +113,7 @@
     const parsed = await this.parse(req, res);
     const answer = parsed.isOk() ? await this.submit(parsed.value, gone.signal) : undefined;
     if (gone.signal.aborted || !req.socket.writable) return;
+    res.setHeader('Magnoliakeel-Configuration', String(this.options.version()));
     if (this.closing || this.options.isLeaving()) res.setHeader('Connection', 'close');
     req.socket.setTimeout(this.options.limits.bodyTimeoutMs);
     if (parsed.isErr()) this.refuse(res, parsed.error);
@@ -148,8 +150,11 @@
     if (expectsContinue(req)) res.writeContinue();
     const body = await readBody(req, this.options.limits.bodyBytes);
     if (body.isErr()) return err(body.error);
+    const version = parseVersion(req.headers);
+    if (version.isErr()) return err(version.error);
+    if (!(await this.options.reached(version.value))) return err(notReady(req, BEHIND));
     const manifest = this.options.manifest();
-    if (!manifest) return err(notReady(req));
+    if (!manifest) return err(notReady(req, 'no configuration is in force yet'));
     const names = namesIn(route.value, url.value.pathname);
     if (names.isErr()) return err(names.error);
     const caller = {
@@ -212,6 +217,8 @@
 /** Makes a request's path a whole URL; only the path and the query are read. */
 const BASE_URL = 'http://entry';
 
+const BEHIND = 'the configuration that the caller has met before is not in force here yet';
+
 const CUT_SHORT = create(AnswerSchema, {
   outcome: Outcome.UNKNOWN,
   reason: 'this entry leaves before the answer is there; it may have run',
@@ -237,10 +244,10 @@
 }
 
 /** What has an id may have been run for an earlier submission; only what has none is known not to have run. */
-function notReady({ method, headers }: http.IncomingMessage): RequestError {
+function notReady({ method, headers }: http.IncomingMessage, reason: string): RequestError {
   const isNew = method === 'POST' && headerOf(headers, 'idempotency-key') === undefined;
   const outcome = isNew ? Outcome.NOT_RUN : Outcome.UNKNOWN;
-  return refusal(outcome, 'no configuration is in force yet');
+  return refusal(outcome, reason);
 }
 
 function findRoute(method: string | undefined, path: string): Result<Route, RequestError> {
--- a/src/callers/CallerServerOptions.ts
+++ b/src/callers/CallerServerOptions.ts
@@ -13,6 +13,10 @@
   readonly random: Random;
   /** The manifest in force; undefined before the first. */
   readonly manifest: () => Manifest | undefined;
+  /** Version of that manifest; 0 before the first. */
+  readonly version: () => bigint;
+  /** Waits a little for a version or a newer one; says whether it is in force. */
+  readonly reached: (version: bigint) => Promise<boolean>;
   readonly isLeaving: () => boolean;
   /** The answer to a submission; the signal tells that nobody waits for it any more. */
   readonly submit: (submission: CallerSubmission, gone: AbortSignal) => Promise<Answer>;
--- a/src/core/Versioned.ts
+++ b/src/core/Versioned.ts
@@ -1,3 +1,5 @@
+import type TimerService from './TimerService';
+
 /**
  * A value that only moves forward. Each value has a number; a value with the
  * same or a lower number is ignored, so that nothing ever reverts to an older one.
@@ -37,6 +39,18 @@
     return true;
   }
 
+  /** Resolves once a value of this number or a newer one is there, or with false after the delay. */
+  async reached(number: bigint, timer: TimerService, limitMs: number): Promise<boolean> {
+    if (this.number >= number) return true;
+    const there = new AbortController();
+    const unsubscribe = this.subscribe(() => {
+      if (this.number >= number) there.abort();
+    });
+    await timer.sleep(limitMs, there.signal);
+    unsubscribe();
+    return there.signal.aborted;
+  }
+
   /** Calls the handler with each newer value; returns the way to end that. */
   subscribe(handler: (value: T) => void): () => void {
     this.handlers.add(handler);
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -279,9 +279,9 @@
     const never = new AbortController().signal;
     return {
       link: (link) => linkServers[link.peer.role](this, link),
-      forward: async ({ submission, view }) => {
+      forward: async ({ submission, view, configurationVersion }) => {
         if (view) this.views.adopt(view);
-        return this.router.forwarded(submission!, never);
+        return this.router.forwarded(submission!, configurationVersion, never);
       },
       claim: async ({ job, view }) => {
         if (view) this.views.adopt(view);
@@ -456,6 +456,7 @@
         tracer: this.options.tracer,
         self: this.self,
         views: this.views,
+        configurations: this.configurations,
         ownerWaitMs: settings.store.leaseMs + settings.heartbeat.suspectMs,
         isSuspected: (incarnation) => this.entryLinks.isSuspected(incarnation),
         untilSuspected: (incarnation, gone) => this.untilSuspected(incarnation, gone),
@@ -549,6 +550,8 @@
     return CallerServer.create({
       limits: settings.limits,
       manifest: () => this.callersManifest,
+      version: () => this.configurations.number,
+      reached: (version) => this.configurations.reached(version, timer, VERSION_WAIT_MS),
       timer,
       random,
       isLeaving: () => this.leaving,
@@ -594,6 +597,9 @@
   }
 }
 
+/** How long a caller's request waits for a configuration that the caller has met before. */
+const VERSION_WAIT_MS = 2000;
+
 /** How often expired records are dropped. */
 const SWEEP_MS = 5000;
 
--- a/src/entry/Router.ts
+++ b/src/entry/Router.ts
@@ -1,4 +1,4 @@
-import { create } from '@bufbuild/protobuf';
+import { create, type MessageInitShape } from '@bufbuild/protobuf';
 import jobKey from '../core/jobKey';
 import ownerOf from '../core/ownerOf';
 import ownersIn from '../core/ownersIn';
@@ -49,20 +49,40 @@
     return giveUp();
   }
 
-  /** Acts on a submission that another entry forwarded. */
-  async forwarded(submission: Submission, gone: AbortSignal): Promise<ForwardResponse> {
+  /**
+   * Acts on a submission that another entry forwarded, under no older
+   * configuration than that entry's: a service that it knows is known here.
+   */
+  async forwarded(
+    submission: Submission,
+    version: bigint,
+    gone: AbortSignal,
+  ): Promise<ForwardResponse> {
+    if (!(await this.hasVersion(version))) {
+      return this.responseOf({ result: { case: 'answer', value: behind() } });
+    }
     const reply = await this.jobs.handle(submission);
     if (reply.kind === 'notOwner') {
       const value = this.options.views.current;
       const { mayHaveRun } = reply;
-      return create(ForwardResponseSchema, { result: { case: 'notOwner', value }, mayHaveRun });
+      return this.responseOf({ result: { case: 'notOwner', value }, mayHaveRun });
     }
     const value =
       reply.kind === 'answer'
         ? reply.answer
         : ((await this.passOn(submission, this.memberOf(reply.incarnation), gone)).answer ??
           giveUp());
-    return create(ForwardResponseSchema, { result: { case: 'answer', value } });
+    return this.responseOf({ result: { case: 'answer', value } });
+  }
+
+  private responseOf(init: MessageInitShape<typeof ForwardResponseSchema>): ForwardResponse {
+    const configurationVersion = this.options.configurations.number;
+    return create(ForwardResponseSchema, { ...init, configurationVersion });
+  }
+
+  private hasVersion(version: bigint): Promise<boolean> {
+    const { configurations, timer } = this.options;
+    return configurations.reached(version, timer, VERSION_WAIT_MS);
   }
 
   private async tryOwner(submission: Submission, gone: AbortSignal): Promise<Attempt> {
@@ -81,14 +101,19 @@
     gone: AbortSignal,
   ): Promise<Attempt> {
     if (!member || this.options.isSuspected(member.incarnation)) return NOT_SENT;
-    const { network, views, tracer } = this.options;
+    const { network, views, configurations, tracer } = this.options;
     const { signal, end } = this.options.untilSuspected(member.incarnation, gone);
     const reply = await traceForward(tracer, submission, member, async (traced) => {
-      const req = create(ForwardRequestSchema, { submission: traced, view: views.current });
+      const req = create(ForwardRequestSchema, {
+        submission: traced,
+        view: views.current,
+        configurationVersion: configurations.number,
+      });
       return network.forward(member.address, req, signal);
     });
     end();
     if (reply.isErr()) return { sent: reply.error.kind === 'broken' };
+    await this.hasVersion(reply.value.configurationVersion);
     const { result } = reply.value;
     if (result.case === 'answer') return { answer: result.value, sent: true };
     if (result.case === 'notOwner') views.adopt(result.value);
@@ -135,5 +160,17 @@
   });
 }
 
+/** The other entry has a newer configuration than came here in time. */
+function behind(): Answer {
+  return create(AnswerSchema, {
+    outcome: Outcome.UNKNOWN,
+    reason: 'the owner of this id does not have the newest configuration yet; submit it again',
+    retryAfterMs: COME_BACK_MS,
+  });
+}
+
+/** How long to wait for a configuration that another entry has already. */
+const VERSION_WAIT_MS = 2000;
+
 /** When a caller may try again after its owner was not reached. */
 const COME_BACK_MS = 2000;
--- a/src/entry/RouterOptions.ts
+++ b/src/entry/RouterOptions.ts
@@ -1,6 +1,6 @@
 import type TimerService from '../core/TimerService';
 import type Versioned from '../core/Versioned';
-import type { View } from '../gen/magnoliakeel/v1/peer_pb';
+import type { Configuration, View } from '../gen/magnoliakeel/v1/peer_pb';
 import type Network from '../link/Network';
 import type Tracer from '../observe/Tracer';
 
@@ -11,6 +11,7 @@
   readonly tracer?: Tracer;
   readonly self: string;
   readonly views: Versioned<View>;
+  readonly configurations: Versioned<Configuration>;
   readonly network: Pick<Network, 'forward'>;
   /** How long a submission waits for an owner that can't be reached. */
   readonly ownerWaitMs: number;
--- a/test/callers/answers.test.ts
+++ b/test/callers/answers.test.ts
@@ -176,3 +176,25 @@
   const [one, other, again] = start.submissions.map(({ digest }) => digest);
   expect([one === other, one === again]).toEqual([false, true]);
 });
+
+test('a caller does not meet an older configuration than it met before', async () => {
+  const start = await CallerCase.start();
+  const asks = ['3', '4', 'x'].map((version) =>
+    start.send(undefined, { headers: { 'magnoliakeel-configuration': version } }),
+  );
+  expect(await Promise.all(asks)).toMatchInlineSnapshot(`
+    [
+      "202 pending
+    content-length=107
+    magnoliakeel-count=1
+    {"id":"0192d0c8-0000-7000-8000-000000000000","service":"booking","outcome":"pending","size":1,"finished":0}",
+      "424 unknown
+    content-length=126
+    retry-after=3
+    {"outcome":"unknown","reason":"the configuration that the caller has met before is not in force here yet","retryAfterMs":2626}",
+      "400 invalid
+    content-length=121
+    {"outcome":"invalid","reason":"header Magnoliakeel-Configuration: found \\"x\\", expected the number that a response gave"}",
+    ]
+  `);
+});
--- a/test/callers/badRequests.test.ts
+++ b/test/callers/badRequests.test.ts
@@ -43,6 +43,7 @@
     content-length=82
     {"outcome":"invalid","reason":"body: 5000 bytes announced, expected at most 2048"}",
       "HTTP/1.1 413 Payload Too Large
+    Magnoliakeel-Configuration: 3
     Content-Type: application/json
     Content-Length: 74
     Magnoliakeel-Outcome: invalid
--- a/test/callers/serverFaults.test.ts
+++ b/test/callers/serverFaults.test.ts
@@ -19,6 +19,7 @@
 async function ask(manifest: Manifest | undefined, method: 'POST' | 'PUT', path: string) {
   const server = CallerServer.create({
     ...{ limits, manifest: () => manifest, isLeaving: () => false },
+    ...{ version: () => 1n, reached: async () => true },
     timer: ManualTimer.create(),
     random: Random.fromSeed(1),
     failed: () => undefined,
--- a/test/ctl/manifest.test.ts
+++ b/test/ctl/manifest.test.ts
@@ -112,20 +112,35 @@
 
 test('of two racing applies one takes effect and the other shows both versions', async () => {
   const it = new CtlCase();
-  it.engine.setFaults({ slowMs: 100 });
-  const raced = await Promise.all([it.run('apply @first.yaml'), it.run('apply @second.yaml')]);
-  const heads = raced.map((text) =>
-    text
-      .split('\n')
-      .slice(0, 2)
-      .join(' ')
-      .replace(/at 2025[^)]*/, 'at T'),
-  );
-  expect([...heads.sort(), (await it.inForce()).split(' ')[0]]).toMatchInlineSnapshot(`
+  let other = '';
+  it.rival = async () => {
+    other = await it.run('apply @second.yaml --json');
+  };
+  const raced = [await it.run('apply @first.yaml'), other.slice(0, 40)];
+  expect([...raced, await it.inForce()]).toMatchInlineSnapshot(`
     [
-      "0 out: Applied version 1 (applied at T):",
-      "5 err: planned against version 0, but in force is version 1 (applied at T); nothing was changed",
-      "1",
+      "5
+    err: planned against version 0, but in force is version 1 (applied at 2025-01-01T00:00:00.000Z); nothing was changed
+    err: Against version 1 the manifest changes:
+    err:   - services.availability
+    err:   ~ services.booking.timeoutMs: 9000 -> 8000
+    err:   + teams.web
+    err:       share: 3",
+      "0
+    out: {"applied":true,"version":1,"appl",
+      "1 by apply-2",
+    ]
+  `);
+});
+
+test('of two racing applies of one manifest both succeed, and one changes nothing', async () => {
+  const it = new CtlCase();
+  it.rival = () => it.run('apply @first.yaml');
+  expect([await it.run('apply @first.yaml'), await it.inForce()]).toMatchInlineSnapshot(`
+    [
+      "0
+    out: In force already: version 1 (applied at 2025-01-01T00:00:00.000Z); nothing was changed.",
+      "1 by apply-2",
     ]
   `);
 });
--- a/test/entry/inForce.test.ts
+++ b/test/entry/inForce.test.ts
@@ -98,3 +98,30 @@
     ]
   `);
 });
+
+test('an owner judges under no older configuration than the entry that forwards to it', async () => {
+  const system = await System.start();
+  await system.configure({ services: [] });
+  await system.timer.advance(100);
+  const owner = system.owner('job', 'j');
+  const via = ['e1', 'e2', 'e3'].find((name) => name !== owner)!;
+  system.engine.setFaults({ down: true }, owner);
+  const late = ['configuration', 'heartbeat'];
+  const held = system.network.hold(({ kind, to }) => to === owner && late.includes(kind));
+  await system.configure();
+  await system.timer.advance(100);
+  const before = system.versions();
+  system.call({ id: 'j', kind: 'job', tasks: [100], via, once: true }).catch(() => undefined);
+  await system.timer.advance(500);
+  const waiting = system.open;
+  held.release();
+  await system.timer.advance(1_000);
+  const last = system.happenings.at(-1)!;
+  expect([before, waiting, last.kind === 'answered' && last.outcome]).toMatchInlineSnapshot(`
+    [
+      "e1 3, e2 2, e3 3, s1 3, s2 3, s3 3",
+      1,
+      "completed",
+    ]
+  `);
+});
--- a/test/support/CallerCase.ts
+++ b/test/support/CallerCase.ts
@@ -70,6 +70,8 @@
       timer: SystemTimer.create(),
       random: Random.fromSeed(1),
       manifest: () => this.manifest,
+      version: () => 3n,
+      reached: async (version) => version <= 3n,
       isLeaving: () => this.isLeaving,
       submit: ({ submission }, gone) => {
         this.submissions.push(submission);
--- a/test/support/CtlCase.ts
+++ b/test/support/CtlCase.ts
@@ -1,9 +1,10 @@
-import { errAsync, okAsync } from 'neverthrow';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 import Random from '../../src/core/Random';
 import type CtlContext from '../../src/ctl/CtlContext';
 import type OperatorAnswer from '../../src/ctl/OperatorAnswer';
 import runCtl from '../../src/ctl/runCtl';
 import type ProcessStatus from '../../src/operators/ProcessStatus';
+import type Store from '../../src/store/Store';
 import Engine from '../../tools/platform/Engine';
 import ManualTimer from './ManualTimer';
 import RecordingTerminal from './RecordingTerminal';
@@ -17,13 +18,16 @@
   /** What processes answer, by method, address and path; absent ones cannot be reached. */
   readonly answers = new Map<string, () => OperatorAnswer>();
 
+  /** Another operator, who is faster: called just before the next write of the manifest. */
+  rival: (() => Promise<unknown>) | undefined;
+
   private ids = 0;
 
   private readonly context: CtlContext = {
     timer: this.timer,
     random: Random.fromSeed(1),
     environment: { MAGNOLIAKEEL_STORE: '10.0.0.5:1', MAGNOLIAKEEL_ENTRY: '10.0.0.1:1,10.0.0.2:1' },
-    openStore: () => this.engine.client('ctl'),
+    openStore: () => this.contested(this.engine.client('ctl')),
     newId: () => {
       this.ids += 1;
       return `apply-${this.ids}`;
@@ -59,6 +63,22 @@
     this.answers.set('GET 10.0.0.2:1/v1/status', () => ({ status: 200, body: status() }));
   }
 
+  private contested(store: Store): Store {
+    const put: Store['put'] = (key, value, options) => {
+      const { rival } = this;
+      if (key !== 'manifest' || !rival) return store.put(key, value, options);
+      this.rival = undefined;
+      return ResultAsync.fromSafePromise(rival()).andThen(() => store.put(key, value, options));
+    };
+    return new Proxy(store, {
+      get: (target, name) => {
+        if (name === 'put') return put;
+        const method: unknown = Reflect.get(target, name);
+        return typeof method === 'function' ? method.bind(target) : method;
+      },
+    });
+  }
+
   /** Version and applier of the manifest in the store. */
   async inForce(): Promise<string> {
     const item = (await this.engine.get('manifest')).unwrapOr(undefined);
