--- a/src/callers/CallerServer.ts
+++ b/src/callers/CallerServer.ts
@@ -9,6 +9,7 @@
 import type CallerSubmission from './CallerSubmission';
 import findBodyMistake from './findBodyMistake';
 import headerOf from './headerOf';
+import parseVersion from './parseVersion';
 import readBody from './readBody';
 import refusal from './refusal';
 import refuseConnection from './refuseConnection';
@@ -121,6 +122,7 @@
     const parsed = await this.parse(req, res, gone.signal);
     const answer = parsed.isOk() ? await this.submit(parsed.value, gone.signal) : undefined;
     if (gone.signal.aborted || !req.socket.writable) return;
+    res.setHeader('Magnoliakeel-Configuration', String(this.options.version()));
     if (this.closing || this.options.isLeaving()) res.setHeader('Connection', 'close');
     req.socket.setTimeout(this.options.limits.bodyTimeoutMs);
     if (parsed.isErr()) this.refuse(res, parsed.error);
@@ -158,6 +160,9 @@
     if (expectsContinue(req)) res.writeContinue();
     const body = await this.readBody(req, gone);
     if (body.isErr()) return err(body.error);
+    const version = parseVersion(req.headers);
+    if (version.isErr()) return err(version.error);
+    if (!(await this.options.reached(version.value))) return err(unprepared(req, BEHIND));
     const manifest = this.options.manifest();
     if (!manifest) return err(unprepared(req, 'no configuration is in force yet'));
     const names = namesIn(route.value, url.value.pathname);
@@ -237,6 +242,8 @@
 /** Makes a request's path a whole URL; only the path and the query are read. */
 const BASE_URL = 'http://entry';
 
+const BEHIND = 'the configuration that the caller has met before is not in force here yet';
+
 const CUT_SHORT = create(AnswerSchema, {
   outcome: Outcome.UNKNOWN,
   reason: 'this entry leaves before the answer is there; it may have run',
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -279,9 +279,9 @@
     const never = new AbortController().signal;
     return {
       link: (link) => linkServers[link.peer.role](this, link),
-      forward: async ({ submission, view }) => {
+      forward: async ({ submission, view, configurationVersion }) => {
         if (view) this.views.adopt(view);
-        return this.router.forwarded(submission!, never);
+        return this.router.forwarded(submission!, configurationVersion, never);
       },
       claim: async ({ job, view, owner }) => {
         if (view) this.views.adopt(view);
@@ -460,6 +460,7 @@
         tracer: this.options.tracer,
         self: this.self,
         views: this.views,
+        configurations: this.configurations,
         ownerWaitMs: settings.store.leaseMs + settings.heartbeat.suspectMs,
         isSuspected: (incarnation) => this.entryLinks.isSuspected(incarnation),
         untilSuspected: (incarnation, gone) => this.untilSuspected(incarnation, gone),
@@ -553,6 +554,8 @@
     return CallerServer.create({
       limits: settings.limits,
       manifest: () => this.callersManifest,
+      version: () => this.configurations.number,
+      reached: (version) => this.configurations.reached(version, timer, VERSION_WAIT_MS),
       timer,
       random,
       isLeaving: () => this.leaving,
@@ -598,6 +601,9 @@
   }
 }
 
+/** How long a caller's request waits for a configuration that the caller has met before. */
+const VERSION_WAIT_MS = 2000;
+
 /** How often expired records are dropped. */
 const SWEEP_MS = 5000;
 
