--- a/src/callers/CallerServer.ts
+++ b/src/callers/CallerServer.ts
@@ -1,10 +1,12 @@
 import http from 'node:http';
+import https from 'node:https';
 import type { Duplex } from 'node:stream';
 import { create } from '@bufbuild/protobuf';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 import { type Answer, AnswerSchema, Outcome } from '../gen/magnoliakeel/v1/peer_pb';
 import type CallerServerOptions from './CallerServerOptions';
 import type CallerSubmission from './CallerSubmission';
+import type TlsCredentials from '../link/TlsCredentials';
 import findBodyMistake from './findBodyMistake';
 import headerOf from './headerOf';
 import readBody from './readBody';
@@ -21,7 +23,7 @@
  * hold memory or connections for long.
  */
 export default class CallerServer {
-  private readonly server: http.Server;
+  private readonly server: http.Server | https.Server;
 
   /** The last response of each open connection; none before its first request. */
   private readonly responses = new Map<Duplex, http.ServerResponse | undefined>();
@@ -35,8 +37,8 @@
   private closing = false;
 
   private constructor(private readonly options: CallerServerOptions) {
-    const { limits } = options;
-    this.server = http.createServer({
+    const { limits, tls } = options;
+    this.server = createServer(tls, {
       maxHeaderSize: limits.headerBytes,
       headersTimeout: limits.headerTimeoutMs,
       requestTimeout: limits.bodyTimeoutMs,
@@ -45,10 +47,16 @@
       noDelay: true,
     });
     this.server.maxConnections = limits.connections;
-    this.server.on('connection', (socket) => this.connected(socket));
-    this.server.on('request', (req, res) => this.serve(req, res));
-    this.server.on('checkContinue', (req, res) => this.serve(req, res));
-    this.server.on('clientError', (error, socket) => this.unreadable(error, socket));
+    this.server.on(tls ? 'secureConnection' : 'connection', (socket: Duplex) =>
+      this.connected(socket),
+    );
+    this.server.on('request', (req: http.IncomingMessage, res: http.ServerResponse) =>
+      this.serve(req, res),
+    );
+    this.server.on('checkContinue', (req: http.IncomingMessage, res: http.ServerResponse) =>
+      this.serve(req, res),
+    );
+    this.server.on('clientError', (error: Error, socket: Duplex) => this.unreadable(error, socket));
   }
 
   /** Creates the server without listening. */
@@ -198,6 +206,15 @@
   }
 }
 
+/** A server with the limits; with credentials it follows their changes. */
+function createServer(tls: TlsCredentials | undefined, limits: http.ServerOptions) {
+  if (!tls) return http.createServer(limits);
+  const { cert, key } = tls.current;
+  const server = https.createServer({ ...limits, cert, key });
+  tls.subscribe((changed) => server.setSecureContext({ cert: changed.cert, key: changed.key }));
+  return server;
+}
+
 /** How often Node looks for requests that take too long. */
 const CHECK_INTERVAL_MS = 500;
 
--- a/src/callers/CallerServerOptions.ts
+++ b/src/callers/CallerServerOptions.ts
@@ -1,6 +1,7 @@
 import type Random from '../core/Random';
 import type TimerService from '../core/TimerService';
 import type { Answer } from '../gen/magnoliakeel/v1/peer_pb';
+import type TlsCredentials from '../link/TlsCredentials';
 import type EntrySettings from '../settings/EntrySettings';
 import type Manifest from '../settings/Manifest';
 import type CallerSubmission from './CallerSubmission';
@@ -8,6 +9,8 @@
 /** What the callers' interface needs from the entry around it. */
 export default interface CallerServerOptions {
   readonly limits: EntrySettings['limits'];
+  /** The certificate shown to callers; without it they are served in plain text. */
+  readonly tls?: TlsCredentials;
   readonly timer: TimerService;
   /** Spreads the times at which refused callers come back. */
   readonly random: Random;
--- a/src/daemon/runEntry.ts
+++ b/src/daemon/runEntry.ts
@@ -18,6 +18,7 @@
 import reachableAddress from '../operators/reachableAddress';
 import type EntrySettings from '../settings/EntrySettings';
 import HttpStore from '../store/HttpStore';
+import loadTls from './loadTls';
 import newIncarnation from './newIncarnation';
 import randomSeed from './randomSeed';
 
@@ -28,11 +29,16 @@
 ): Promise<ExitCode> {
   const log = createLogger(settings.log.level);
   const timer = SystemTimer.create();
+  const tls = await loadTls(settings.tls, timer, log);
+  if (tls.isErr()) {
+    log.error(`tls: ${tls.error}`);
+    return exitCodes.badFile;
+  }
   const metrics = Metrics.create(timer, 'entry');
   const random = Random.fromSeed(randomSeed());
   const incarnation = newIncarnation(settings.instance);
   const traces = Traces.create({ timer, random, metrics, incarnation, settings });
-  const network = MeteredNetwork.over(ConnectNetwork.create(timer), metrics);
+  const network = MeteredNetwork.over(ConnectNetwork.create(timer, tls.value), metrics);
   const store = HttpStore.create({
     timer,
     url: `http://${settings.store.address}`,
@@ -47,6 +53,7 @@
     timer,
     log,
     ...{ network, incarnation, random },
+    tls: tls.value,
     tracer: traces?.tracer,
     metrics: EntryMetrics.of(metrics),
     store: MeteredStore.over(store, metrics),
@@ -75,6 +82,7 @@
   const { callers, peers } = listening.value;
   log.info(`entry ${settings.instance} listens for callers on ${callers}, for peers on ${peers}`);
   log.info(`listening for operators on ${opened.value}`);
+  if (!tls.value) log.info('connections are without TLS: the settings name no certificates');
   const ended = await entry.run(AbortSignal.any([signal, drained.signal]));
   await traces?.close();
   await server.close();
--- a/src/daemon/runSidecar.ts
+++ b/src/daemon/runSidecar.ts
@@ -17,6 +17,7 @@
 import Sidecar from '../sidecar/Sidecar';
 import SidecarCounters from '../sidecar/SidecarCounters';
 import UndiciBackendClient from '../sidecar/UndiciBackendClient';
+import loadTls from './loadTls';
 import newIncarnation from './newIncarnation';
 import randomSeed from './randomSeed';
 
@@ -28,6 +29,11 @@
   const { cluster, instance, zone, entries, links, heartbeat } = settings;
   const log = createLogger(settings.log.level);
   const timer = SystemTimer.create();
+  const tls = await loadTls(settings.tls, timer, log);
+  if (tls.isErr()) {
+    log.error(`tls: ${tls.error}`);
+    return exitCodes.badFile;
+  }
   const metrics = Metrics.create(timer, 'sidecar');
   const counters = SidecarCounters.create();
   const random = Random.fromSeed(randomSeed());
@@ -38,7 +44,7 @@
   const sidecar = Sidecar.create({
     ...{ timer, counters, cluster, instance, zone, entries, links, heartbeat },
     ...{ random, incarnation, tracer: traces?.tracer },
-    network: MeteredNetwork.over(ConnectNetwork.create(timer), metrics),
+    network: MeteredNetwork.over(ConnectNetwork.create(timer, tls.value), metrics),
     client: UndiciBackendClient.create(),
     ledgerBytes: settings.ledger.bytes,
     skewMs: settings.ledger.clockSkewMs,
@@ -73,6 +79,7 @@
     log.error(`cannot listen: ${settings.listen.backend}: ${(error as Error).message}`);
     return exitCodes.cannotListen;
   }
+  if (!tls.value) log.info('connections are without TLS: the settings name no certificates');
   await sidecar.run(AbortSignal.any([signal, drained.signal]));
   await desk.close();
   await traces?.close();
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -546,6 +546,7 @@
     const { settings, timer, random, log } = this.options;
     return CallerServer.create({
       limits: settings.limits,
+      tls: this.options.tls,
       manifest: () => this.callersManifest,
       timer,
       random,
--- a/src/entry/EntryOptions.ts
+++ b/src/entry/EntryOptions.ts
@@ -2,6 +2,7 @@
 import type Random from '../core/Random';
 import type TimerService from '../core/TimerService';
 import type Network from '../link/Network';
+import type TlsCredentials from '../link/TlsCredentials';
 import type EntryMetrics from '../observe/EntryMetrics';
 import type Tracer from '../observe/Tracer';
 import type EntrySettings from '../settings/EntrySettings';
@@ -15,6 +16,8 @@
   readonly timer: TimerService;
   readonly random: Random;
   readonly network: Network;
+  /** The certificate shown to callers; without it they are served in plain text. */
+  readonly tls?: TlsCredentials;
   readonly store: Store;
   /** Told of what this entry does. */
   readonly metrics?: EntryMetrics;
--- a/src/gen/settingsSchema.ts
+++ b/src/gen/settingsSchema.ts
@@ -241,6 +241,33 @@
         },
         "default": {}
       },
+      "tls": {
+        "type": "object",
+        "description": "TLS for callers, and mutual TLS between entries and sidecars; without it their listeners are without TLS.",
+        "additionalProperties": false,
+        "properties": {
+          "cert": {
+            "type": "string",
+            "description": "Certificate of this process, followed by the ones between it and the authority.",
+            "minLength": 1
+          },
+          "key": {
+            "type": "string",
+            "description": "Private key of the certificate.",
+            "minLength": 1
+          },
+          "ca": {
+            "type": "string",
+            "description": "Certificate of the authority that the certificates of all entries and sidecars come from.",
+            "minLength": 1
+          }
+        },
+        "required": [
+          "cert",
+          "key",
+          "ca"
+        ]
+      },
       "log": {
         "type": "object",
         "description": "What is logged.",
@@ -458,6 +485,33 @@
         },
         "default": {}
       },
+      "tls": {
+        "type": "object",
+        "description": "Mutual TLS for the links to entries; without it they are without TLS.",
+        "additionalProperties": false,
+        "properties": {
+          "cert": {
+            "type": "string",
+            "description": "Certificate of this process, followed by the ones between it and the authority.",
+            "minLength": 1
+          },
+          "key": {
+            "type": "string",
+            "description": "Private key of the certificate.",
+            "minLength": 1
+          },
+          "ca": {
+            "type": "string",
+            "description": "Certificate of the authority that the certificates of all entries and sidecars come from.",
+            "minLength": 1
+          }
+        },
+        "required": [
+          "cert",
+          "key",
+          "ca"
+        ]
+      },
       "log": {
         "type": "object",
         "description": "What is logged.",
--- a/src/gen/validateEntrySettings.ts
+++ b/src/gen/validateEntrySettings.ts
@@ -5,8 +5,9 @@
 
 
 export default validate20 as unknown as ValidateFunction;
-const schema31 = {"type":"object","description":"Settings of an entry: it takes requests from callers and owns their jobs.","additionalProperties":false,"properties":{"role":{"const":"entry","description":"Role of the process."},"cluster":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Name of the cluster. Processes of different clusters refuse to link.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"instance":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Name of this instance, unique within the cluster and role.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"zone":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Availability zone that this instance runs in.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"listen":{"type":"object","description":"Addresses this process listens on. Port 0 takes any free port.","additionalProperties":false,"properties":{"callers":{"title":"an address \"ip:port\"","type":"string","description":"Address for the HTTP requests of callers.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"peers":{"title":"an address \"ip:port\"","type":"string","description":"Address for links from sidecars and other entries.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"operators":{"title":"an address \"ip:port\"","type":"string","description":"Address for health, readiness and metrics.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"}},"required":["callers","peers","operators"]},"advertise":{"title":"an address \"ip:port\"","type":"string","description":"Address at which other processes reach listen.peers. Defaults to listen.peers.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"store":{"type":"object","description":"The platform's key-value service.","additionalProperties":false,"properties":{"address":{"title":"an address \"ip:port\"","type":"string","description":"Address of the service.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"leaseMs":{"title":"a number of milliseconds","type":"integer","description":"Lifetime of this instance's lease. It is renewed well before.","minimum":1,"maximum":86400000,"default":5000},"timeoutMs":{"title":"a number of milliseconds","type":"integer","description":"Time allowed for one call.","minimum":1,"maximum":86400000,"default":2000},"callsPerSecond":{"type":"integer","description":"Limit of calls per second that this instance makes.","minimum":1,"maximum":10000,"default":20}},"required":["address"]},"peers":{"type":"array","description":"Addresses of other entries, asked for the manifest and the members while the key-value service is down.","items":{"title":"an address \"ip:port\"","type":"string","description":"Peer address of another entry.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"default":[]},"limits":{"type":"object","description":"Limits that protect this process.","additionalProperties":false,"properties":{"bodyBytes":{"title":"a number of bytes","type":"integer","description":"Largest body of a caller's request.","minimum":1,"default":4194304},"headerBytes":{"title":"a number of bytes","type":"integer","description":"Largest total size of a request's headers.","minimum":1,"default":16384},"bodyTimeoutMs":{"title":"a number of milliseconds","type":"integer","description":"Time allowed for receiving a whole request.","minimum":1,"maximum":86400000,"default":10000},"headerTimeoutMs":{"title":"a number of milliseconds","type":"integer","description":"Time allowed for receiving the headers.","minimum":1,"maximum":86400000,"default":5000},"connections":{"type":"integer","description":"Largest number of open connections of callers.","minimum":1,"maximum":1000000,"default":2000},"recordBytes":{"title":"a number of bytes","type":"integer","description":"Memory for jobs and their answers. When it is used up, submissions are refused.","minimum":1,"default":268435456}},"default":{}},"heartbeat":{"type":"object","description":"Heartbeats on the links to other processes.","additionalProperties":false,"properties":{"intervalMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which a heartbeat is sent.","minimum":1,"maximum":86400000,"default":1000},"suspectMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which the other process is suspected: it gets no new work.","minimum":1,"maximum":86400000,"default":3000},"closeMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which the link is closed.","minimum":1,"maximum":86400000,"default":10000}},"default":{}},"recovery":{"type":"object","description":"How jobs are continued after other processes are lost.","additionalProperties":false,"properties":{"witnessMs":{"title":"a number of milliseconds","type":"integer","description":"How long a lost sidecar is awaited before its open tasks count as unknown.","minimum":1,"maximum":86400000,"default":3000},"clockSkewMs":{"title":"a number of milliseconds","type":"integer","description":"Largest difference of wall clocks assumed between callers and entries.","minimum":1,"maximum":86400000,"default":30000}},"default":{}},"dispatch":{"type":"object","description":"How tasks are placed on sidecars.","additionalProperties":false,"properties":{"policy":{"title":"a dispatch policy","enum":["credits","leastOutstanding","powerOfTwo","roundRobin","random"],"description":"Policy that picks the sidecar of a task. All but credits are for comparison.","default":"credits"}},"default":{}},"log":{"type":"object","description":"What is logged.","additionalProperties":false,"properties":{"level":{"title":"a log level","enum":["error","warn","info","debug"],"description":"Least severe level that is logged.","default":"info"}},"default":{}},"traces":{"type":"object","description":"Where spans of traced requests go.","additionalProperties":false,"properties":{"sample":{"title":"a share","type":"number","description":"Share of the requests that are traced although their caller did not ask for it.","minimum":0,"maximum":1,"default":0},"otlp":{"title":"an http or https URL, or \"\"","type":"string","description":"URL that takes spans as OTLP over HTTP; empty for none.","pattern":"^(https?://\\S+)?$","default":""},"output":{"title":"a trace output","enum":["","stdout"],"description":"Where spans are printed as JSON lines; empty for nowhere.","default":""}},"default":{}},"stop":{"type":"object","description":"How the process stops on SIGTERM or SIGINT.","additionalProperties":false,"properties":{"drainMs":{"title":"a number of milliseconds","type":"integer","description":"Longest time for finishing what is in flight before the process exits.","minimum":1,"maximum":86400000,"default":30000}},"default":{}}},"required":["role","cluster","instance","zone","listen","store"]};
+const schema31 = {"type":"object","description":"Settings of an entry: it takes requests from callers and owns their jobs.","additionalProperties":false,"properties":{"role":{"const":"entry","description":"Role of the process."},"cluster":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Name of the cluster. Processes of different clusters refuse to link.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"instance":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Name of this instance, unique within the cluster and role.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"zone":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Availability zone that this instance runs in.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"listen":{"type":"object","description":"Addresses this process listens on. Port 0 takes any free port.","additionalProperties":false,"properties":{"callers":{"title":"an address \"ip:port\"","type":"string","description":"Address for the HTTP requests of callers.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"peers":{"title":"an address \"ip:port\"","type":"string","description":"Address for links from sidecars and other entries.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"operators":{"title":"an address \"ip:port\"","type":"string","description":"Address for health, readiness and metrics.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"}},"required":["callers","peers","operators"]},"advertise":{"title":"an address \"ip:port\"","type":"string","description":"Address at which other processes reach listen.peers. Defaults to listen.peers.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"store":{"type":"object","description":"The platform's key-value service.","additionalProperties":false,"properties":{"address":{"title":"an address \"ip:port\"","type":"string","description":"Address of the service.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"leaseMs":{"title":"a number of milliseconds","type":"integer","description":"Lifetime of this instance's lease. It is renewed well before.","minimum":1,"maximum":86400000,"default":5000},"timeoutMs":{"title":"a number of milliseconds","type":"integer","description":"Time allowed for one call.","minimum":1,"maximum":86400000,"default":2000},"callsPerSecond":{"type":"integer","description":"Limit of calls per second that this instance makes.","minimum":1,"maximum":10000,"default":20}},"required":["address"]},"peers":{"type":"array","description":"Addresses of other entries, asked for the manifest and the members while the key-value service is down.","items":{"title":"an address \"ip:port\"","type":"string","description":"Peer address of another entry.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"default":[]},"limits":{"type":"object","description":"Limits that protect this process.","additionalProperties":false,"properties":{"bodyBytes":{"title":"a number of bytes","type":"integer","description":"Largest body of a caller's request.","minimum":1,"default":4194304},"headerBytes":{"title":"a number of bytes","type":"integer","description":"Largest total size of a request's headers.","minimum":1,"default":16384},"bodyTimeoutMs":{"title":"a number of milliseconds","type":"integer","description":"Time allowed for receiving a whole request.","minimum":1,"maximum":86400000,"default":10000},"headerTimeoutMs":{"title":"a number of milliseconds","type":"integer","description":"Time allowed for receiving the headers.","minimum":1,"maximum":86400000,"default":5000},"connections":{"type":"integer","description":"Largest number of open connections of callers.","minimum":1,"maximum":1000000,"default":2000},"recordBytes":{"title":"a number of bytes","type":"integer","description":"Memory for jobs and their answers. When it is used up, submissions are refused.","minimum":1,"default":268435456}},"default":{}},"heartbeat":{"type":"object","description":"Heartbeats on the links to other processes.","additionalProperties":false,"properties":{"intervalMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which a heartbeat is sent.","minimum":1,"maximum":86400000,"default":1000},"suspectMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which the other process is suspected: it gets no new work.","minimum":1,"maximum":86400000,"default":3000},"closeMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which the link is closed.","minimum":1,"maximum":86400000,"default":10000}},"default":{}},"recovery":{"type":"object","description":"How jobs are continued after other processes are lost.","additionalProperties":false,"properties":{"witnessMs":{"title":"a number of milliseconds","type":"integer","description":"How long a lost sidecar is awaited before its open tasks count as unknown.","minimum":1,"maximum":86400000,"default":3000},"clockSkewMs":{"title":"a number of milliseconds","type":"integer","description":"Largest difference of wall clocks assumed between callers and entries.","minimum":1,"maximum":86400000,"default":30000}},"default":{}},"dispatch":{"type":"object","description":"How tasks are placed on sidecars.","additionalProperties":false,"properties":{"policy":{"title":"a dispatch policy","enum":["credits","leastOutstanding","powerOfTwo","roundRobin","random"],"description":"Policy that picks the sidecar of a task. All but credits are for comparison.","default":"credits"}},"default":{}},"tls":{"type":"object","description":"TLS for callers, and mutual TLS between entries and sidecars; without it their listeners are without TLS.","additionalProperties":false,"properties":{"cert":{"type":"string","description":"Certificate of this process, followed by the ones between it and the authority.","minLength":1},"key":{"type":"string","description":"Private key of the certificate.","minLength":1},"ca":{"type":"string","description":"Certificate of the authority that the certificates of all entries and sidecars come from.","minLength":1}},"required":["cert","key","ca"]},"log":{"type":"object","description":"What is logged.","additionalProperties":false,"properties":{"level":{"title":"a log level","enum":["error","warn","info","debug"],"description":"Least severe level that is logged.","default":"info"}},"default":{}},"traces":{"type":"object","description":"Where spans of traced requests go.","additionalProperties":false,"properties":{"sample":{"title":"a share","type":"number","description":"Share of the requests that are traced although their caller did not ask for it.","minimum":0,"maximum":1,"default":0},"otlp":{"title":"an http or https URL, or \"\"","type":"string","description":"URL that takes spans as OTLP over HTTP; empty for none.","pattern":"^(https?://\\S+)?$","default":""},"output":{"title":"a trace output","enum":["","stdout"],"description":"Where spans are printed as JSON lines; empty for nowhere.","default":""}},"default":{}},"stop":{"type":"object","description":"How the process stops on SIGTERM or SIGINT.","additionalProperties":false,"properties":{"drainMs":{"title":"a number of milliseconds","type":"integer","description":"Longest time for finishing what is in flight before the process exits.","minimum":1,"maximum":86400000,"default":30000}},"default":{}}},"required":["role","cluster","instance","zone","listen","store"]};
 const func1 = Object.prototype.hasOwnProperty;
+const func2 = require("ajv/dist/runtime/ucs2length").default;
 const pattern4 = new RegExp("^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$", "u");
 const pattern7 = new RegExp("^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$", "u");
 const pattern13 = new RegExp("^(https?://\\S+)?$", "u");
@@ -1052,14 +1053,11 @@
 }
 errors++;
 }
-let data32 = data.log;
+if(data.tls !== undefined){
+let data32 = data.tls;
 if(data32 && typeof data32 == "object" && !Array.isArray(data32)){
-if(data32.level === undefined){
-data32.level = "info";
-}
-for(const key7 in data32){
-if(!(key7 === "level")){
-const err83 = {instancePath:instancePath+"/log",schemaPath:"#/properties/log/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key7},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.log,data:data32};
+if(data32.cert === undefined){
+const err83 = {instancePath:instancePath+"/tls",schemaPath:"#/properties/tls/required",keyword:"required",params:{missingProperty: "cert"},message:"must have required property '"+"cert"+"'",schema:schema31.properties.tls.required,parentSchema:schema31.properties.tls,data:data32};
 if(vErrors === null){
 vErrors = [err83];
 }
@@ -1068,10 +1066,8 @@
 }
 errors++;
 }
-}
-let data33 = data32.level;
-if(!((((data33 === "error") || (data33 === "warn")) || (data33 === "info")) || (data33 === "debug"))){
-const err84 = {instancePath:instancePath+"/log/level",schemaPath:"#/properties/log/properties/level/enum",keyword:"enum",params:{allowedValues: schema31.properties.log.properties.level.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.log.properties.level.enum,parentSchema:schema31.properties.log.properties.level,data:data33};
+if(data32.key === undefined){
+const err84 = {instancePath:instancePath+"/tls",schemaPath:"#/properties/tls/required",keyword:"required",params:{missingProperty: "key"},message:"must have required property '"+"key"+"'",schema:schema31.properties.tls.required,parentSchema:schema31.properties.tls,data:data32};
 if(vErrors === null){
 vErrors = [err84];
 }
@@ -1080,9 +1076,8 @@
 }
 errors++;
 }
-}
-else {
-const err85 = {instancePath:instancePath+"/log",schemaPath:"#/properties/log/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.log.type,parentSchema:schema31.properties.log,data:data32};
+if(data32.ca === undefined){
+const err85 = {instancePath:instancePath+"/tls",schemaPath:"#/properties/tls/required",keyword:"required",params:{missingProperty: "ca"},message:"must have required property '"+"ca"+"'",schema:schema31.properties.tls.required,parentSchema:schema31.properties.tls,data:data32};
 if(vErrors === null){
 vErrors = [err85];
 }
@@ -1091,20 +1086,9 @@
 }
 errors++;
 }
-let data34 = data.traces;
-if(data34 && typeof data34 == "object" && !Array.isArray(data34)){
-if(data34.sample === undefined){
-data34.sample = 0;
-}
-if(data34.otlp === undefined){
-data34.otlp = "";
-}
-if(data34.output === undefined){
-data34.output = "";
-}
-for(const key8 in data34){
-if(!(((key8 === "sample") || (key8 === "otlp")) || (key8 === "output"))){
-const err86 = {instancePath:instancePath+"/traces",schemaPath:"#/properties/traces/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key8},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.traces,data:data34};
+for(const key7 in data32){
+if(!(((key7 === "cert") || (key7 === "key")) || (key7 === "ca"))){
+const err86 = {instancePath:instancePath+"/tls",schemaPath:"#/properties/tls/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key7},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.tls,data:data32};
 if(vErrors === null){
 vErrors = [err86];
 }
@@ -1114,10 +1098,11 @@
 errors++;
 }
 }
-let data35 = data34.sample;
-if((typeof data35 == "number") && (isFinite(data35))){
-if(data35 > 1 || isNaN(data35)){
-const err87 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/maximum",keyword:"maximum",params:{comparison: "<=", limit: 1},message:"must be <= 1",schema:1,parentSchema:schema31.properties.traces.properties.sample,data:data35};
+if(data32.cert !== undefined){
+let data33 = data32.cert;
+if(typeof data33 === "string"){
+if(func2(data33) < 1){
+const err87 = {instancePath:instancePath+"/tls/cert",schemaPath:"#/properties/tls/properties/cert/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema31.properties.tls.properties.cert,data:data33};
 if(vErrors === null){
 vErrors = [err87];
 }
@@ -1126,8 +1111,9 @@
 }
 errors++;
 }
-if(data35 < 0 || isNaN(data35)){
-const err88 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema31.properties.traces.properties.sample,data:data35};
+}
+else {
+const err88 = {instancePath:instancePath+"/tls/cert",schemaPath:"#/properties/tls/properties/cert/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.tls.properties.cert.type,parentSchema:schema31.properties.tls.properties.cert,data:data33};
 if(vErrors === null){
 vErrors = [err88];
 }
@@ -1137,8 +1123,11 @@
 errors++;
 }
 }
-else {
-const err89 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema31.properties.traces.properties.sample.type,parentSchema:schema31.properties.traces.properties.sample,data:data35};
+if(data32.key !== undefined){
+let data34 = data32.key;
+if(typeof data34 === "string"){
+if(func2(data34) < 1){
+const err89 = {instancePath:instancePath+"/tls/key",schemaPath:"#/properties/tls/properties/key/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema31.properties.tls.properties.key,data:data34};
 if(vErrors === null){
 vErrors = [err89];
 }
@@ -1147,10 +1136,9 @@
 }
 errors++;
 }
-let data36 = data34.otlp;
-if(typeof data36 === "string"){
-if(!pattern13.test(data36)){
-const err90 = {instancePath:instancePath+"/traces/otlp",schemaPath:"#/properties/traces/properties/otlp/pattern",keyword:"pattern",params:{pattern: "^(https?://\\S+)?$"},message:"must match pattern \""+"^(https?://\\S+)?$"+"\"",schema:"^(https?://\\S+)?$",parentSchema:schema31.properties.traces.properties.otlp,data:data36};
+}
+else {
+const err90 = {instancePath:instancePath+"/tls/key",schemaPath:"#/properties/tls/properties/key/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.tls.properties.key.type,parentSchema:schema31.properties.tls.properties.key,data:data34};
 if(vErrors === null){
 vErrors = [err90];
 }
@@ -1160,8 +1148,11 @@
 errors++;
 }
 }
-else {
-const err91 = {instancePath:instancePath+"/traces/otlp",schemaPath:"#/properties/traces/properties/otlp/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.traces.properties.otlp.type,parentSchema:schema31.properties.traces.properties.otlp,data:data36};
+if(data32.ca !== undefined){
+let data35 = data32.ca;
+if(typeof data35 === "string"){
+if(func2(data35) < 1){
+const err91 = {instancePath:instancePath+"/tls/ca",schemaPath:"#/properties/tls/properties/ca/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema31.properties.tls.properties.ca,data:data35};
 if(vErrors === null){
 vErrors = [err91];
 }
@@ -1170,9 +1161,9 @@
 }
 errors++;
 }
-let data37 = data34.output;
-if(!((data37 === "") || (data37 === "stdout"))){
-const err92 = {instancePath:instancePath+"/traces/output",schemaPath:"#/properties/traces/properties/output/enum",keyword:"enum",params:{allowedValues: schema31.properties.traces.properties.output.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.traces.properties.output.enum,parentSchema:schema31.properties.traces.properties.output,data:data37};
+}
+else {
+const err92 = {instancePath:instancePath+"/tls/ca",schemaPath:"#/properties/tls/properties/ca/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.tls.properties.ca.type,parentSchema:schema31.properties.tls.properties.ca,data:data35};
 if(vErrors === null){
 vErrors = [err92];
 }
@@ -1182,8 +1173,9 @@
 errors++;
 }
 }
+}
 else {
-const err93 = {instancePath:instancePath+"/traces",schemaPath:"#/properties/traces/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.traces.type,parentSchema:schema31.properties.traces,data:data34};
+const err93 = {instancePath:instancePath+"/tls",schemaPath:"#/properties/tls/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.tls.type,parentSchema:schema31.properties.tls,data:data32};
 if(vErrors === null){
 vErrors = [err93];
 }
@@ -1192,14 +1184,15 @@
 }
 errors++;
 }
-let data38 = data.stop;
-if(data38 && typeof data38 == "object" && !Array.isArray(data38)){
-if(data38.drainMs === undefined){
-data38.drainMs = 30000;
 }
-for(const key9 in data38){
-if(!(key9 === "drainMs")){
-const err94 = {instancePath:instancePath+"/stop",schemaPath:"#/properties/stop/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key9},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.stop,data:data38};
+let data36 = data.log;
+if(data36 && typeof data36 == "object" && !Array.isArray(data36)){
+if(data36.level === undefined){
+data36.level = "info";
+}
+for(const key8 in data36){
+if(!(key8 === "level")){
+const err94 = {instancePath:instancePath+"/log",schemaPath:"#/properties/log/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key8},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.log,data:data36};
 if(vErrors === null){
 vErrors = [err94];
 }
@@ -1209,9 +1202,9 @@
 errors++;
 }
 }
-let data39 = data38.drainMs;
-if(!(((typeof data39 == "number") && (!(data39 % 1) && !isNaN(data39))) && (isFinite(data39)))){
-const err95 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.stop.properties.drainMs.type,parentSchema:schema31.properties.stop.properties.drainMs,data:data39};
+let data37 = data36.level;
+if(!((((data37 === "error") || (data37 === "warn")) || (data37 === "info")) || (data37 === "debug"))){
+const err95 = {instancePath:instancePath+"/log/level",schemaPath:"#/properties/log/properties/level/enum",keyword:"enum",params:{allowedValues: schema31.properties.log.properties.level.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.log.properties.level.enum,parentSchema:schema31.properties.log.properties.level,data:data37};
 if(vErrors === null){
 vErrors = [err95];
 }
@@ -1220,9 +1213,9 @@
 }
 errors++;
 }
-if((typeof data39 == "number") && (isFinite(data39))){
-if(data39 > 86400000 || isNaN(data39)){
-const err96 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.stop.properties.drainMs,data:data39};
+}
+else {
+const err96 = {instancePath:instancePath+"/log",schemaPath:"#/properties/log/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.log.type,parentSchema:schema31.properties.log,data:data36};
 if(vErrors === null){
 vErrors = [err96];
 }
@@ -1231,8 +1224,20 @@
 }
 errors++;
 }
-if(data39 < 1 || isNaN(data39)){
-const err97 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.stop.properties.drainMs,data:data39};
+let data38 = data.traces;
+if(data38 && typeof data38 == "object" && !Array.isArray(data38)){
+if(data38.sample === undefined){
+data38.sample = 0;
+}
+if(data38.otlp === undefined){
+data38.otlp = "";
+}
+if(data38.output === undefined){
+data38.output = "";
+}
+for(const key9 in data38){
+if(!(((key9 === "sample") || (key9 === "otlp")) || (key9 === "output"))){
+const err97 = {instancePath:instancePath+"/traces",schemaPath:"#/properties/traces/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key9},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.traces,data:data38};
 if(vErrors === null){
 vErrors = [err97];
 }
@@ -1242,9 +1247,10 @@
 errors++;
 }
 }
-}
-else {
-const err98 = {instancePath:instancePath+"/stop",schemaPath:"#/properties/stop/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.stop.type,parentSchema:schema31.properties.stop,data:data38};
+let data39 = data38.sample;
+if((typeof data39 == "number") && (isFinite(data39))){
+if(data39 > 1 || isNaN(data39)){
+const err98 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/maximum",keyword:"maximum",params:{comparison: "<=", limit: 1},message:"must be <= 1",schema:1,parentSchema:schema31.properties.traces.properties.sample,data:data39};
 if(vErrors === null){
 vErrors = [err98];
 }
@@ -1253,9 +1259,8 @@
 }
 errors++;
 }
-}
-else {
-const err99 = {instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.type,parentSchema:schema31,data};
+if(data39 < 0 || isNaN(data39)){
+const err99 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema31.properties.traces.properties.sample,data:data39};
 if(vErrors === null){
 vErrors = [err99];
 }
@@ -1264,6 +1269,134 @@
 }
 errors++;
 }
+}
+else {
+const err100 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema31.properties.traces.properties.sample.type,parentSchema:schema31.properties.traces.properties.sample,data:data39};
+if(vErrors === null){
+vErrors = [err100];
+}
+else {
+vErrors.push(err100);
+}
+errors++;
+}
+let data40 = data38.otlp;
+if(typeof data40 === "string"){
+if(!pattern13.test(data40)){
+const err101 = {instancePath:instancePath+"/traces/otlp",schemaPath:"#/properties/traces/properties/otlp/pattern",keyword:"pattern",params:{pattern: "^(https?://\\S+)?$"},message:"must match pattern \""+"^(https?://\\S+)?$"+"\"",schema:"^(https?://\\S+)?$",parentSchema:schema31.properties.traces.properties.otlp,data:data40};
+if(vErrors === null){
+vErrors = [err101];
+}
+else {
+vErrors.push(err101);
+}
+errors++;
+}
+}
+else {
+const err102 = {instancePath:instancePath+"/traces/otlp",schemaPath:"#/properties/traces/properties/otlp/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.traces.properties.otlp.type,parentSchema:schema31.properties.traces.properties.otlp,data:data40};
+if(vErrors === null){
+vErrors = [err102];
+}
+else {
+vErrors.push(err102);
+}
+errors++;
+}
+let data41 = data38.output;
+if(!((data41 === "") || (data41 === "stdout"))){
+const err103 = {instancePath:instancePath+"/traces/output",schemaPath:"#/properties/traces/properties/output/enum",keyword:"enum",params:{allowedValues: schema31.properties.traces.properties.output.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.traces.properties.output.enum,parentSchema:schema31.properties.traces.properties.output,data:data41};
+if(vErrors === null){
+vErrors = [err103];
+}
+else {
+vErrors.push(err103);
+}
+errors++;
+}
+}
+else {
+const err104 = {instancePath:instancePath+"/traces",schemaPath:"#/properties/traces/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.traces.type,parentSchema:schema31.properties.traces,data:data38};
+if(vErrors === null){
+vErrors = [err104];
+}
+else {
+vErrors.push(err104);
+}
+errors++;
+}
+let data42 = data.stop;
+if(data42 && typeof data42 == "object" && !Array.isArray(data42)){
+if(data42.drainMs === undefined){
+data42.drainMs = 30000;
+}
+for(const key10 in data42){
+if(!(key10 === "drainMs")){
+const err105 = {instancePath:instancePath+"/stop",schemaPath:"#/properties/stop/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key10},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.stop,data:data42};
+if(vErrors === null){
+vErrors = [err105];
+}
+else {
+vErrors.push(err105);
+}
+errors++;
+}
+}
+let data43 = data42.drainMs;
+if(!(((typeof data43 == "number") && (!(data43 % 1) && !isNaN(data43))) && (isFinite(data43)))){
+const err106 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.stop.properties.drainMs.type,parentSchema:schema31.properties.stop.properties.drainMs,data:data43};
+if(vErrors === null){
+vErrors = [err106];
+}
+else {
+vErrors.push(err106);
+}
+errors++;
+}
+if((typeof data43 == "number") && (isFinite(data43))){
+if(data43 > 86400000 || isNaN(data43)){
+const err107 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.stop.properties.drainMs,data:data43};
+if(vErrors === null){
+vErrors = [err107];
+}
+else {
+vErrors.push(err107);
+}
+errors++;
+}
+if(data43 < 1 || isNaN(data43)){
+const err108 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.stop.properties.drainMs,data:data43};
+if(vErrors === null){
+vErrors = [err108];
+}
+else {
+vErrors.push(err108);
+}
+errors++;
+}
+}
+}
+else {
+const err109 = {instancePath:instancePath+"/stop",schemaPath:"#/properties/stop/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.stop.type,parentSchema:schema31.properties.stop,data:data42};
+if(vErrors === null){
+vErrors = [err109];
+}
+else {
+vErrors.push(err109);
+}
+errors++;
+}
+}
+else {
+const err110 = {instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.type,parentSchema:schema31,data};
+if(vErrors === null){
+vErrors = [err110];
+}
+else {
+vErrors.push(err110);
+}
+errors++;
+}
 validate20.errors = vErrors;
 return errors === 0;
 }
--- a/src/gen/validateSidecarSettings.ts
+++ b/src/gen/validateSidecarSettings.ts
@@ -5,8 +5,9 @@
 
 
 export default validate20 as unknown as ValidateFunction;
-const schema31 = {"type":"object","description":"Settings of a sidecar: it runs beside one backend server and starts tasks on it.","additionalProperties":false,"properties":{"role":{"const":"sidecar","description":"Role of the process."},"cluster":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Name of the cluster. Processes of different clusters refuse to link.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"instance":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Name of this instance, unique within the cluster and role.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"zone":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Availability zone that this instance runs in.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"listen":{"type":"object","description":"Addresses this process listens on. Port 0 takes any free port.","additionalProperties":false,"properties":{"backend":{"title":"an address \"ip:port\"","type":"string","description":"Address at which the backend server announces itself. A loopback address, as a rule.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"operators":{"title":"an address \"ip:port\"","type":"string","description":"Address for health, readiness and metrics.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"}},"required":["backend","operators"]},"entries":{"type":"array","title":"a list of at least one address","description":"Addresses of entries to link to first. The others are learnt from them.","items":{"title":"an address \"ip:port\"","type":"string","description":"Peer address of an entry.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"minItems":1},"links":{"type":"integer","description":"Largest number of entries to keep links to.","minimum":1,"maximum":1024,"default":16},"ledger":{"type":"object","description":"The record of started tasks and their results.","additionalProperties":false,"properties":{"bytes":{"title":"a number of bytes","type":"integer","description":"Memory for the ledger. When it is used up, starts are refused.","minimum":1,"default":67108864},"clockSkewMs":{"title":"a number of milliseconds","type":"integer","description":"Largest difference of wall clocks assumed between callers and sidecars.","minimum":1,"maximum":86400000,"default":30000}},"default":{}},"backend":{"type":"object","description":"The backend server beside this process.","additionalProperties":false,"properties":{"renewMs":{"title":"a number of milliseconds","type":"integer","description":"Lifetime of an announcement. The backend server renews it within this time.","minimum":1,"maximum":86400000,"default":3000}},"default":{}},"heartbeat":{"type":"object","description":"Heartbeats on the links to other processes.","additionalProperties":false,"properties":{"intervalMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which a heartbeat is sent.","minimum":1,"maximum":86400000,"default":1000},"suspectMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which the other process is suspected: it gets no new work.","minimum":1,"maximum":86400000,"default":3000},"closeMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which the link is closed.","minimum":1,"maximum":86400000,"default":10000}},"default":{}},"log":{"type":"object","description":"What is logged.","additionalProperties":false,"properties":{"level":{"title":"a log level","enum":["error","warn","info","debug"],"description":"Least severe level that is logged.","default":"info"}},"default":{}},"traces":{"type":"object","description":"Where spans of traced requests go.","additionalProperties":false,"properties":{"sample":{"title":"a share","type":"number","description":"Share of the requests that are traced although their caller did not ask for it.","minimum":0,"maximum":1,"default":0},"otlp":{"title":"an http or https URL, or \"\"","type":"string","description":"URL that takes spans as OTLP over HTTP; empty for none.","pattern":"^(https?://\\S+)?$","default":""},"output":{"title":"a trace output","enum":["","stdout"],"description":"Where spans are printed as JSON lines; empty for nowhere.","default":""}},"default":{}},"stop":{"type":"object","description":"How the process stops on SIGTERM or SIGINT.","additionalProperties":false,"properties":{"drainMs":{"title":"a number of milliseconds","type":"integer","description":"Longest time for finishing what is in flight before the process exits.","minimum":1,"maximum":86400000,"default":30000}},"default":{}}},"required":["role","cluster","instance","zone","listen","entries"]};
+const schema31 = {"type":"object","description":"Settings of a sidecar: it runs beside one backend server and starts tasks on it.","additionalProperties":false,"properties":{"role":{"const":"sidecar","description":"Role of the process."},"cluster":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Name of the cluster. Processes of different clusters refuse to link.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"instance":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Name of this instance, unique within the cluster and role.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"zone":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Availability zone that this instance runs in.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"listen":{"type":"object","description":"Addresses this process listens on. Port 0 takes any free port.","additionalProperties":false,"properties":{"backend":{"title":"an address \"ip:port\"","type":"string","description":"Address at which the backend server announces itself. A loopback address, as a rule.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"operators":{"title":"an address \"ip:port\"","type":"string","description":"Address for health, readiness and metrics.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"}},"required":["backend","operators"]},"entries":{"type":"array","title":"a list of at least one address","description":"Addresses of entries to link to first. The others are learnt from them.","items":{"title":"an address \"ip:port\"","type":"string","description":"Peer address of an entry.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"minItems":1},"links":{"type":"integer","description":"Largest number of entries to keep links to.","minimum":1,"maximum":1024,"default":16},"ledger":{"type":"object","description":"The record of started tasks and their results.","additionalProperties":false,"properties":{"bytes":{"title":"a number of bytes","type":"integer","description":"Memory for the ledger. When it is used up, starts are refused.","minimum":1,"default":67108864},"clockSkewMs":{"title":"a number of milliseconds","type":"integer","description":"Largest difference of wall clocks assumed between callers and sidecars.","minimum":1,"maximum":86400000,"default":30000}},"default":{}},"backend":{"type":"object","description":"The backend server beside this process.","additionalProperties":false,"properties":{"renewMs":{"title":"a number of milliseconds","type":"integer","description":"Lifetime of an announcement. The backend server renews it within this time.","minimum":1,"maximum":86400000,"default":3000}},"default":{}},"heartbeat":{"type":"object","description":"Heartbeats on the links to other processes.","additionalProperties":false,"properties":{"intervalMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which a heartbeat is sent.","minimum":1,"maximum":86400000,"default":1000},"suspectMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which the other process is suspected: it gets no new work.","minimum":1,"maximum":86400000,"default":3000},"closeMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which the link is closed.","minimum":1,"maximum":86400000,"default":10000}},"default":{}},"tls":{"type":"object","description":"Mutual TLS for the links to entries; without it they are without TLS.","additionalProperties":false,"properties":{"cert":{"type":"string","description":"Certificate of this process, followed by the ones between it and the authority.","minLength":1},"key":{"type":"string","description":"Private key of the certificate.","minLength":1},"ca":{"type":"string","description":"Certificate of the authority that the certificates of all entries and sidecars come from.","minLength":1}},"required":["cert","key","ca"]},"log":{"type":"object","description":"What is logged.","additionalProperties":false,"properties":{"level":{"title":"a log level","enum":["error","warn","info","debug"],"description":"Least severe level that is logged.","default":"info"}},"default":{}},"traces":{"type":"object","description":"Where spans of traced requests go.","additionalProperties":false,"properties":{"sample":{"title":"a share","type":"number","description":"Share of the requests that are traced although their caller did not ask for it.","minimum":0,"maximum":1,"default":0},"otlp":{"title":"an http or https URL, or \"\"","type":"string","description":"URL that takes spans as OTLP over HTTP; empty for none.","pattern":"^(https?://\\S+)?$","default":""},"output":{"title":"a trace output","enum":["","stdout"],"description":"Where spans are printed as JSON lines; empty for nowhere.","default":""}},"default":{}},"stop":{"type":"object","description":"How the process stops on SIGTERM or SIGINT.","additionalProperties":false,"properties":{"drainMs":{"title":"a number of milliseconds","type":"integer","description":"Longest time for finishing what is in flight before the process exits.","minimum":1,"maximum":86400000,"default":30000}},"default":{}}},"required":["role","cluster","instance","zone","listen","entries"]};
 const func1 = Object.prototype.hasOwnProperty;
+const func2 = require("ajv/dist/runtime/ucs2length").default;
 const pattern4 = new RegExp("^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$", "u");
 const pattern7 = new RegExp("^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$", "u");
 const pattern10 = new RegExp("^(https?://\\S+)?$", "u");
@@ -665,14 +666,11 @@
 }
 errors++;
 }
-let data19 = data.log;
+if(data.tls !== undefined){
+let data19 = data.tls;
 if(data19 && typeof data19 == "object" && !Array.isArray(data19)){
-if(data19.level === undefined){
-data19.level = "info";
-}
-for(const key5 in data19){
-if(!(key5 === "level")){
-const err52 = {instancePath:instancePath+"/log",schemaPath:"#/properties/log/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key5},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.log,data:data19};
+if(data19.cert === undefined){
+const err52 = {instancePath:instancePath+"/tls",schemaPath:"#/properties/tls/required",keyword:"required",params:{missingProperty: "cert"},message:"must have required property '"+"cert"+"'",schema:schema31.properties.tls.required,parentSchema:schema31.properties.tls,data:data19};
 if(vErrors === null){
 vErrors = [err52];
 }
@@ -681,10 +679,8 @@
 }
 errors++;
 }
-}
-let data20 = data19.level;
-if(!((((data20 === "error") || (data20 === "warn")) || (data20 === "info")) || (data20 === "debug"))){
-const err53 = {instancePath:instancePath+"/log/level",schemaPath:"#/properties/log/properties/level/enum",keyword:"enum",params:{allowedValues: schema31.properties.log.properties.level.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.log.properties.level.enum,parentSchema:schema31.properties.log.properties.level,data:data20};
+if(data19.key === undefined){
+const err53 = {instancePath:instancePath+"/tls",schemaPath:"#/properties/tls/required",keyword:"required",params:{missingProperty: "key"},message:"must have required property '"+"key"+"'",schema:schema31.properties.tls.required,parentSchema:schema31.properties.tls,data:data19};
 if(vErrors === null){
 vErrors = [err53];
 }
@@ -693,9 +689,8 @@
 }
 errors++;
 }
-}
-else {
-const err54 = {instancePath:instancePath+"/log",schemaPath:"#/properties/log/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.log.type,parentSchema:schema31.properties.log,data:data19};
+if(data19.ca === undefined){
+const err54 = {instancePath:instancePath+"/tls",schemaPath:"#/properties/tls/required",keyword:"required",params:{missingProperty: "ca"},message:"must have required property '"+"ca"+"'",schema:schema31.properties.tls.required,parentSchema:schema31.properties.tls,data:data19};
 if(vErrors === null){
 vErrors = [err54];
 }
@@ -704,20 +699,9 @@
 }
 errors++;
 }
-let data21 = data.traces;
-if(data21 && typeof data21 == "object" && !Array.isArray(data21)){
-if(data21.sample === undefined){
-data21.sample = 0;
-}
-if(data21.otlp === undefined){
-data21.otlp = "";
-}
-if(data21.output === undefined){
-data21.output = "";
-}
-for(const key6 in data21){
-if(!(((key6 === "sample") || (key6 === "otlp")) || (key6 === "output"))){
-const err55 = {instancePath:instancePath+"/traces",schemaPath:"#/properties/traces/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key6},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.traces,data:data21};
+for(const key5 in data19){
+if(!(((key5 === "cert") || (key5 === "key")) || (key5 === "ca"))){
+const err55 = {instancePath:instancePath+"/tls",schemaPath:"#/properties/tls/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key5},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.tls,data:data19};
 if(vErrors === null){
 vErrors = [err55];
 }
@@ -727,10 +711,11 @@
 errors++;
 }
 }
-let data22 = data21.sample;
-if((typeof data22 == "number") && (isFinite(data22))){
-if(data22 > 1 || isNaN(data22)){
-const err56 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/maximum",keyword:"maximum",params:{comparison: "<=", limit: 1},message:"must be <= 1",schema:1,parentSchema:schema31.properties.traces.properties.sample,data:data22};
+if(data19.cert !== undefined){
+let data20 = data19.cert;
+if(typeof data20 === "string"){
+if(func2(data20) < 1){
+const err56 = {instancePath:instancePath+"/tls/cert",schemaPath:"#/properties/tls/properties/cert/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema31.properties.tls.properties.cert,data:data20};
 if(vErrors === null){
 vErrors = [err56];
 }
@@ -739,8 +724,9 @@
 }
 errors++;
 }
-if(data22 < 0 || isNaN(data22)){
-const err57 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema31.properties.traces.properties.sample,data:data22};
+}
+else {
+const err57 = {instancePath:instancePath+"/tls/cert",schemaPath:"#/properties/tls/properties/cert/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.tls.properties.cert.type,parentSchema:schema31.properties.tls.properties.cert,data:data20};
 if(vErrors === null){
 vErrors = [err57];
 }
@@ -750,8 +736,11 @@
 errors++;
 }
 }
-else {
-const err58 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema31.properties.traces.properties.sample.type,parentSchema:schema31.properties.traces.properties.sample,data:data22};
+if(data19.key !== undefined){
+let data21 = data19.key;
+if(typeof data21 === "string"){
+if(func2(data21) < 1){
+const err58 = {instancePath:instancePath+"/tls/key",schemaPath:"#/properties/tls/properties/key/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema31.properties.tls.properties.key,data:data21};
 if(vErrors === null){
 vErrors = [err58];
 }
@@ -760,10 +749,9 @@
 }
 errors++;
 }
-let data23 = data21.otlp;
-if(typeof data23 === "string"){
-if(!pattern10.test(data23)){
-const err59 = {instancePath:instancePath+"/traces/otlp",schemaPath:"#/properties/traces/properties/otlp/pattern",keyword:"pattern",params:{pattern: "^(https?://\\S+)?$"},message:"must match pattern \""+"^(https?://\\S+)?$"+"\"",schema:"^(https?://\\S+)?$",parentSchema:schema31.properties.traces.properties.otlp,data:data23};
+}
+else {
+const err59 = {instancePath:instancePath+"/tls/key",schemaPath:"#/properties/tls/properties/key/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.tls.properties.key.type,parentSchema:schema31.properties.tls.properties.key,data:data21};
 if(vErrors === null){
 vErrors = [err59];
 }
@@ -773,8 +761,11 @@
 errors++;
 }
 }
-else {
-const err60 = {instancePath:instancePath+"/traces/otlp",schemaPath:"#/properties/traces/properties/otlp/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.traces.properties.otlp.type,parentSchema:schema31.properties.traces.properties.otlp,data:data23};
+if(data19.ca !== undefined){
+let data22 = data19.ca;
+if(typeof data22 === "string"){
+if(func2(data22) < 1){
+const err60 = {instancePath:instancePath+"/tls/ca",schemaPath:"#/properties/tls/properties/ca/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema31.properties.tls.properties.ca,data:data22};
 if(vErrors === null){
 vErrors = [err60];
 }
@@ -783,9 +774,9 @@
 }
 errors++;
 }
-let data24 = data21.output;
-if(!((data24 === "") || (data24 === "stdout"))){
-const err61 = {instancePath:instancePath+"/traces/output",schemaPath:"#/properties/traces/properties/output/enum",keyword:"enum",params:{allowedValues: schema31.properties.traces.properties.output.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.traces.properties.output.enum,parentSchema:schema31.properties.traces.properties.output,data:data24};
+}
+else {
+const err61 = {instancePath:instancePath+"/tls/ca",schemaPath:"#/properties/tls/properties/ca/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.tls.properties.ca.type,parentSchema:schema31.properties.tls.properties.ca,data:data22};
 if(vErrors === null){
 vErrors = [err61];
 }
@@ -795,8 +786,9 @@
 errors++;
 }
 }
+}
 else {
-const err62 = {instancePath:instancePath+"/traces",schemaPath:"#/properties/traces/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.traces.type,parentSchema:schema31.properties.traces,data:data21};
+const err62 = {instancePath:instancePath+"/tls",schemaPath:"#/properties/tls/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.tls.type,parentSchema:schema31.properties.tls,data:data19};
 if(vErrors === null){
 vErrors = [err62];
 }
@@ -805,14 +797,15 @@
 }
 errors++;
 }
-let data25 = data.stop;
-if(data25 && typeof data25 == "object" && !Array.isArray(data25)){
-if(data25.drainMs === undefined){
-data25.drainMs = 30000;
 }
-for(const key7 in data25){
-if(!(key7 === "drainMs")){
-const err63 = {instancePath:instancePath+"/stop",schemaPath:"#/properties/stop/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key7},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.stop,data:data25};
+let data23 = data.log;
+if(data23 && typeof data23 == "object" && !Array.isArray(data23)){
+if(data23.level === undefined){
+data23.level = "info";
+}
+for(const key6 in data23){
+if(!(key6 === "level")){
+const err63 = {instancePath:instancePath+"/log",schemaPath:"#/properties/log/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key6},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.log,data:data23};
 if(vErrors === null){
 vErrors = [err63];
 }
@@ -822,9 +815,9 @@
 errors++;
 }
 }
-let data26 = data25.drainMs;
-if(!(((typeof data26 == "number") && (!(data26 % 1) && !isNaN(data26))) && (isFinite(data26)))){
-const err64 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.stop.properties.drainMs.type,parentSchema:schema31.properties.stop.properties.drainMs,data:data26};
+let data24 = data23.level;
+if(!((((data24 === "error") || (data24 === "warn")) || (data24 === "info")) || (data24 === "debug"))){
+const err64 = {instancePath:instancePath+"/log/level",schemaPath:"#/properties/log/properties/level/enum",keyword:"enum",params:{allowedValues: schema31.properties.log.properties.level.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.log.properties.level.enum,parentSchema:schema31.properties.log.properties.level,data:data24};
 if(vErrors === null){
 vErrors = [err64];
 }
@@ -833,9 +826,9 @@
 }
 errors++;
 }
-if((typeof data26 == "number") && (isFinite(data26))){
-if(data26 > 86400000 || isNaN(data26)){
-const err65 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.stop.properties.drainMs,data:data26};
+}
+else {
+const err65 = {instancePath:instancePath+"/log",schemaPath:"#/properties/log/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.log.type,parentSchema:schema31.properties.log,data:data23};
 if(vErrors === null){
 vErrors = [err65];
 }
@@ -844,8 +837,20 @@
 }
 errors++;
 }
-if(data26 < 1 || isNaN(data26)){
-const err66 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.stop.properties.drainMs,data:data26};
+let data25 = data.traces;
+if(data25 && typeof data25 == "object" && !Array.isArray(data25)){
+if(data25.sample === undefined){
+data25.sample = 0;
+}
+if(data25.otlp === undefined){
+data25.otlp = "";
+}
+if(data25.output === undefined){
+data25.output = "";
+}
+for(const key7 in data25){
+if(!(((key7 === "sample") || (key7 === "otlp")) || (key7 === "output"))){
+const err66 = {instancePath:instancePath+"/traces",schemaPath:"#/properties/traces/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key7},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.traces,data:data25};
 if(vErrors === null){
 vErrors = [err66];
 }
@@ -855,9 +860,10 @@
 errors++;
 }
 }
-}
-else {
-const err67 = {instancePath:instancePath+"/stop",schemaPath:"#/properties/stop/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.stop.type,parentSchema:schema31.properties.stop,data:data25};
+let data26 = data25.sample;
+if((typeof data26 == "number") && (isFinite(data26))){
+if(data26 > 1 || isNaN(data26)){
+const err67 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/maximum",keyword:"maximum",params:{comparison: "<=", limit: 1},message:"must be <= 1",schema:1,parentSchema:schema31.properties.traces.properties.sample,data:data26};
 if(vErrors === null){
 vErrors = [err67];
 }
@@ -866,9 +872,8 @@
 }
 errors++;
 }
-}
-else {
-const err68 = {instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.type,parentSchema:schema31,data};
+if(data26 < 0 || isNaN(data26)){
+const err68 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema31.properties.traces.properties.sample,data:data26};
 if(vErrors === null){
 vErrors = [err68];
 }
@@ -877,6 +882,134 @@
 }
 errors++;
 }
+}
+else {
+const err69 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema31.properties.traces.properties.sample.type,parentSchema:schema31.properties.traces.properties.sample,data:data26};
+if(vErrors === null){
+vErrors = [err69];
+}
+else {
+vErrors.push(err69);
+}
+errors++;
+}
+let data27 = data25.otlp;
+if(typeof data27 === "string"){
+if(!pattern10.test(data27)){
+const err70 = {instancePath:instancePath+"/traces/otlp",schemaPath:"#/properties/traces/properties/otlp/pattern",keyword:"pattern",params:{pattern: "^(https?://\\S+)?$"},message:"must match pattern \""+"^(https?://\\S+)?$"+"\"",schema:"^(https?://\\S+)?$",parentSchema:schema31.properties.traces.properties.otlp,data:data27};
+if(vErrors === null){
+vErrors = [err70];
+}
+else {
+vErrors.push(err70);
+}
+errors++;
+}
+}
+else {
+const err71 = {instancePath:instancePath+"/traces/otlp",schemaPath:"#/properties/traces/properties/otlp/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.traces.properties.otlp.type,parentSchema:schema31.properties.traces.properties.otlp,data:data27};
+if(vErrors === null){
+vErrors = [err71];
+}
+else {
+vErrors.push(err71);
+}
+errors++;
+}
+let data28 = data25.output;
+if(!((data28 === "") || (data28 === "stdout"))){
+const err72 = {instancePath:instancePath+"/traces/output",schemaPath:"#/properties/traces/properties/output/enum",keyword:"enum",params:{allowedValues: schema31.properties.traces.properties.output.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.traces.properties.output.enum,parentSchema:schema31.properties.traces.properties.output,data:data28};
+if(vErrors === null){
+vErrors = [err72];
+}
+else {
+vErrors.push(err72);
+}
+errors++;
+}
+}
+else {
+const err73 = {instancePath:instancePath+"/traces",schemaPath:"#/properties/traces/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.traces.type,parentSchema:schema31.properties.traces,data:data25};
+if(vErrors === null){
+vErrors = [err73];
+}
+else {
+vErrors.push(err73);
+}
+errors++;
+}
+let data29 = data.stop;
+if(data29 && typeof data29 == "object" && !Array.isArray(data29)){
+if(data29.drainMs === undefined){
+data29.drainMs = 30000;
+}
+for(const key8 in data29){
+if(!(key8 === "drainMs")){
+const err74 = {instancePath:instancePath+"/stop",schemaPath:"#/properties/stop/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key8},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.stop,data:data29};
+if(vErrors === null){
+vErrors = [err74];
+}
+else {
+vErrors.push(err74);
+}
+errors++;
+}
+}
+let data30 = data29.drainMs;
+if(!(((typeof data30 == "number") && (!(data30 % 1) && !isNaN(data30))) && (isFinite(data30)))){
+const err75 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.stop.properties.drainMs.type,parentSchema:schema31.properties.stop.properties.drainMs,data:data30};
+if(vErrors === null){
+vErrors = [err75];
+}
+else {
+vErrors.push(err75);
+}
+errors++;
+}
+if((typeof data30 == "number") && (isFinite(data30))){
+if(data30 > 86400000 || isNaN(data30)){
+const err76 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.stop.properties.drainMs,data:data30};
+if(vErrors === null){
+vErrors = [err76];
+}
+else {
+vErrors.push(err76);
+}
+errors++;
+}
+if(data30 < 1 || isNaN(data30)){
+const err77 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.stop.properties.drainMs,data:data30};
+if(vErrors === null){
+vErrors = [err77];
+}
+else {
+vErrors.push(err77);
+}
+errors++;
+}
+}
+}
+else {
+const err78 = {instancePath:instancePath+"/stop",schemaPath:"#/properties/stop/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.stop.type,parentSchema:schema31.properties.stop,data:data29};
+if(vErrors === null){
+vErrors = [err78];
+}
+else {
+vErrors.push(err78);
+}
+errors++;
+}
+}
+else {
+const err79 = {instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.type,parentSchema:schema31,data};
+if(vErrors === null){
+vErrors = [err79];
+}
+else {
+vErrors.push(err79);
+}
+errors++;
+}
 validate20.errors = vErrors;
 return errors === 0;
 }
--- a/src/link/ConnectNetwork.ts
+++ b/src/link/ConnectNetwork.ts
@@ -24,18 +24,22 @@
 import PeerServer from './PeerServer';
 import PeerSession from './PeerSession';
 import StreamLink from './StreamLink';
+import type TlsCredentials from './TlsCredentials';
 
 const HELLO_TIMEOUT_MS = 5000;
 
-/** The network of a running process: Connect calls over plain-text HTTP/2. */
+/** The network of a running process: Connect calls over HTTP/2, in plain text or with mutual TLS. */
 export default class ConnectNetwork implements Network {
   private readonly sessions = new Map<string, PeerSession>();
 
-  private constructor(private readonly timer: TimerService) {}
+  private constructor(
+    private readonly timer: TimerService,
+    private readonly tls: TlsCredentials | undefined,
+  ) {}
 
-  /** Creates the network of one process. */
-  static create(timer: TimerService): ConnectNetwork {
-    return new ConnectNetwork(timer);
+  /** Creates the network of one process; with credentials, all its connections use TLS. */
+  static create(timer: TimerService, tls?: TlsCredentials): ConnectNetwork {
+    return new ConnectNetwork(timer, tls);
   }
 
   dial(address: string, hello: Hello): ResultAsync<Link, CallError> {
@@ -67,7 +71,7 @@
     hello: () => Hello,
     handlers: PeerHandlers,
   ): ResultAsync<Listener, CallError> {
-    return PeerServer.listen(address, hello, handlers, this.timer);
+    return PeerServer.listen(address, hello, handlers, this.timer, this.tls);
   }
 
   /** Ends every session that this process has opened. Listeners are closed on their own. */
@@ -131,7 +135,7 @@
     const known = this.sessions.get(address);
     if (known) return known;
     this.forgetUnused();
-    const session = PeerSession.to(address, this.timer);
+    const session = PeerSession.to(address, this.timer, this.tls);
     this.sessions.set(address, session);
     return session;
   }
--- a/src/link/PeerServer.ts
+++ b/src/link/PeerServer.ts
@@ -12,7 +12,9 @@
 } from '@connectrpc/connect-node';
 import {
   constants,
+  createSecureServer,
   createServer,
+  type Http2SecureServer,
   type Http2Server,
   type Http2ServerRequest,
   type Http2ServerResponse,
@@ -33,6 +35,7 @@
 import type PeerHandlers from './PeerHandlers';
 import SESSION_OPTIONS from './SESSION_OPTIONS';
 import StreamLink from './StreamLink';
+import type TlsCredentials from './TlsCredentials';
 import widenWindow from './widenWindow';
 
 const DEFAULT_PORT = 80;
@@ -43,7 +46,7 @@
 
 /** Serves the peers of one process at one address. */
 export default class PeerServer implements Listener {
-  private readonly server: Http2Server;
+  private readonly server: Http2Server | Http2SecureServer;
 
   private readonly sessions = new Set<ServerHttp2Session>();
 
@@ -55,12 +58,16 @@
     private readonly hello: () => Hello,
     private readonly handlers: PeerHandlers,
     private readonly timer: TimerService,
+    tls: TlsCredentials | undefined,
   ) {
     this.paths = this.routes();
-    this.server = createServer(SESSION_OPTIONS, (req, res) => this.handle(req, res));
+    this.server = tls ? secureServer(tls) : createServer(SESSION_OPTIONS);
+    this.server.on('request', (req: Http2ServerRequest, res: Http2ServerResponse) =>
+      this.handle(req, res),
+    );
     // A session whose client vanished without a word is ended in the end; a live one sends pings.
     this.server.setTimeout(SILENT_SESSION_MS);
-    this.server.on('session', (session) => this.track(session));
+    this.server.on('session', (session: ServerHttp2Session) => this.track(session));
   }
 
   /** Opens the address and serves it until the listener is closed. */
@@ -69,8 +76,9 @@
     hello: () => Hello,
     handlers: PeerHandlers,
     timer: TimerService,
+    tls?: TlsCredentials,
   ): ResultAsync<Listener, CallError> {
-    return new ResultAsync(new PeerServer(hello, handlers, timer).open(address));
+    return new ResultAsync(new PeerServer(hello, handlers, timer, tls).open(address));
   }
 
   get address(): string {
@@ -170,4 +178,12 @@
   }
 }
 
+/** A server that asks for certificates of the same authority, and follows a change of its own. */
+function secureServer(tls: TlsCredentials): Http2SecureServer {
+  const asked = { requestCert: true, rejectUnauthorized: true };
+  const server = createSecureServer({ ...SESSION_OPTIONS, ...tls.current, ...asked });
+  tls.subscribe((contents) => server.setSecureContext(contents));
+  return server;
+}
+
 type PeerHandler = ReturnType<typeof createConnectRouter>['handlers'][number];
--- a/src/link/PeerSession.ts
+++ b/src/link/PeerSession.ts
@@ -1,10 +1,12 @@
 import { type Client, createClient } from '@connectrpc/connect';
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
 import type { ClientHttp2Stream } from 'node:http2';
+import { connect } from 'node:tls';
 import type TimerService from '../core/TimerService';
 import { Peer } from '../gen/magnoliakeel/v1/peer_pb';
 import MESSAGE_LIMITS from './MESSAGE_LIMITS';
 import SESSION_OPTIONS from './SESSION_OPTIONS';
+import type TlsCredentials from './TlsCredentials';
 import widenWindow from './widenWindow';
 
 const CONNECT_TIMEOUT_MS = 3000;
@@ -27,15 +29,17 @@
   private constructor(
     address: string,
     private readonly timer: TimerService,
+    tls: TlsCredentials | undefined,
   ) {
-    const baseUrl = `http://${address}`;
-    this.manager = new Http2SessionManager(baseUrl, KEEP_ALIVE, SESSION_OPTIONS);
+    const baseUrl = `${tls ? 'https' : 'http'}://${address}`;
+    const options = tls ? { ...SESSION_OPTIONS, ...securedBy(tls) } : SESSION_OPTIONS;
+    this.manager = new Http2SessionManager(baseUrl, KEEP_ALIVE, options);
     this.client = createClient(Peer, this.transport(baseUrl));
   }
 
   /** Creates the session for the address, not yet open. */
-  static to(address: string, timer: TimerService): PeerSession {
-    return new PeerSession(address, timer);
+  static to(address: string, timer: TimerService, tls?: TlsCredentials): PeerSession {
+    return new PeerSession(address, timer, tls);
   }
 
   /** True while no connection is open or being opened. */
@@ -94,6 +98,24 @@
   }
 }
 
+/** Each connection takes the credentials of its time. */
+function securedBy(tls: TlsCredentials) {
+  return {
+    createConnection: ({ hostname, port }: URL) =>
+      connect({
+        ...tls.current,
+        host: hostname.replace(/^\[|\]$/g, ''),
+        port: Number(port || DEFAULT_TLS_PORT),
+        ALPNProtocols: ['h2'],
+        // Processes are known by the authority of their certificates, not by addresses, which change.
+        checkServerIdentity: () => undefined,
+      }),
+  };
+}
+
+/** A URL leaves this port out. */
+const DEFAULT_TLS_PORT = 443;
+
 function reasonOf(failure: unknown): string {
   return failure instanceof Error ? failure.message : 'the connection was closed';
 }
--- a/test/daemon/startAndStop.test.ts
+++ b/test/daemon/startAndStop.test.ts
@@ -77,6 +77,7 @@
       "lines": [
         "entry e listens for callers on ADDRESS, for peers on ADDRESS",
         "listening for operators on ADDRESS",
+        "connections are without TLS: the settings name no certificates",
         "store ADDRESS cannot be reached: connect ECONNREFUSED ADDRESS; going on with what is known",
         "leaving",
         "entry e has stopped",
--- a/test/settings/loadSettings.test.ts
+++ b/test/settings/loadSettings.test.ts
@@ -93,7 +93,7 @@
     an unresolved alias
       a.yaml:7:6: found the alias "other", expected one that is defined before
     a key of the prototype
-      a.yaml:7:1 __proto__: found an unknown key, expected one of role, cluster, instance, zone, listen, entries, links, ledger, backend, heartbeat, log, traces, stop
+      a.yaml:7:1 __proto__: found an unknown key, expected one of role, cluster, instance, zone, listen, entries, links, ledger, backend, heartbeat, tls, log, traces, stop
     no role
       a.yaml:1:1 role: found nothing, expected "entry" or "sidecar"
     two documents
--- a/test/support/CallerCase.ts
+++ b/test/support/CallerCase.ts
@@ -12,6 +12,7 @@
   Outcome,
   type Submission,
 } from '../../src/gen/magnoliakeel/v1/peer_pb';
+import type TlsCredentials from '../../src/link/TlsCredentials';
 import type EntrySettings from '../../src/settings/EntrySettings';
 import loadManifest from '../../src/settings/loadManifest';
 import type Manifest from '../../src/settings/Manifest';
@@ -62,10 +63,11 @@
 
   readonly server: CallerServer;
 
-  private address = '';
+  address = '';
 
-  private constructor(limits: Partial<EntrySettings['limits']>) {
+  private constructor(limits: Partial<EntrySettings['limits']>, tls?: TlsCredentials) {
     this.server = CallerServer.create({
+      tls,
       limits: { ...LIMITS, ...limits },
       timer: SystemTimer.create(),
       random: Random.fromSeed(1),
@@ -80,8 +82,11 @@
   }
 
   /** Starts listening, until the test is over. */
-  static async start(limits: Partial<EntrySettings['limits']> = {}): Promise<CallerCase> {
-    const made = new CallerCase(limits);
+  static async start(
+    limits: Partial<EntrySettings['limits']> = {},
+    tls?: TlsCredentials,
+  ): Promise<CallerCase> {
+    const made = new CallerCase(limits, tls);
     made.address = valueOf(await made.server.listen('127.0.0.1:0'));
     onTestFinished(() => made.server.close(0));
     return made;
