--- a/src/daemon/runSidecar.ts
+++ b/src/daemon/runSidecar.ts
@@ -76,7 +76,7 @@
     const address = await desk.listen(settings.listen.backend);
     log.info(`sidecar ${instance} listens for its backend server on ${address}`);
   } catch (error) {
-    log.error(`cannot listen: ${settings.listen.backend}: ${(error as Error).message}`);
+    log.error(`cannot listen: ${settings.listen.backend}: ${listenProblem(error as Error)}`);
     return exitCodes.cannotListen;
   }
   if (!tls.value) log.info('connections are without TLS: the settings name no certificates');
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -4,6 +4,7 @@
 import type CallerSubmission from '../callers/CallerSubmission';
 import listenProblem from '../core/listenProblem';
 import ownerOf from '../core/ownerOf';
+import ownersIn from '../core/ownersIn';
 import Versioned from '../core/Versioned';
 import Dispatcher from '../dispatch/Dispatcher';
 import {
@@ -244,8 +245,9 @@
     this.options.log.info('leaving');
     await membership.retire();
     await this.finishCallers();
-    await handOver(this.jobs.answered(), this.views.current, this.options.network);
-    await membership.leave();
+    const { jobs, views, options } = this;
+    const isTaken = await handOver(jobs.answered(), views.current, this.self, options.network);
+    await membership.leave(isTaken && jobs.open === 0);
     this.sidecarLinks.broadcast({ case: 'goodbye', value: create(GoodbyeSchema) });
     this.entryLinks.broadcast({ case: 'goodbye', value: create(GoodbyeSchema) });
   }
@@ -288,6 +290,7 @@
       handover: async ({ view, records }) => {
         if (view) this.views.adopt(view);
         this.jobs.takeOver(records);
+        this.sightings.took(records);
         return create(HandoverResponseSchema);
       },
       inspect: async (req) => this.inspect(req),
@@ -304,9 +307,10 @@
     link.send({ case: 'heartbeat', value: this.heartbeat() });
   }
 
-  private heartbeat(): Heartbeat {
+  /** A heartbeat with the loads of every service, or with those that concern the receiver. */
+  private heartbeat(loads = this.dispatcher.serviceLoads()): Heartbeat {
     return create(HeartbeatSchema, {
-      loads: this.dispatcher.serviceLoads(),
+      loads,
       configurationVersion: this.configurations.number,
       viewNumber: this.views.number,
     });
@@ -352,9 +356,7 @@
   }
 
   private ownsNew(key: string): boolean {
-    const owners = this.views.current.members.filter(({ leaving }) => !leaving);
-    const names = owners.map(({ incarnation }) => incarnation);
-    return ownerOf(key, names) === this.self;
+    return ownerOf(key, ownersIn(this.views.current)) === this.self;
   }
 
   private wakeWatchers(): void {
@@ -486,7 +488,7 @@
         configurations: this.configurations,
         witnessMs: settings.recovery.witnessMs,
         keepAlive: settings.heartbeat,
-        heartbeat: () => this.heartbeat(),
+        heartbeat: (peer) => this.heartbeat(this.dispatcher.waitsOf(peer.services)),
         greet: (link) => this.greet(link),
         linked: (peer) => {
           log.info(`sidecar ${peer.instance} linked`);
--- a/src/entry/Jobs.ts
+++ b/src/entry/Jobs.ts
@@ -7,7 +7,6 @@
   type Answer,
   AnswerSchema,
   type JobRecord,
-  JobRecordSchema,
   Outcome,
   type Submission,
   type TaskResult,
@@ -132,16 +131,16 @@
     this.records.forEach((job) => {
       const limit =
         job.createdMs + this.options.retentionOf(job.service) + this.options.clockSkewMs;
-      if (job.answer && limit < now) this.drop(job);
+      if (job.isAnswered && limit < now) this.drop(job);
     });
   }
 
   /** Takes records that a leaving entry hands over. */
   takeOver(records: readonly JobRecord[]): void {
-    records.forEach(({ job: key, digest, createdMs, answer }) => {
-      if (!answer || this.records.has(key)) return;
-      const job = Job.fromAnswer(key, digest, Number(createdMs), answer);
-      this.records.set(key, job);
+    records.forEach((record) => {
+      if (!record.answer || this.records.has(record.job)) return;
+      const job = Job.fromRecord(record, record.answer);
+      this.records.set(job.key, job);
       this.keptBytes += job.bytes;
     });
   }
@@ -149,10 +148,8 @@
   /** The answered records, for handing over. */
   answered(): JobRecord[] {
     return [...this.records.values()]
-      .filter((job) => job.answer)
-      .map(({ key, digest, createdMs, answer }) =>
-        create(JobRecordSchema, { job: key, digest, createdMs: BigInt(createdMs), answer }),
-      );
+      .map(({ record }) => record)
+      .filter((record) => record !== undefined);
   }
 
   /** Keys of the jobs that had tasks on a sidecar. */
@@ -241,7 +238,7 @@
     this.tasks.set(job, new Set(tasks));
     const seen = bestEvidence(evidence);
     tasks.forEach((task) => {
-      if (!job.answer) this.begin(job, task, seen.get(task.index), doubt);
+      if (!job.isAnswered) this.begin(job, task, seen.get(task.index), doubt);
     });
     this.limitTime(job, submission);
     return job;
@@ -273,7 +270,7 @@
 
   private taskOf(job: Job, submission: Submission, input: Uint8Array, index: number): QueuedTask {
     const queuedAt = this.options.timer.now();
-    return {
+    const task: QueuedTask = {
       job: job.key,
       index,
       service: submission.service,
@@ -287,25 +284,28 @@
       retryable: submission.kind === REQUEST_KIND && submission.idempotent,
       queuedAt,
       attempt: 0,
-      isWanted: () => !job.answer,
+      isWanted: () => !job.isAnswered,
       starting: (sidecar) => job.starting(index, sidecar),
-      notStarted: () => job.notStarted(index),
+      notStarted: () => {
+        if (task.attempt === 0) job.notStarted(index);
+      },
       settled: (result) => {
         this.countResult(job, result, queuedAt);
         job.settle(result);
-        if (job.answer) this.finished(job);
+        if (job.isAnswered) this.finished(job);
       },
     };
+    return task;
   }
 
   private countResult(job: Job, { status, runMs }: TaskResult, queuedAt: number): void {
     const { metrics, timer } = this.options;
-    if (job.answer) metrics?.wasted('result_untaken');
+    if (job.isAnswered) metrics?.wasted('result_untaken');
     else metrics?.taskSettled(job.service, status, timer.now() - queuedAt, runMs);
   }
 
   private limitTime(job: Job, submission: Submission): void {
-    if (job.answer) return;
+    if (job.isAnswered) return;
     const limit = this.options.jobTimeoutOf(submission.service);
     const wanted = submission.deadlineMs || limit;
     const timeout = this.options.timer.after(Math.min(wanted, limit), () => {
@@ -329,9 +329,9 @@
     if (!tasks) return;
     this.tasks.delete(job);
     this.options.metrics?.jobFinished(job.service, this.options.timer.now() - job.acceptedAt);
-    if (job.answer?.outcome !== Outcome.COMPLETED) this.dispatcher.dequeue(tasks);
+    if (job.outcome !== Outcome.COMPLETED) this.dispatcher.dequeue(tasks);
     this.keptBytes += job.bytes;
-    if (job.answer?.outcome === Outcome.NOT_RUN) this.drop(job);
+    if (job.outcome === Outcome.NOT_RUN) this.drop(job);
   }
 
   private drop(job: Job): void {
--- a/test/callers/serverFaults.test.ts
+++ b/test/callers/serverFaults.test.ts
@@ -36,7 +36,7 @@
 
 test('a fault met on one request is answered and does not end the process', async () => {
   const broken = {} as Manifest;
-  expect(await ask(broken, 'POST', 'requests')).toMatchInlineSnapshot(`"500 unknown undefined"`);
+  expect(await ask(broken, 'POST', 'requests')).toMatchInlineSnapshot(`"424 unknown 3"`);
 });
 
 test('without a configuration only a request without an id is called not run', async () => {
@@ -47,7 +47,7 @@
   expect(asked).toMatchInlineSnapshot(`
     [
       "503 not-run 3",
-      "504 unknown 3",
+      "424 unknown 3",
     ]
   `);
 });
