Start again from the bundle after the settings of TLS

Cause: a minimum length in the schema made the generated validator require a module that the bundled daemon can't load; only a run of the bundle showed it. Change: a pattern instead, as the other texts of the schema have.

--- a/src/gen/settingsSchema.ts
+++ b/src/gen/settingsSchema.ts
@@ -249,17 +249,20 @@
           "cert": {
             "type": "string",
             "description": "Certificate of this process, followed by the ones between it and the authority.",
-            "minLength": 1
+            "title": "a path",
+            "pattern": "\\S"
           },
           "key": {
             "type": "string",
             "description": "Private key of the certificate.",
-            "minLength": 1
+            "title": "a path",
+            "pattern": "\\S"
           },
           "ca": {
             "type": "string",
             "description": "Certificate of the authority that the certificates of all entries and sidecars come from.",
-            "minLength": 1
+            "title": "a path",
+            "pattern": "\\S"
           }
         },
         "required": [
@@ -493,17 +496,20 @@
           "cert": {
             "type": "string",
             "description": "Certificate of this process, followed by the ones between it and the authority.",
-            "minLength": 1
+            "title": "a path",
+            "pattern": "\\S"
           },
           "key": {
             "type": "string",
             "description": "Private key of the certificate.",
-            "minLength": 1
+            "title": "a path",
+            "pattern": "\\S"
           },
           "ca": {
             "type": "string",
             "description": "Certificate of the authority that the certificates of all entries and sidecars come from.",
-            "minLength": 1
+            "title": "a path",
+            "pattern": "\\S"
           }
         },
         "required": [
