--- a/src/gen/validateEntrySettings.ts
+++ b/src/gen/validateEntrySettings.ts
@@ -5,7 +5,7 @@
 
 
 export default validate20 as unknown as ValidateFunction;
-const schema31 = {"type":"object","description":"Settings of an entry: it takes requests from callers and owns their jobs.","additionalProperties":false,"properties":{"role":{"const":"entry","description":"Role of the process."},"cluster":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Name of the cluster. Processes of different clusters refuse to link.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"instance":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Name of this instance, unique within the cluster and role.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"zone":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Availability zone that this instance runs in.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"listen":{"type":"object","description":"Addresses this process listens on. Port 0 takes any free port.","additionalProperties":false,"properties":{"callers":{"title":"an address \"ip:port\"","type":"string","description":"Address for the HTTP requests of callers.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"peers":{"title":"an address \"ip:port\"","type":"string","description":"Address for links from sidecars and other entries.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"operators":{"title":"an address \"ip:port\"","type":"string","description":"Address for health, readiness and metrics.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"}},"required":["callers","peers","operators"]},"advertise":{"title":"an address \"ip:port\"","type":"string","description":"Address at which other processes reach listen.peers. Defaults to listen.peers.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"store":{"type":"object","description":"The platform's key-value service.","additionalProperties":false,"properties":{"address":{"title":"an address \"ip:port\"","type":"string","description":"Address of the service.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"leaseMs":{"title":"a number of milliseconds","type":"integer","description":"Lifetime of this instance's lease. It is renewed well before.","minimum":1,"maximum":86400000,"default":5000},"timeoutMs":{"title":"a number of milliseconds","type":"integer","description":"Time allowed for one call.","minimum":1,"maximum":86400000,"default":2000},"callsPerSecond":{"type":"integer","description":"Limit of calls per second that this instance makes.","minimum":1,"maximum":10000,"default":20}},"required":["address"]},"peers":{"type":"array","description":"Addresses of other entries, asked for the manifest and the members while the key-value service is down.","items":{"title":"an address \"ip:port\"","type":"string","description":"Peer address of another entry.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"default":[]},"limits":{"type":"object","description":"Limits that protect this process.","additionalProperties":false,"properties":{"bodyBytes":{"title":"a number of bytes","type":"integer","description":"Largest body of a caller's request.","minimum":1,"default":4194304},"headerBytes":{"title":"a number of bytes","type":"integer","description":"Largest total size of a request's headers.","minimum":1,"default":16384},"bodyTimeoutMs":{"title":"a number of milliseconds","type":"integer","description":"Time allowed for receiving a whole request.","minimum":1,"maximum":86400000,"default":10000},"headerTimeoutMs":{"title":"a number of milliseconds","type":"integer","description":"Time allowed for receiving the headers.","minimum":1,"maximum":86400000,"default":5000},"connections":{"type":"integer","description":"Largest number of open connections of callers.","minimum":1,"maximum":1000000,"default":2000},"recordBytes":{"title":"a number of bytes","type":"integer","description":"Memory for jobs and their answers. When it is used up, submissions are refused.","minimum":1,"default":268435456}},"default":{}},"heartbeat":{"type":"object","description":"Heartbeats on the links to other processes.","additionalProperties":false,"properties":{"intervalMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which a heartbeat is sent.","minimum":1,"maximum":86400000,"default":1000},"suspectMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which the other process is suspected: it gets no new work.","minimum":1,"maximum":86400000,"default":3000},"closeMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which the link is closed.","minimum":1,"maximum":86400000,"default":10000}},"default":{}},"recovery":{"type":"object","description":"How jobs are continued after other processes are lost.","additionalProperties":false,"properties":{"witnessMs":{"title":"a number of milliseconds","type":"integer","description":"How long a lost sidecar is awaited before its open tasks count as unknown.","minimum":1,"maximum":86400000,"default":3000},"clockSkewMs":{"title":"a number of milliseconds","type":"integer","description":"Largest difference of wall clocks assumed between callers and entries.","minimum":1,"maximum":86400000,"default":30000}},"default":{}},"dispatch":{"type":"object","description":"How tasks are placed on sidecars.","additionalProperties":false,"properties":{"policy":{"title":"a dispatch policy","enum":["credits","leastOutstanding","powerOfTwo","roundRobin","random"],"description":"Policy that picks the sidecar of a task. All but credits are for comparison.","default":"credits"}},"default":{}},"tls":{"type":"object","description":"TLS for callers, and mutual TLS between entries and sidecars; without it their listeners are without TLS.","additionalProperties":false,"properties":{"cert":{"type":"string","description":"Certificate of this process, followed by the ones between it and the authority.","title":"a path","pattern":"\\S"},"key":{"type":"string","description":"Private key of the certificate.","title":"a path","pattern":"\\S"},"ca":{"type":"string","description":"Certificate of the authority that the certificates of all entries and sidecars come from.","title":"a path","pattern":"\\S"}},"required":["cert","key","ca"]},"log":{"type":"object","description":"What is logged.","additionalProperties":false,"properties":{"level":{"title":"a log level","enum":["error","warn","info","debug"],"description":"Least severe level that is logged.","default":"info"}},"default":{}},"traces":{"type":"object","description":"Where spans of traced requests go.","additionalProperties":false,"properties":{"sample":{"title":"a share","type":"number","description":"Share of the requests that are traced although their caller did not ask for it.","minimum":0,"maximum":1,"default":0},"otlp":{"title":"an http or https URL, or \"\"","type":"string","description":"URL that takes spans as OTLP over HTTP; empty for none.","pattern":"^(https?://\\S+)?$","default":""},"output":{"title":"a trace output","enum":["","stdout"],"description":"Where spans are printed as JSON lines; empty for nowhere.","default":""}},"default":{}},"stop":{"type":"object","description":"How the process stops on SIGTERM or SIGINT.","additionalProperties":false,"properties":{"drainMs":{"title":"a number of milliseconds","type":"integer","description":"Longest time for finishing what is in flight before the process exits.","minimum":1,"maximum":86400000,"default":30000}},"default":{}}},"required":["role","cluster","instance","zone","listen","store"]};
+const schema31 = {"type":"object","description":"Settings of an entry: it takes requests from callers and owns their jobs.","additionalProperties":false,"properties":{"role":{"const":"entry","description":"Role of the process."},"cluster":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Name of the cluster. Processes of different clusters refuse to link.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"instance":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Name of this instance, unique within the cluster and role.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"zone":{"title":"a name of up to 63 letters, digits, \".\", \"_\" and \"-\"","type":"string","description":"Availability zone that this instance runs in.","pattern":"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"},"listen":{"type":"object","description":"Addresses this process listens on. Port 0 takes any free port.","additionalProperties":false,"properties":{"callers":{"title":"an address \"ip:port\"","type":"string","description":"Address for the HTTP requests of callers.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"peers":{"title":"an address \"ip:port\"","type":"string","description":"Address for links from sidecars and other entries.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"operators":{"title":"an address \"ip:port\"","type":"string","description":"Address for health, readiness and metrics.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"}},"required":["callers","peers","operators"]},"advertise":{"title":"an address \"ip:port\"","type":"string","description":"Address at which other processes reach listen.peers. Defaults to listen.peers.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"store":{"type":"object","description":"The platform's key-value service.","additionalProperties":false,"properties":{"address":{"title":"an address \"ip:port\"","type":"string","description":"Address of the service.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"leaseMs":{"title":"a number of milliseconds","type":"integer","description":"Lifetime of this instance's lease. It is renewed well before.","minimum":1,"maximum":86400000,"default":5000},"timeoutMs":{"title":"a number of milliseconds","type":"integer","description":"Time allowed for one call.","minimum":1,"maximum":86400000,"default":2000},"callsPerSecond":{"type":"integer","description":"Limit of calls per second that this instance makes.","minimum":1,"maximum":10000,"default":20}},"required":["address"]},"peers":{"type":"array","description":"Addresses of other entries, asked for the manifest and the members while the key-value service is down.","items":{"title":"an address \"ip:port\"","type":"string","description":"Peer address of another entry.","pattern":"^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$"},"default":[]},"limits":{"type":"object","description":"Limits that protect this process.","additionalProperties":false,"properties":{"bodyBytes":{"title":"a number of bytes","type":"integer","description":"Largest body of a caller's request.","minimum":1,"default":4194304},"openBodyBytes":{"title":"a number of bytes","type":"integer","description":"Memory for the bodies of all requests of callers under way. When it is used up, requests are refused.","minimum":1,"default":134217728},"headerBytes":{"title":"a number of bytes","type":"integer","description":"Largest total size of a request's headers.","minimum":1,"default":16384},"bodyTimeoutMs":{"title":"a number of milliseconds","type":"integer","description":"Time allowed for receiving a whole request.","minimum":1,"maximum":86400000,"default":10000},"headerTimeoutMs":{"title":"a number of milliseconds","type":"integer","description":"Time allowed for receiving the headers.","minimum":1,"maximum":86400000,"default":5000},"connections":{"type":"integer","description":"Largest number of open connections of callers.","minimum":1,"maximum":1000000,"default":2000},"recordBytes":{"title":"a number of bytes","type":"integer","description":"Memory for jobs and their answers. When it is used up, submissions are refused.","minimum":1,"default":268435456}},"default":{}},"heartbeat":{"type":"object","description":"Heartbeats on the links to other processes.","additionalProperties":false,"properties":{"intervalMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which a heartbeat is sent.","minimum":1,"maximum":86400000,"default":1000},"suspectMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which the other process is suspected: it gets no new work.","minimum":1,"maximum":86400000,"default":3000},"closeMs":{"title":"a number of milliseconds","type":"integer","description":"Silence after which the link is closed.","minimum":1,"maximum":86400000,"default":10000}},"default":{}},"recovery":{"type":"object","description":"How jobs are continued after other processes are lost.","additionalProperties":false,"properties":{"witnessMs":{"title":"a number of milliseconds","type":"integer","description":"How long a lost sidecar is awaited before its open tasks count as unknown.","minimum":1,"maximum":86400000,"default":3000},"clockSkewMs":{"title":"a number of milliseconds","type":"integer","description":"Largest difference of wall clocks assumed between callers and entries.","minimum":1,"maximum":86400000,"default":30000}},"default":{}},"dispatch":{"type":"object","description":"How tasks are placed on sidecars.","additionalProperties":false,"properties":{"policy":{"title":"a dispatch policy","enum":["credits","leastOutstanding","powerOfTwo","roundRobin","random"],"description":"Policy that picks the sidecar of a task. All but credits are for comparison.","default":"credits"}},"default":{}},"tls":{"type":"object","description":"TLS for callers, and mutual TLS between entries and sidecars; without it their listeners are without TLS.","additionalProperties":false,"properties":{"cert":{"type":"string","description":"Certificate of this process, followed by the ones between it and the authority.","title":"a path","pattern":"\\S"},"key":{"type":"string","description":"Private key of the certificate.","title":"a path","pattern":"\\S"},"ca":{"type":"string","description":"Certificate of the authority that the certificates of all entries and sidecars come from.","title":"a path","pattern":"\\S"}},"required":["cert","key","ca"]},"log":{"type":"object","description":"What is logged.","additionalProperties":false,"properties":{"level":{"title":"a log level","enum":["error","warn","info","debug"],"description":"Least severe level that is logged.","default":"info"}},"default":{}},"traces":{"type":"object","description":"Where spans of traced requests go.","additionalProperties":false,"properties":{"sample":{"title":"a share","type":"number","description":"Share of the requests that are traced although their caller did not ask for it.","minimum":0,"maximum":1,"default":0},"otlp":{"title":"an http or https URL, or \"\"","type":"string","description":"URL that takes spans as OTLP over HTTP; empty for none.","pattern":"^(https?://\\S+)?$","default":""},"output":{"title":"a trace output","enum":["","stdout"],"description":"Where spans are printed as JSON lines; empty for nowhere.","default":""}},"default":{}},"stop":{"type":"object","description":"How the process stops on SIGTERM or SIGINT.","additionalProperties":false,"properties":{"drainMs":{"title":"a number of milliseconds","type":"integer","description":"Longest time for finishing what is in flight before the process exits.","minimum":1,"maximum":86400000,"default":30000}},"default":{}}},"required":["role","cluster","instance","zone","listen","store"]};
 const func1 = Object.prototype.hasOwnProperty;
 const pattern4 = new RegExp("^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$", "u");
 const pattern7 = new RegExp("^((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9a-fA-F:.]+\\]):(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|\\d{1,4})$", "u");
@@ -578,6 +578,9 @@
 if(data16.bodyBytes === undefined){
 data16.bodyBytes = 4194304;
 }
+if(data16.openBodyBytes === undefined){
+data16.openBodyBytes = 134217728;
+}
 if(data16.headerBytes === undefined){
 data16.headerBytes = 16384;
 }
@@ -594,7 +597,7 @@
 data16.recordBytes = 268435456;
 }
 for(const key3 in data16){
-if(!((((((key3 === "bodyBytes") || (key3 === "headerBytes")) || (key3 === "bodyTimeoutMs")) || (key3 === "headerTimeoutMs")) || (key3 === "connections")) || (key3 === "recordBytes"))){
+if(!(((((((key3 === "bodyBytes") || (key3 === "openBodyBytes")) || (key3 === "headerBytes")) || (key3 === "bodyTimeoutMs")) || (key3 === "headerTimeoutMs")) || (key3 === "connections")) || (key3 === "recordBytes"))){
 const err44 = {instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key3},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.limits,data:data16};
 if(vErrors === null){
 vErrors = [err44];
@@ -628,9 +631,9 @@
 errors++;
 }
 }
-let data18 = data16.headerBytes;
+let data18 = data16.openBodyBytes;
 if(!(((typeof data18 == "number") && (!(data18 % 1) && !isNaN(data18))) && (isFinite(data18)))){
-const err47 = {instancePath:instancePath+"/limits/headerBytes",schemaPath:"#/properties/limits/properties/headerBytes/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.headerBytes.type,parentSchema:schema31.properties.limits.properties.headerBytes,data:data18};
+const err47 = {instancePath:instancePath+"/limits/openBodyBytes",schemaPath:"#/properties/limits/properties/openBodyBytes/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.openBodyBytes.type,parentSchema:schema31.properties.limits.properties.openBodyBytes,data:data18};
 if(vErrors === null){
 vErrors = [err47];
 }
@@ -641,7 +644,7 @@
 }
 if((typeof data18 == "number") && (isFinite(data18))){
 if(data18 < 1 || isNaN(data18)){
-const err48 = {instancePath:instancePath+"/limits/headerBytes",schemaPath:"#/properties/limits/properties/headerBytes/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.headerBytes,data:data18};
+const err48 = {instancePath:instancePath+"/limits/openBodyBytes",schemaPath:"#/properties/limits/properties/openBodyBytes/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.openBodyBytes,data:data18};
 if(vErrors === null){
 vErrors = [err48];
 }
@@ -651,9 +654,9 @@
 errors++;
 }
 }
-let data19 = data16.bodyTimeoutMs;
+let data19 = data16.headerBytes;
 if(!(((typeof data19 == "number") && (!(data19 % 1) && !isNaN(data19))) && (isFinite(data19)))){
-const err49 = {instancePath:instancePath+"/limits/bodyTimeoutMs",schemaPath:"#/properties/limits/properties/bodyTimeoutMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.bodyTimeoutMs.type,parentSchema:schema31.properties.limits.properties.bodyTimeoutMs,data:data19};
+const err49 = {instancePath:instancePath+"/limits/headerBytes",schemaPath:"#/properties/limits/properties/headerBytes/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.headerBytes.type,parentSchema:schema31.properties.limits.properties.headerBytes,data:data19};
 if(vErrors === null){
 vErrors = [err49];
 }
@@ -663,8 +666,8 @@
 errors++;
 }
 if((typeof data19 == "number") && (isFinite(data19))){
-if(data19 > 86400000 || isNaN(data19)){
-const err50 = {instancePath:instancePath+"/limits/bodyTimeoutMs",schemaPath:"#/properties/limits/properties/bodyTimeoutMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.limits.properties.bodyTimeoutMs,data:data19};
+if(data19 < 1 || isNaN(data19)){
+const err50 = {instancePath:instancePath+"/limits/headerBytes",schemaPath:"#/properties/limits/properties/headerBytes/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.headerBytes,data:data19};
 if(vErrors === null){
 vErrors = [err50];
 }
@@ -673,8 +676,10 @@
 }
 errors++;
 }
-if(data19 < 1 || isNaN(data19)){
-const err51 = {instancePath:instancePath+"/limits/bodyTimeoutMs",schemaPath:"#/properties/limits/properties/bodyTimeoutMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.bodyTimeoutMs,data:data19};
+}
+let data20 = data16.bodyTimeoutMs;
+if(!(((typeof data20 == "number") && (!(data20 % 1) && !isNaN(data20))) && (isFinite(data20)))){
+const err51 = {instancePath:instancePath+"/limits/bodyTimeoutMs",schemaPath:"#/properties/limits/properties/bodyTimeoutMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.bodyTimeoutMs.type,parentSchema:schema31.properties.limits.properties.bodyTimeoutMs,data:data20};
 if(vErrors === null){
 vErrors = [err51];
 }
@@ -683,10 +688,9 @@
 }
 errors++;
 }
-}
-let data20 = data16.headerTimeoutMs;
-if(!(((typeof data20 == "number") && (!(data20 % 1) && !isNaN(data20))) && (isFinite(data20)))){
-const err52 = {instancePath:instancePath+"/limits/headerTimeoutMs",schemaPath:"#/properties/limits/properties/headerTimeoutMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.headerTimeoutMs.type,parentSchema:schema31.properties.limits.properties.headerTimeoutMs,data:data20};
+if((typeof data20 == "number") && (isFinite(data20))){
+if(data20 > 86400000 || isNaN(data20)){
+const err52 = {instancePath:instancePath+"/limits/bodyTimeoutMs",schemaPath:"#/properties/limits/properties/bodyTimeoutMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.limits.properties.bodyTimeoutMs,data:data20};
 if(vErrors === null){
 vErrors = [err52];
 }
@@ -695,9 +699,8 @@
 }
 errors++;
 }
-if((typeof data20 == "number") && (isFinite(data20))){
-if(data20 > 86400000 || isNaN(data20)){
-const err53 = {instancePath:instancePath+"/limits/headerTimeoutMs",schemaPath:"#/properties/limits/properties/headerTimeoutMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.limits.properties.headerTimeoutMs,data:data20};
+if(data20 < 1 || isNaN(data20)){
+const err53 = {instancePath:instancePath+"/limits/bodyTimeoutMs",schemaPath:"#/properties/limits/properties/bodyTimeoutMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.bodyTimeoutMs,data:data20};
 if(vErrors === null){
 vErrors = [err53];
 }
@@ -706,8 +709,10 @@
 }
 errors++;
 }
-if(data20 < 1 || isNaN(data20)){
-const err54 = {instancePath:instancePath+"/limits/headerTimeoutMs",schemaPath:"#/properties/limits/properties/headerTimeoutMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.headerTimeoutMs,data:data20};
+}
+let data21 = data16.headerTimeoutMs;
+if(!(((typeof data21 == "number") && (!(data21 % 1) && !isNaN(data21))) && (isFinite(data21)))){
+const err54 = {instancePath:instancePath+"/limits/headerTimeoutMs",schemaPath:"#/properties/limits/properties/headerTimeoutMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.headerTimeoutMs.type,parentSchema:schema31.properties.limits.properties.headerTimeoutMs,data:data21};
 if(vErrors === null){
 vErrors = [err54];
 }
@@ -716,10 +721,9 @@
 }
 errors++;
 }
-}
-let data21 = data16.connections;
-if(!(((typeof data21 == "number") && (!(data21 % 1) && !isNaN(data21))) && (isFinite(data21)))){
-const err55 = {instancePath:instancePath+"/limits/connections",schemaPath:"#/properties/limits/properties/connections/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.connections.type,parentSchema:schema31.properties.limits.properties.connections,data:data21};
+if((typeof data21 == "number") && (isFinite(data21))){
+if(data21 > 86400000 || isNaN(data21)){
+const err55 = {instancePath:instancePath+"/limits/headerTimeoutMs",schemaPath:"#/properties/limits/properties/headerTimeoutMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.limits.properties.headerTimeoutMs,data:data21};
 if(vErrors === null){
 vErrors = [err55];
 }
@@ -728,9 +732,8 @@
 }
 errors++;
 }
-if((typeof data21 == "number") && (isFinite(data21))){
-if(data21 > 1000000 || isNaN(data21)){
-const err56 = {instancePath:instancePath+"/limits/connections",schemaPath:"#/properties/limits/properties/connections/maximum",keyword:"maximum",params:{comparison: "<=", limit: 1000000},message:"must be <= 1000000",schema:1000000,parentSchema:schema31.properties.limits.properties.connections,data:data21};
+if(data21 < 1 || isNaN(data21)){
+const err56 = {instancePath:instancePath+"/limits/headerTimeoutMs",schemaPath:"#/properties/limits/properties/headerTimeoutMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.headerTimeoutMs,data:data21};
 if(vErrors === null){
 vErrors = [err56];
 }
@@ -739,8 +742,10 @@
 }
 errors++;
 }
-if(data21 < 1 || isNaN(data21)){
-const err57 = {instancePath:instancePath+"/limits/connections",schemaPath:"#/properties/limits/properties/connections/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.connections,data:data21};
+}
+let data22 = data16.connections;
+if(!(((typeof data22 == "number") && (!(data22 % 1) && !isNaN(data22))) && (isFinite(data22)))){
+const err57 = {instancePath:instancePath+"/limits/connections",schemaPath:"#/properties/limits/properties/connections/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.connections.type,parentSchema:schema31.properties.limits.properties.connections,data:data22};
 if(vErrors === null){
 vErrors = [err57];
 }
@@ -749,10 +754,9 @@
 }
 errors++;
 }
-}
-let data22 = data16.recordBytes;
-if(!(((typeof data22 == "number") && (!(data22 % 1) && !isNaN(data22))) && (isFinite(data22)))){
-const err58 = {instancePath:instancePath+"/limits/recordBytes",schemaPath:"#/properties/limits/properties/recordBytes/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.recordBytes.type,parentSchema:schema31.properties.limits.properties.recordBytes,data:data22};
+if((typeof data22 == "number") && (isFinite(data22))){
+if(data22 > 1000000 || isNaN(data22)){
+const err58 = {instancePath:instancePath+"/limits/connections",schemaPath:"#/properties/limits/properties/connections/maximum",keyword:"maximum",params:{comparison: "<=", limit: 1000000},message:"must be <= 1000000",schema:1000000,parentSchema:schema31.properties.limits.properties.connections,data:data22};
 if(vErrors === null){
 vErrors = [err58];
 }
@@ -761,9 +765,8 @@
 }
 errors++;
 }
-if((typeof data22 == "number") && (isFinite(data22))){
 if(data22 < 1 || isNaN(data22)){
-const err59 = {instancePath:instancePath+"/limits/recordBytes",schemaPath:"#/properties/limits/properties/recordBytes/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.recordBytes,data:data22};
+const err59 = {instancePath:instancePath+"/limits/connections",schemaPath:"#/properties/limits/properties/connections/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.connections,data:data22};
 if(vErrors === null){
 vErrors = [err59];
 }
@@ -773,9 +776,9 @@
 errors++;
 }
 }
-}
-else {
-const err60 = {instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.limits.type,parentSchema:schema31.properties.limits,data:data16};
+let data23 = data16.recordBytes;
+if(!(((typeof data23 == "number") && (!(data23 % 1) && !isNaN(data23))) && (isFinite(data23)))){
+const err60 = {instancePath:instancePath+"/limits/recordBytes",schemaPath:"#/properties/limits/properties/recordBytes/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.limits.properties.recordBytes.type,parentSchema:schema31.properties.limits.properties.recordBytes,data:data23};
 if(vErrors === null){
 vErrors = [err60];
 }
@@ -784,20 +787,9 @@
 }
 errors++;
 }
-let data23 = data.heartbeat;
-if(data23 && typeof data23 == "object" && !Array.isArray(data23)){
-if(data23.intervalMs === undefined){
-data23.intervalMs = 1000;
-}
-if(data23.suspectMs === undefined){
-data23.suspectMs = 3000;
-}
-if(data23.closeMs === undefined){
-data23.closeMs = 10000;
-}
-for(const key4 in data23){
-if(!(((key4 === "intervalMs") || (key4 === "suspectMs")) || (key4 === "closeMs"))){
-const err61 = {instancePath:instancePath+"/heartbeat",schemaPath:"#/properties/heartbeat/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key4},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.heartbeat,data:data23};
+if((typeof data23 == "number") && (isFinite(data23))){
+if(data23 < 1 || isNaN(data23)){
+const err61 = {instancePath:instancePath+"/limits/recordBytes",schemaPath:"#/properties/limits/properties/recordBytes/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.limits.properties.recordBytes,data:data23};
 if(vErrors === null){
 vErrors = [err61];
 }
@@ -807,9 +799,9 @@
 errors++;
 }
 }
-let data24 = data23.intervalMs;
-if(!(((typeof data24 == "number") && (!(data24 % 1) && !isNaN(data24))) && (isFinite(data24)))){
-const err62 = {instancePath:instancePath+"/heartbeat/intervalMs",schemaPath:"#/properties/heartbeat/properties/intervalMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.heartbeat.properties.intervalMs.type,parentSchema:schema31.properties.heartbeat.properties.intervalMs,data:data24};
+}
+else {
+const err62 = {instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.limits.type,parentSchema:schema31.properties.limits,data:data16};
 if(vErrors === null){
 vErrors = [err62];
 }
@@ -818,9 +810,20 @@
 }
 errors++;
 }
-if((typeof data24 == "number") && (isFinite(data24))){
-if(data24 > 86400000 || isNaN(data24)){
-const err63 = {instancePath:instancePath+"/heartbeat/intervalMs",schemaPath:"#/properties/heartbeat/properties/intervalMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.heartbeat.properties.intervalMs,data:data24};
+let data24 = data.heartbeat;
+if(data24 && typeof data24 == "object" && !Array.isArray(data24)){
+if(data24.intervalMs === undefined){
+data24.intervalMs = 1000;
+}
+if(data24.suspectMs === undefined){
+data24.suspectMs = 3000;
+}
+if(data24.closeMs === undefined){
+data24.closeMs = 10000;
+}
+for(const key4 in data24){
+if(!(((key4 === "intervalMs") || (key4 === "suspectMs")) || (key4 === "closeMs"))){
+const err63 = {instancePath:instancePath+"/heartbeat",schemaPath:"#/properties/heartbeat/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key4},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.heartbeat,data:data24};
 if(vErrors === null){
 vErrors = [err63];
 }
@@ -829,8 +832,10 @@
 }
 errors++;
 }
-if(data24 < 1 || isNaN(data24)){
-const err64 = {instancePath:instancePath+"/heartbeat/intervalMs",schemaPath:"#/properties/heartbeat/properties/intervalMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.heartbeat.properties.intervalMs,data:data24};
+}
+let data25 = data24.intervalMs;
+if(!(((typeof data25 == "number") && (!(data25 % 1) && !isNaN(data25))) && (isFinite(data25)))){
+const err64 = {instancePath:instancePath+"/heartbeat/intervalMs",schemaPath:"#/properties/heartbeat/properties/intervalMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.heartbeat.properties.intervalMs.type,parentSchema:schema31.properties.heartbeat.properties.intervalMs,data:data25};
 if(vErrors === null){
 vErrors = [err64];
 }
@@ -839,10 +844,9 @@
 }
 errors++;
 }
-}
-let data25 = data23.suspectMs;
-if(!(((typeof data25 == "number") && (!(data25 % 1) && !isNaN(data25))) && (isFinite(data25)))){
-const err65 = {instancePath:instancePath+"/heartbeat/suspectMs",schemaPath:"#/properties/heartbeat/properties/suspectMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.heartbeat.properties.suspectMs.type,parentSchema:schema31.properties.heartbeat.properties.suspectMs,data:data25};
+if((typeof data25 == "number") && (isFinite(data25))){
+if(data25 > 86400000 || isNaN(data25)){
+const err65 = {instancePath:instancePath+"/heartbeat/intervalMs",schemaPath:"#/properties/heartbeat/properties/intervalMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.heartbeat.properties.intervalMs,data:data25};
 if(vErrors === null){
 vErrors = [err65];
 }
@@ -851,9 +855,8 @@
 }
 errors++;
 }
-if((typeof data25 == "number") && (isFinite(data25))){
-if(data25 > 86400000 || isNaN(data25)){
-const err66 = {instancePath:instancePath+"/heartbeat/suspectMs",schemaPath:"#/properties/heartbeat/properties/suspectMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.heartbeat.properties.suspectMs,data:data25};
+if(data25 < 1 || isNaN(data25)){
+const err66 = {instancePath:instancePath+"/heartbeat/intervalMs",schemaPath:"#/properties/heartbeat/properties/intervalMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.heartbeat.properties.intervalMs,data:data25};
 if(vErrors === null){
 vErrors = [err66];
 }
@@ -862,8 +865,10 @@
 }
 errors++;
 }
-if(data25 < 1 || isNaN(data25)){
-const err67 = {instancePath:instancePath+"/heartbeat/suspectMs",schemaPath:"#/properties/heartbeat/properties/suspectMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.heartbeat.properties.suspectMs,data:data25};
+}
+let data26 = data24.suspectMs;
+if(!(((typeof data26 == "number") && (!(data26 % 1) && !isNaN(data26))) && (isFinite(data26)))){
+const err67 = {instancePath:instancePath+"/heartbeat/suspectMs",schemaPath:"#/properties/heartbeat/properties/suspectMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.heartbeat.properties.suspectMs.type,parentSchema:schema31.properties.heartbeat.properties.suspectMs,data:data26};
 if(vErrors === null){
 vErrors = [err67];
 }
@@ -872,10 +877,9 @@
 }
 errors++;
 }
-}
-let data26 = data23.closeMs;
-if(!(((typeof data26 == "number") && (!(data26 % 1) && !isNaN(data26))) && (isFinite(data26)))){
-const err68 = {instancePath:instancePath+"/heartbeat/closeMs",schemaPath:"#/properties/heartbeat/properties/closeMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.heartbeat.properties.closeMs.type,parentSchema:schema31.properties.heartbeat.properties.closeMs,data:data26};
+if((typeof data26 == "number") && (isFinite(data26))){
+if(data26 > 86400000 || isNaN(data26)){
+const err68 = {instancePath:instancePath+"/heartbeat/suspectMs",schemaPath:"#/properties/heartbeat/properties/suspectMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.heartbeat.properties.suspectMs,data:data26};
 if(vErrors === null){
 vErrors = [err68];
 }
@@ -884,9 +888,8 @@
 }
 errors++;
 }
-if((typeof data26 == "number") && (isFinite(data26))){
-if(data26 > 86400000 || isNaN(data26)){
-const err69 = {instancePath:instancePath+"/heartbeat/closeMs",schemaPath:"#/properties/heartbeat/properties/closeMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.heartbeat.properties.closeMs,data:data26};
+if(data26 < 1 || isNaN(data26)){
+const err69 = {instancePath:instancePath+"/heartbeat/suspectMs",schemaPath:"#/properties/heartbeat/properties/suspectMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.heartbeat.properties.suspectMs,data:data26};
 if(vErrors === null){
 vErrors = [err69];
 }
@@ -895,8 +898,10 @@
 }
 errors++;
 }
-if(data26 < 1 || isNaN(data26)){
-const err70 = {instancePath:instancePath+"/heartbeat/closeMs",schemaPath:"#/properties/heartbeat/properties/closeMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.heartbeat.properties.closeMs,data:data26};
+}
+let data27 = data24.closeMs;
+if(!(((typeof data27 == "number") && (!(data27 % 1) && !isNaN(data27))) && (isFinite(data27)))){
+const err70 = {instancePath:instancePath+"/heartbeat/closeMs",schemaPath:"#/properties/heartbeat/properties/closeMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.heartbeat.properties.closeMs.type,parentSchema:schema31.properties.heartbeat.properties.closeMs,data:data27};
 if(vErrors === null){
 vErrors = [err70];
 }
@@ -905,10 +910,9 @@
 }
 errors++;
 }
-}
-}
-else {
-const err71 = {instancePath:instancePath+"/heartbeat",schemaPath:"#/properties/heartbeat/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.heartbeat.type,parentSchema:schema31.properties.heartbeat,data:data23};
+if((typeof data27 == "number") && (isFinite(data27))){
+if(data27 > 86400000 || isNaN(data27)){
+const err71 = {instancePath:instancePath+"/heartbeat/closeMs",schemaPath:"#/properties/heartbeat/properties/closeMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.heartbeat.properties.closeMs,data:data27};
 if(vErrors === null){
 vErrors = [err71];
 }
@@ -917,17 +921,8 @@
 }
 errors++;
 }
-let data27 = data.recovery;
-if(data27 && typeof data27 == "object" && !Array.isArray(data27)){
-if(data27.witnessMs === undefined){
-data27.witnessMs = 3000;
-}
-if(data27.clockSkewMs === undefined){
-data27.clockSkewMs = 30000;
-}
-for(const key5 in data27){
-if(!((key5 === "witnessMs") || (key5 === "clockSkewMs"))){
-const err72 = {instancePath:instancePath+"/recovery",schemaPath:"#/properties/recovery/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key5},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.recovery,data:data27};
+if(data27 < 1 || isNaN(data27)){
+const err72 = {instancePath:instancePath+"/heartbeat/closeMs",schemaPath:"#/properties/heartbeat/properties/closeMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.heartbeat.properties.closeMs,data:data27};
 if(vErrors === null){
 vErrors = [err72];
 }
@@ -937,9 +932,9 @@
 errors++;
 }
 }
-let data28 = data27.witnessMs;
-if(!(((typeof data28 == "number") && (!(data28 % 1) && !isNaN(data28))) && (isFinite(data28)))){
-const err73 = {instancePath:instancePath+"/recovery/witnessMs",schemaPath:"#/properties/recovery/properties/witnessMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.recovery.properties.witnessMs.type,parentSchema:schema31.properties.recovery.properties.witnessMs,data:data28};
+}
+else {
+const err73 = {instancePath:instancePath+"/heartbeat",schemaPath:"#/properties/heartbeat/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.heartbeat.type,parentSchema:schema31.properties.heartbeat,data:data24};
 if(vErrors === null){
 vErrors = [err73];
 }
@@ -948,9 +943,17 @@
 }
 errors++;
 }
-if((typeof data28 == "number") && (isFinite(data28))){
-if(data28 > 86400000 || isNaN(data28)){
-const err74 = {instancePath:instancePath+"/recovery/witnessMs",schemaPath:"#/properties/recovery/properties/witnessMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.recovery.properties.witnessMs,data:data28};
+let data28 = data.recovery;
+if(data28 && typeof data28 == "object" && !Array.isArray(data28)){
+if(data28.witnessMs === undefined){
+data28.witnessMs = 3000;
+}
+if(data28.clockSkewMs === undefined){
+data28.clockSkewMs = 30000;
+}
+for(const key5 in data28){
+if(!((key5 === "witnessMs") || (key5 === "clockSkewMs"))){
+const err74 = {instancePath:instancePath+"/recovery",schemaPath:"#/properties/recovery/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key5},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.recovery,data:data28};
 if(vErrors === null){
 vErrors = [err74];
 }
@@ -959,8 +962,10 @@
 }
 errors++;
 }
-if(data28 < 1 || isNaN(data28)){
-const err75 = {instancePath:instancePath+"/recovery/witnessMs",schemaPath:"#/properties/recovery/properties/witnessMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.recovery.properties.witnessMs,data:data28};
+}
+let data29 = data28.witnessMs;
+if(!(((typeof data29 == "number") && (!(data29 % 1) && !isNaN(data29))) && (isFinite(data29)))){
+const err75 = {instancePath:instancePath+"/recovery/witnessMs",schemaPath:"#/properties/recovery/properties/witnessMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.recovery.properties.witnessMs.type,parentSchema:schema31.properties.recovery.properties.witnessMs,data:data29};
 if(vErrors === null){
 vErrors = [err75];
 }
@@ -969,10 +974,9 @@
 }
 errors++;
 }
-}
-let data29 = data27.clockSkewMs;
-if(!(((typeof data29 == "number") && (!(data29 % 1) && !isNaN(data29))) && (isFinite(data29)))){
-const err76 = {instancePath:instancePath+"/recovery/clockSkewMs",schemaPath:"#/properties/recovery/properties/clockSkewMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.recovery.properties.clockSkewMs.type,parentSchema:schema31.properties.recovery.properties.clockSkewMs,data:data29};
+if((typeof data29 == "number") && (isFinite(data29))){
+if(data29 > 86400000 || isNaN(data29)){
+const err76 = {instancePath:instancePath+"/recovery/witnessMs",schemaPath:"#/properties/recovery/properties/witnessMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.recovery.properties.witnessMs,data:data29};
 if(vErrors === null){
 vErrors = [err76];
 }
@@ -981,9 +985,8 @@
 }
 errors++;
 }
-if((typeof data29 == "number") && (isFinite(data29))){
-if(data29 > 86400000 || isNaN(data29)){
-const err77 = {instancePath:instancePath+"/recovery/clockSkewMs",schemaPath:"#/properties/recovery/properties/clockSkewMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.recovery.properties.clockSkewMs,data:data29};
+if(data29 < 1 || isNaN(data29)){
+const err77 = {instancePath:instancePath+"/recovery/witnessMs",schemaPath:"#/properties/recovery/properties/witnessMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.recovery.properties.witnessMs,data:data29};
 if(vErrors === null){
 vErrors = [err77];
 }
@@ -992,8 +995,10 @@
 }
 errors++;
 }
-if(data29 < 1 || isNaN(data29)){
-const err78 = {instancePath:instancePath+"/recovery/clockSkewMs",schemaPath:"#/properties/recovery/properties/clockSkewMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.recovery.properties.clockSkewMs,data:data29};
+}
+let data30 = data28.clockSkewMs;
+if(!(((typeof data30 == "number") && (!(data30 % 1) && !isNaN(data30))) && (isFinite(data30)))){
+const err78 = {instancePath:instancePath+"/recovery/clockSkewMs",schemaPath:"#/properties/recovery/properties/clockSkewMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.recovery.properties.clockSkewMs.type,parentSchema:schema31.properties.recovery.properties.clockSkewMs,data:data30};
 if(vErrors === null){
 vErrors = [err78];
 }
@@ -1002,10 +1007,9 @@
 }
 errors++;
 }
-}
-}
-else {
-const err79 = {instancePath:instancePath+"/recovery",schemaPath:"#/properties/recovery/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.recovery.type,parentSchema:schema31.properties.recovery,data:data27};
+if((typeof data30 == "number") && (isFinite(data30))){
+if(data30 > 86400000 || isNaN(data30)){
+const err79 = {instancePath:instancePath+"/recovery/clockSkewMs",schemaPath:"#/properties/recovery/properties/clockSkewMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.recovery.properties.clockSkewMs,data:data30};
 if(vErrors === null){
 vErrors = [err79];
 }
@@ -1014,14 +1018,8 @@
 }
 errors++;
 }
-let data30 = data.dispatch;
-if(data30 && typeof data30 == "object" && !Array.isArray(data30)){
-if(data30.policy === undefined){
-data30.policy = "credits";
-}
-for(const key6 in data30){
-if(!(key6 === "policy")){
-const err80 = {instancePath:instancePath+"/dispatch",schemaPath:"#/properties/dispatch/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key6},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.dispatch,data:data30};
+if(data30 < 1 || isNaN(data30)){
+const err80 = {instancePath:instancePath+"/recovery/clockSkewMs",schemaPath:"#/properties/recovery/properties/clockSkewMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.recovery.properties.clockSkewMs,data:data30};
 if(vErrors === null){
 vErrors = [err80];
 }
@@ -1031,9 +1029,9 @@
 errors++;
 }
 }
-let data31 = data30.policy;
-if(!(((((data31 === "credits") || (data31 === "leastOutstanding")) || (data31 === "powerOfTwo")) || (data31 === "roundRobin")) || (data31 === "random"))){
-const err81 = {instancePath:instancePath+"/dispatch/policy",schemaPath:"#/properties/dispatch/properties/policy/enum",keyword:"enum",params:{allowedValues: schema31.properties.dispatch.properties.policy.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.dispatch.properties.policy.enum,parentSchema:schema31.properties.dispatch.properties.policy,data:data31};
+}
+else {
+const err81 = {instancePath:instancePath+"/recovery",schemaPath:"#/properties/recovery/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.recovery.type,parentSchema:schema31.properties.recovery,data:data28};
 if(vErrors === null){
 vErrors = [err81];
 }
@@ -1042,9 +1040,14 @@
 }
 errors++;
 }
+let data31 = data.dispatch;
+if(data31 && typeof data31 == "object" && !Array.isArray(data31)){
+if(data31.policy === undefined){
+data31.policy = "credits";
 }
-else {
-const err82 = {instancePath:instancePath+"/dispatch",schemaPath:"#/properties/dispatch/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.dispatch.type,parentSchema:schema31.properties.dispatch,data:data30};
+for(const key6 in data31){
+if(!(key6 === "policy")){
+const err82 = {instancePath:instancePath+"/dispatch",schemaPath:"#/properties/dispatch/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key6},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.dispatch,data:data31};
 if(vErrors === null){
 vErrors = [err82];
 }
@@ -1053,11 +1056,10 @@
 }
 errors++;
 }
-if(data.tls !== undefined){
-let data32 = data.tls;
-if(data32 && typeof data32 == "object" && !Array.isArray(data32)){
-if(data32.cert === undefined){
-const err83 = {instancePath:instancePath+"/tls",schemaPath:"#/properties/tls/required",keyword:"required",params:{missingProperty: "cert"},message:"must have required property '"+"cert"+"'",schema:schema31.properties.tls.required,parentSchema:schema31.properties.tls,data:data32};
+}
+let data32 = data31.policy;
+if(!(((((data32 === "credits") || (data32 === "leastOutstanding")) || (data32 === "powerOfTwo")) || (data32 === "roundRobin")) || (data32 === "random"))){
+const err83 = {instancePath:instancePath+"/dispatch/policy",schemaPath:"#/properties/dispatch/properties/policy/enum",keyword:"enum",params:{allowedValues: schema31.properties.dispatch.properties.policy.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.dispatch.properties.policy.enum,parentSchema:schema31.properties.dispatch.properties.policy,data:data32};
 if(vErrors === null){
 vErrors = [err83];
 }
@@ -1066,8 +1068,9 @@
 }
 errors++;
 }
-if(data32.key === undefined){
-const err84 = {instancePath:instancePath+"/tls",schemaPath:"#/properties/tls/required",keyword:"required",params:{missingProperty: "key"},message:"must have required property '"+"key"+"'",schema:schema31.properties.tls.required,parentSchema:schema31.properties.tls,data:data32};
+}
+else {
+const err84 = {instancePath:instancePath+"/dispatch",schemaPath:"#/properties/dispatch/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.dispatch.type,parentSchema:schema31.properties.dispatch,data:data31};
 if(vErrors === null){
 vErrors = [err84];
 }
@@ -1076,8 +1079,11 @@
 }
 errors++;
 }
-if(data32.ca === undefined){
-const err85 = {instancePath:instancePath+"/tls",schemaPath:"#/properties/tls/required",keyword:"required",params:{missingProperty: "ca"},message:"must have required property '"+"ca"+"'",schema:schema31.properties.tls.required,parentSchema:schema31.properties.tls,data:data32};
+if(data.tls !== undefined){
+let data33 = data.tls;
+if(data33 && typeof data33 == "object" && !Array.isArray(data33)){
+if(data33.cert === undefined){
+const err85 = {instancePath:instancePath+"/tls",schemaPath:"#/properties/tls/required",keyword:"required",params:{missingProperty: "cert"},message:"must have required property '"+"cert"+"'",schema:schema31.properties.tls.required,parentSchema:schema31.properties.tls,data:data33};
 if(vErrors === null){
 vErrors = [err85];
 }
@@ -1086,9 +1092,8 @@
 }
 errors++;
 }
-for(const key7 in data32){
-if(!(((key7 === "cert") || (key7 === "key")) || (key7 === "ca"))){
-const err86 = {instancePath:instancePath+"/tls",schemaPath:"#/properties/tls/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key7},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.tls,data:data32};
+if(data33.key === undefined){
+const err86 = {instancePath:instancePath+"/tls",schemaPath:"#/properties/tls/required",keyword:"required",params:{missingProperty: "key"},message:"must have required property '"+"key"+"'",schema:schema31.properties.tls.required,parentSchema:schema31.properties.tls,data:data33};
 if(vErrors === null){
 vErrors = [err86];
 }
@@ -1097,12 +1102,8 @@
 }
 errors++;
 }
-}
-if(data32.cert !== undefined){
-let data33 = data32.cert;
-if(typeof data33 === "string"){
-if(!pattern13.test(data33)){
-const err87 = {instancePath:instancePath+"/tls/cert",schemaPath:"#/properties/tls/properties/cert/pattern",keyword:"pattern",params:{pattern: "\\S"},message:"must match pattern \""+"\\S"+"\"",schema:"\\S",parentSchema:schema31.properties.tls.properties.cert,data:data33};
+if(data33.ca === undefined){
+const err87 = {instancePath:instancePath+"/tls",schemaPath:"#/properties/tls/required",keyword:"required",params:{missingProperty: "ca"},message:"must have required property '"+"ca"+"'",schema:schema31.properties.tls.required,parentSchema:schema31.properties.tls,data:data33};
 if(vErrors === null){
 vErrors = [err87];
 }
@@ -1111,9 +1112,9 @@
 }
 errors++;
 }
-}
-else {
-const err88 = {instancePath:instancePath+"/tls/cert",schemaPath:"#/properties/tls/properties/cert/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.tls.properties.cert.type,parentSchema:schema31.properties.tls.properties.cert,data:data33};
+for(const key7 in data33){
+if(!(((key7 === "cert") || (key7 === "key")) || (key7 === "ca"))){
+const err88 = {instancePath:instancePath+"/tls",schemaPath:"#/properties/tls/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key7},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.tls,data:data33};
 if(vErrors === null){
 vErrors = [err88];
 }
@@ -1123,11 +1124,11 @@
 errors++;
 }
 }
-if(data32.key !== undefined){
-let data34 = data32.key;
+if(data33.cert !== undefined){
+let data34 = data33.cert;
 if(typeof data34 === "string"){
 if(!pattern13.test(data34)){
-const err89 = {instancePath:instancePath+"/tls/key",schemaPath:"#/properties/tls/properties/key/pattern",keyword:"pattern",params:{pattern: "\\S"},message:"must match pattern \""+"\\S"+"\"",schema:"\\S",parentSchema:schema31.properties.tls.properties.key,data:data34};
+const err89 = {instancePath:instancePath+"/tls/cert",schemaPath:"#/properties/tls/properties/cert/pattern",keyword:"pattern",params:{pattern: "\\S"},message:"must match pattern \""+"\\S"+"\"",schema:"\\S",parentSchema:schema31.properties.tls.properties.cert,data:data34};
 if(vErrors === null){
 vErrors = [err89];
 }
@@ -1138,7 +1139,7 @@
 }
 }
 else {
-const err90 = {instancePath:instancePath+"/tls/key",schemaPath:"#/properties/tls/properties/key/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.tls.properties.key.type,parentSchema:schema31.properties.tls.properties.key,data:data34};
+const err90 = {instancePath:instancePath+"/tls/cert",schemaPath:"#/properties/tls/properties/cert/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.tls.properties.cert.type,parentSchema:schema31.properties.tls.properties.cert,data:data34};
 if(vErrors === null){
 vErrors = [err90];
 }
@@ -1148,11 +1149,11 @@
 errors++;
 }
 }
-if(data32.ca !== undefined){
-let data35 = data32.ca;
+if(data33.key !== undefined){
+let data35 = data33.key;
 if(typeof data35 === "string"){
 if(!pattern13.test(data35)){
-const err91 = {instancePath:instancePath+"/tls/ca",schemaPath:"#/properties/tls/properties/ca/pattern",keyword:"pattern",params:{pattern: "\\S"},message:"must match pattern \""+"\\S"+"\"",schema:"\\S",parentSchema:schema31.properties.tls.properties.ca,data:data35};
+const err91 = {instancePath:instancePath+"/tls/key",schemaPath:"#/properties/tls/properties/key/pattern",keyword:"pattern",params:{pattern: "\\S"},message:"must match pattern \""+"\\S"+"\"",schema:"\\S",parentSchema:schema31.properties.tls.properties.key,data:data35};
 if(vErrors === null){
 vErrors = [err91];
 }
@@ -1163,7 +1164,7 @@
 }
 }
 else {
-const err92 = {instancePath:instancePath+"/tls/ca",schemaPath:"#/properties/tls/properties/ca/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.tls.properties.ca.type,parentSchema:schema31.properties.tls.properties.ca,data:data35};
+const err92 = {instancePath:instancePath+"/tls/key",schemaPath:"#/properties/tls/properties/key/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.tls.properties.key.type,parentSchema:schema31.properties.tls.properties.key,data:data35};
 if(vErrors === null){
 vErrors = [err92];
 }
@@ -1173,9 +1174,11 @@
 errors++;
 }
 }
-}
-else {
-const err93 = {instancePath:instancePath+"/tls",schemaPath:"#/properties/tls/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.tls.type,parentSchema:schema31.properties.tls,data:data32};
+if(data33.ca !== undefined){
+let data36 = data33.ca;
+if(typeof data36 === "string"){
+if(!pattern13.test(data36)){
+const err93 = {instancePath:instancePath+"/tls/ca",schemaPath:"#/properties/tls/properties/ca/pattern",keyword:"pattern",params:{pattern: "\\S"},message:"must match pattern \""+"\\S"+"\"",schema:"\\S",parentSchema:schema31.properties.tls.properties.ca,data:data36};
 if(vErrors === null){
 vErrors = [err93];
 }
@@ -1185,14 +1188,8 @@
 errors++;
 }
 }
-let data36 = data.log;
-if(data36 && typeof data36 == "object" && !Array.isArray(data36)){
-if(data36.level === undefined){
-data36.level = "info";
-}
-for(const key8 in data36){
-if(!(key8 === "level")){
-const err94 = {instancePath:instancePath+"/log",schemaPath:"#/properties/log/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key8},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.log,data:data36};
+else {
+const err94 = {instancePath:instancePath+"/tls/ca",schemaPath:"#/properties/tls/properties/ca/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.tls.properties.ca.type,parentSchema:schema31.properties.tls.properties.ca,data:data36};
 if(vErrors === null){
 vErrors = [err94];
 }
@@ -1202,9 +1199,9 @@
 errors++;
 }
 }
-let data37 = data36.level;
-if(!((((data37 === "error") || (data37 === "warn")) || (data37 === "info")) || (data37 === "debug"))){
-const err95 = {instancePath:instancePath+"/log/level",schemaPath:"#/properties/log/properties/level/enum",keyword:"enum",params:{allowedValues: schema31.properties.log.properties.level.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.log.properties.level.enum,parentSchema:schema31.properties.log.properties.level,data:data37};
+}
+else {
+const err95 = {instancePath:instancePath+"/tls",schemaPath:"#/properties/tls/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.tls.type,parentSchema:schema31.properties.tls,data:data33};
 if(vErrors === null){
 vErrors = [err95];
 }
@@ -1214,8 +1211,14 @@
 errors++;
 }
 }
-else {
-const err96 = {instancePath:instancePath+"/log",schemaPath:"#/properties/log/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.log.type,parentSchema:schema31.properties.log,data:data36};
+let data37 = data.log;
+if(data37 && typeof data37 == "object" && !Array.isArray(data37)){
+if(data37.level === undefined){
+data37.level = "info";
+}
+for(const key8 in data37){
+if(!(key8 === "level")){
+const err96 = {instancePath:instancePath+"/log",schemaPath:"#/properties/log/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key8},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.log,data:data37};
 if(vErrors === null){
 vErrors = [err96];
 }
@@ -1224,20 +1227,10 @@
 }
 errors++;
 }
-let data38 = data.traces;
-if(data38 && typeof data38 == "object" && !Array.isArray(data38)){
-if(data38.sample === undefined){
-data38.sample = 0;
-}
-if(data38.otlp === undefined){
-data38.otlp = "";
-}
-if(data38.output === undefined){
-data38.output = "";
 }
-for(const key9 in data38){
-if(!(((key9 === "sample") || (key9 === "otlp")) || (key9 === "output"))){
-const err97 = {instancePath:instancePath+"/traces",schemaPath:"#/properties/traces/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key9},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.traces,data:data38};
+let data38 = data37.level;
+if(!((((data38 === "error") || (data38 === "warn")) || (data38 === "info")) || (data38 === "debug"))){
+const err97 = {instancePath:instancePath+"/log/level",schemaPath:"#/properties/log/properties/level/enum",keyword:"enum",params:{allowedValues: schema31.properties.log.properties.level.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.log.properties.level.enum,parentSchema:schema31.properties.log.properties.level,data:data38};
 if(vErrors === null){
 vErrors = [err97];
 }
@@ -1247,10 +1240,8 @@
 errors++;
 }
 }
-let data39 = data38.sample;
-if((typeof data39 == "number") && (isFinite(data39))){
-if(data39 > 1 || isNaN(data39)){
-const err98 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/maximum",keyword:"maximum",params:{comparison: "<=", limit: 1},message:"must be <= 1",schema:1,parentSchema:schema31.properties.traces.properties.sample,data:data39};
+else {
+const err98 = {instancePath:instancePath+"/log",schemaPath:"#/properties/log/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.log.type,parentSchema:schema31.properties.log,data:data37};
 if(vErrors === null){
 vErrors = [err98];
 }
@@ -1259,8 +1250,20 @@
 }
 errors++;
 }
-if(data39 < 0 || isNaN(data39)){
-const err99 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema31.properties.traces.properties.sample,data:data39};
+let data39 = data.traces;
+if(data39 && typeof data39 == "object" && !Array.isArray(data39)){
+if(data39.sample === undefined){
+data39.sample = 0;
+}
+if(data39.otlp === undefined){
+data39.otlp = "";
+}
+if(data39.output === undefined){
+data39.output = "";
+}
+for(const key9 in data39){
+if(!(((key9 === "sample") || (key9 === "otlp")) || (key9 === "output"))){
+const err99 = {instancePath:instancePath+"/traces",schemaPath:"#/properties/traces/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key9},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.traces,data:data39};
 if(vErrors === null){
 vErrors = [err99];
 }
@@ -1270,8 +1273,10 @@
 errors++;
 }
 }
-else {
-const err100 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema31.properties.traces.properties.sample.type,parentSchema:schema31.properties.traces.properties.sample,data:data39};
+let data40 = data39.sample;
+if((typeof data40 == "number") && (isFinite(data40))){
+if(data40 > 1 || isNaN(data40)){
+const err100 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/maximum",keyword:"maximum",params:{comparison: "<=", limit: 1},message:"must be <= 1",schema:1,parentSchema:schema31.properties.traces.properties.sample,data:data40};
 if(vErrors === null){
 vErrors = [err100];
 }
@@ -1280,10 +1285,8 @@
 }
 errors++;
 }
-let data40 = data38.otlp;
-if(typeof data40 === "string"){
-if(!pattern16.test(data40)){
-const err101 = {instancePath:instancePath+"/traces/otlp",schemaPath:"#/properties/traces/properties/otlp/pattern",keyword:"pattern",params:{pattern: "^(https?://\\S+)?$"},message:"must match pattern \""+"^(https?://\\S+)?$"+"\"",schema:"^(https?://\\S+)?$",parentSchema:schema31.properties.traces.properties.otlp,data:data40};
+if(data40 < 0 || isNaN(data40)){
+const err101 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema31.properties.traces.properties.sample,data:data40};
 if(vErrors === null){
 vErrors = [err101];
 }
@@ -1294,7 +1297,7 @@
 }
 }
 else {
-const err102 = {instancePath:instancePath+"/traces/otlp",schemaPath:"#/properties/traces/properties/otlp/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.traces.properties.otlp.type,parentSchema:schema31.properties.traces.properties.otlp,data:data40};
+const err102 = {instancePath:instancePath+"/traces/sample",schemaPath:"#/properties/traces/properties/sample/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema31.properties.traces.properties.sample.type,parentSchema:schema31.properties.traces.properties.sample,data:data40};
 if(vErrors === null){
 vErrors = [err102];
 }
@@ -1303,9 +1306,10 @@
 }
 errors++;
 }
-let data41 = data38.output;
-if(!((data41 === "") || (data41 === "stdout"))){
-const err103 = {instancePath:instancePath+"/traces/output",schemaPath:"#/properties/traces/properties/output/enum",keyword:"enum",params:{allowedValues: schema31.properties.traces.properties.output.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.traces.properties.output.enum,parentSchema:schema31.properties.traces.properties.output,data:data41};
+let data41 = data39.otlp;
+if(typeof data41 === "string"){
+if(!pattern16.test(data41)){
+const err103 = {instancePath:instancePath+"/traces/otlp",schemaPath:"#/properties/traces/properties/otlp/pattern",keyword:"pattern",params:{pattern: "^(https?://\\S+)?$"},message:"must match pattern \""+"^(https?://\\S+)?$"+"\"",schema:"^(https?://\\S+)?$",parentSchema:schema31.properties.traces.properties.otlp,data:data41};
 if(vErrors === null){
 vErrors = [err103];
 }
@@ -1316,7 +1320,7 @@
 }
 }
 else {
-const err104 = {instancePath:instancePath+"/traces",schemaPath:"#/properties/traces/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.traces.type,parentSchema:schema31.properties.traces,data:data38};
+const err104 = {instancePath:instancePath+"/traces/otlp",schemaPath:"#/properties/traces/properties/otlp/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema31.properties.traces.properties.otlp.type,parentSchema:schema31.properties.traces.properties.otlp,data:data41};
 if(vErrors === null){
 vErrors = [err104];
 }
@@ -1325,14 +1329,9 @@
 }
 errors++;
 }
-let data42 = data.stop;
-if(data42 && typeof data42 == "object" && !Array.isArray(data42)){
-if(data42.drainMs === undefined){
-data42.drainMs = 30000;
-}
-for(const key10 in data42){
-if(!(key10 === "drainMs")){
-const err105 = {instancePath:instancePath+"/stop",schemaPath:"#/properties/stop/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key10},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.stop,data:data42};
+let data42 = data39.output;
+if(!((data42 === "") || (data42 === "stdout"))){
+const err105 = {instancePath:instancePath+"/traces/output",schemaPath:"#/properties/traces/properties/output/enum",keyword:"enum",params:{allowedValues: schema31.properties.traces.properties.output.enum},message:"must be equal to one of the allowed values",schema:schema31.properties.traces.properties.output.enum,parentSchema:schema31.properties.traces.properties.output,data:data42};
 if(vErrors === null){
 vErrors = [err105];
 }
@@ -1342,9 +1341,8 @@
 errors++;
 }
 }
-let data43 = data42.drainMs;
-if(!(((typeof data43 == "number") && (!(data43 % 1) && !isNaN(data43))) && (isFinite(data43)))){
-const err106 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.stop.properties.drainMs.type,parentSchema:schema31.properties.stop.properties.drainMs,data:data43};
+else {
+const err106 = {instancePath:instancePath+"/traces",schemaPath:"#/properties/traces/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.traces.type,parentSchema:schema31.properties.traces,data:data39};
 if(vErrors === null){
 vErrors = [err106];
 }
@@ -1353,9 +1351,14 @@
 }
 errors++;
 }
-if((typeof data43 == "number") && (isFinite(data43))){
-if(data43 > 86400000 || isNaN(data43)){
-const err107 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.stop.properties.drainMs,data:data43};
+let data43 = data.stop;
+if(data43 && typeof data43 == "object" && !Array.isArray(data43)){
+if(data43.drainMs === undefined){
+data43.drainMs = 30000;
+}
+for(const key10 in data43){
+if(!(key10 === "drainMs")){
+const err107 = {instancePath:instancePath+"/stop",schemaPath:"#/properties/stop/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key10},message:"must NOT have additional properties",schema:false,parentSchema:schema31.properties.stop,data:data43};
 if(vErrors === null){
 vErrors = [err107];
 }
@@ -1364,8 +1367,10 @@
 }
 errors++;
 }
-if(data43 < 1 || isNaN(data43)){
-const err108 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.stop.properties.drainMs,data:data43};
+}
+let data44 = data43.drainMs;
+if(!(((typeof data44 == "number") && (!(data44 % 1) && !isNaN(data44))) && (isFinite(data44)))){
+const err108 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.stop.properties.drainMs.type,parentSchema:schema31.properties.stop.properties.drainMs,data:data44};
 if(vErrors === null){
 vErrors = [err108];
 }
@@ -1374,26 +1379,47 @@
 }
 errors++;
 }
+if((typeof data44 == "number") && (isFinite(data44))){
+if(data44 > 86400000 || isNaN(data44)){
+const err109 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/maximum",keyword:"maximum",params:{comparison: "<=", limit: 86400000},message:"must be <= 86400000",schema:86400000,parentSchema:schema31.properties.stop.properties.drainMs,data:data44};
+if(vErrors === null){
+vErrors = [err109];
+}
+else {
+vErrors.push(err109);
+}
+errors++;
+}
+if(data44 < 1 || isNaN(data44)){
+const err110 = {instancePath:instancePath+"/stop/drainMs",schemaPath:"#/properties/stop/properties/drainMs/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.stop.properties.drainMs,data:data44};
+if(vErrors === null){
+vErrors = [err110];
+}
+else {
+vErrors.push(err110);
+}
+errors++;
+}
 }
 }
 else {
-const err109 = {instancePath:instancePath+"/stop",schemaPath:"#/properties/stop/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.stop.type,parentSchema:schema31.properties.stop,data:data42};
+const err111 = {instancePath:instancePath+"/stop",schemaPath:"#/properties/stop/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.properties.stop.type,parentSchema:schema31.properties.stop,data:data43};
 if(vErrors === null){
-vErrors = [err109];
+vErrors = [err111];
 }
 else {
-vErrors.push(err109);
+vErrors.push(err111);
 }
 errors++;
 }
 }
 else {
-const err110 = {instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.type,parentSchema:schema31,data};
+const err112 = {instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.type,parentSchema:schema31,data};
 if(vErrors === null){
-vErrors = [err110];
+vErrors = [err112];
 }
 else {
-vErrors.push(err110);
+vErrors.push(err112);
 }
 errors++;
 }
--- a/src/link/KeepAlive.ts
+++ b/src/link/KeepAlive.ts
@@ -57,7 +57,7 @@
     const { link, timer, limits } = this;
     const leftMs = link.lastSentAt + limits.intervalMs - timer.now();
     if (leftMs > 0) {
-      this.beatLater(leftMs);
+      this.beatLater(Math.ceil(leftMs));
       return;
     }
     link.send(this.owner.heartbeat());
@@ -86,7 +86,7 @@
     }
     this.suspect(silentMs >= limits.suspectMs);
     if (link.closed.aborted) return;
-    this.checkLater(this.suspecting ? limits.intervalMs : limits.suspectMs - silentMs);
+    this.checkLater(this.suspecting ? limits.intervalMs : Math.ceil(limits.suspectMs - silentMs));
   }
 
   private suspect(suspected: boolean): void {
--- a/test/link/KeepAlive.test.ts
+++ b/test/link/KeepAlive.test.ts
@@ -95,3 +95,18 @@
   await timer.advance(30_000);
   expect(network.counts()).toEqual({ dial: 1, 'dial.answer': 1 });
 });
+
+it('waits whole milliseconds, so that a rest below the clock can tell does not spin', async () => {
+  const { timer, near, far, keep } = await linked();
+  const delays: number[] = [];
+  const after = timer.after.bind(timer);
+  timer.after = (delayMs, handler) => {
+    delays.push(delayMs);
+    return after(delayMs, handler);
+  };
+  keep(near);
+  await timer.advance(500.3);
+  [near, far].forEach((link) => link.send(heartbeat()));
+  await timer.advance(9000);
+  expect(delays.filter((delayMs) => !Number.isInteger(delayMs))).toEqual([]);
+});
