--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -553,6 +553,7 @@
     const { settings, timer, random, log } = this.options;
     return CallerServer.create({
       limits: settings.limits,
+      tls: this.options.tls,
       manifest: () => this.callersManifest,
       version: () => this.configurations.number,
       reached: (version) => this.configurations.reached(version, timer, VERSION_WAIT_MS),
