--- a/src/dispatch/Placement.ts
+++ b/src/dispatch/Placement.ts
@@ -6,4 +6,6 @@
   readonly sidecar: string;
   /** The credit it is started with; policies other than credits have none. */
   readonly credit?: Credit;
+  /** The entry that lent the credit, if it is borrowed. */
+  readonly lender?: string;
 }
--- a/src/recovery/Recovery.ts
+++ b/src/recovery/Recovery.ts
@@ -1,13 +1,19 @@
 import { create } from '@bufbuild/protobuf';
+import ownerOf from '../core/ownerOf';
+import ownersIn from '../core/ownersIn';
 import {
   ClaimRequestSchema,
+  type ClaimResponse,
   type Fenced,
   type HeldJob,
   type RosterItem,
   type Settlement,
+  type Testimony,
+  TestimonySchema,
   type View,
 } from '../gen/magnoliakeel/v1/peer_pb';
 import Fences from './Fences';
+import type Inquiry from './Inquiry';
 import type PastOwner from './PastOwner';
 import pastOwners from './pastOwners';
 import type Provenance from './Provenance';
@@ -60,79 +66,123 @@
   async resolve(job: string, createdMs: number): Promise<Provenance> {
     const sinceMs = createdMs - this.options.clockSkewMs;
     const owners = pastOwners(this.options.views.current, job, sinceMs, this.options.self);
-    const claimed = await this.claim(job, owners);
-    if (claimed) return claimed;
+    const claims = await this.claim(job, owners);
+    const verdict = claims.find(isHeld) ?? claims.find(isVerdict);
+    if (verdict) return verdict;
+    const told = claims.filter(isTold);
+    const testimonies = told.flatMap((claim) => claim.testimonies);
+    const named = told.flatMap((claim) => claim.named);
+    const inquiry = { job, createdMs, testimonies, named };
     const removed = owners.filter((owner) => owner.address === undefined && !owner.departed);
-    const doubts = await Promise.all(removed.map((owner) => this.inDoubt(owner, createdMs)));
-    return this.collect(job, doubts.includes(true) || this.settlements.touches(job));
+    const doubts = await Promise.all(removed.map((owner) => this.inDoubt(inquiry, owner)));
+    return this.collect(inquiry, doubts.includes(true) || this.settlements.touches(job));
+  }
+
+  /** What sidecars have told this entry of a job while it was its own, for the job's next owner. */
+  testify(job: string): { testimonies: Testimony[]; named: string[] } {
+    const testimonies = this.fences.sidecars.flatMap((sidecar) => {
+      const number = this.fences.viewsOf(sidecar).findLast((view) => this.ownedIn(view, job));
+      if (number === undefined) return [];
+      return [create(TestimonySchema, { sidecar, viewNumber: number })];
+    });
+    return { testimonies, named: this.fences.sidecarsOf(job) };
   }
 
   /** Forgets what no job that can still be submitted depends on. */
   expire(wallMs: number): void {
     this.roster.expire(wallMs);
     this.settlements.expire(wallMs);
+    this.fences.keepOnly(new Set(this.roster.all().map(({ incarnation }) => incarnation)));
   }
 
-  /** Asks the past owners that are still members; gives a verdict if one holds the job or can't be asked. */
-  private async claim(job: string, owners: readonly PastOwner[]): Promise<Provenance | undefined> {
+  /** Asks the past owners that are still members: each gives a verdict or tells what it heard. */
+  private claim(
+    job: string,
+    owners: readonly PastOwner[],
+  ): Promise<(Provenance | ClaimResponse)[]> {
     const view = this.options.views.current;
     const asked = owners.filter((owner) => owner.address !== undefined);
-    const verdicts = await Promise.all(asked.map((owner) => this.claimOne(job, owner, view)));
-    return verdicts.find((verdict) => verdict?.kind === 'held') ?? verdicts.find(Boolean);
+    return Promise.all(asked.map((owner) => this.claimOne(job, owner, view)));
   }
 
   private async claimOne(
     job: string,
     { incarnation, address }: PastOwner,
     view: View,
-  ): Promise<Provenance | undefined> {
+  ): Promise<Provenance | ClaimResponse> {
     const req = create(ClaimRequestSchema, { job, view });
     const reply = await this.options.network.claim(address!, req);
     if (reply.isErr()) {
       const reason = `the job's former owner can't be asked: ${reply.error.reason}`;
       return { kind: 'unavailable', reason };
     }
-    return reply.value.held ? { kind: 'held', incarnation } : undefined;
+    return reply.value.held ? { kind: 'held', incarnation } : reply.value;
   }
 
   /**
    * Waits until every sidecar that may have started tasks for a removed owner
-   * has confirmed the present view. True when one is lost that the owner had
-   * not settled, for jobs that are old enough to have been started there.
+   * has named the jobs that it knows of it. True when one is lost that did not
+   * and that the owner had not settled, for jobs that are old enough.
    */
-  private async inDoubt(owner: PastOwner, createdMs: number): Promise<boolean> {
-    const { timer, views, witnessMs, clockSkewMs } = this.options;
-    const sinceMs = createdMs - clockSkewMs;
-    const viewNumber = views.number;
+  private async inDoubt(inquiry: Inquiry, owner: PastOwner): Promise<boolean> {
+    const { timer, witnessMs, clockSkewMs } = this.options;
+    const { job, createdMs } = inquiry;
     const deadline = timer.now() + witnessMs;
-    let open = this.openWitnesses(owner, sinceMs, viewNumber);
-    while (this.isWorthWaiting(owner, open) && timer.now() < deadline) {
+    let open = this.openWitnesses(inquiry, owner);
+    while (this.isWorthWaiting(job, owner, open) && timer.now() < deadline) {
       const over = new AbortController();
       await Promise.race([
         this.fences.nextChange(),
         timer.sleep(deadline - timer.now(), over.signal),
       ]);
       over.abort();
-      open = this.openWitnesses(owner, sinceMs, viewNumber);
+      open = this.openWitnesses(inquiry, owner);
     }
     const oldEnough = createdMs <= owner.removedMs! + clockSkewMs;
     return oldEnough && (open.length > 0 || !this.isInformed(owner));
   }
 
   /** Whether an open witness may still confirm, or a roster may still come. */
-  private isWorthWaiting(owner: PastOwner, open: readonly RosterItem[]): boolean {
+  private isWorthWaiting(job: string, owner: PastOwner, open: readonly RosterItem[]): boolean {
+    if (!this.ownedIn(this.options.views.number, job)) return false;
     if (!this.isInformed(owner)) return true;
     const longAgo = this.options.timer.wall() - this.options.witnessMs;
     return open.some((item) => !item.ended || Number(item.seenMs) > longAgo);
   }
 
-  private openWitnesses(owner: PastOwner, sinceMs: number, viewNumber: bigint): RosterItem[] {
+  private openWitnesses(inquiry: Inquiry, owner: PastOwner): RosterItem[] {
     return this.roster
-      .activeSince(sinceMs)
-      .filter(({ incarnation }) => !this.fences.covers(incarnation, viewNumber))
+      .activeSince(inquiry.createdMs - this.options.clockSkewMs)
+      .filter(({ incarnation }) => !this.hasNamed(incarnation, inquiry, owner))
       .filter(({ incarnation }) => !this.settlements.has(incarnation, owner.incarnation));
   }
 
+  /**
+   * Whether a sidecar has named what it started for a removed owner, to this
+   * entry or to a former owner, in a view in which the job was the hearer's.
+   * That stays true.
+   */
+  private hasNamed(sidecar: string, inquiry: Inquiry, { removedIn }: PastOwner): boolean {
+    const { job, testimonies } = inquiry;
+    const isHeard = this.fences
+      .viewsOf(sidecar)
+      .some((number) => number >= removedIn! && this.ownedIn(number, job));
+    return (
+      isHeard ||
+      testimonies.some((told) => told.sidecar === sidecar && told.viewNumber >= removedIn!)
+    );
+  }
+
+  private ownedIn(number: bigint, job: string): boolean {
+    const { views, self } = this.options;
+    const { current } = views;
+    const owners =
+      number === current.number
+        ? ownersIn(current)
+        : current.past.find((past) => past.number === number)?.incarnations;
+    return owners !== undefined && ownerOf(job, owners) === self;
+  }
+
   /** Whether the roster comes from a process that was a member together with the owner. */
   private isInformed(owner: PastOwner): boolean {
     return this.options.views.current.past.some((past) => {
@@ -142,8 +192,8 @@
     });
   }
 
-  private async collect(job: string, doubt: boolean): Promise<Provenance> {
-    const sidecars = this.fences.sidecarsOf(job);
+  private async collect({ job, named }: Inquiry, doubt: boolean): Promise<Provenance> {
+    const sidecars = [...new Set([...this.fences.sidecarsOf(job), ...named])];
     if (sidecars.length === 0 && !doubt) return { kind: 'fresh' };
     const reports = await Promise.all(sidecars.map((name) => this.options.adopt(name, job)));
     const tasks = reports.flatMap((report, at) =>
@@ -153,3 +203,15 @@
     return { kind: 'continued', digest, tasks, doubt: doubt || reports.includes(undefined) };
   }
 }
+
+function isVerdict(claim: Provenance | ClaimResponse): claim is Provenance {
+  return 'kind' in claim;
+}
+
+function isTold(claim: Provenance | ClaimResponse): claim is ClaimResponse {
+  return !isVerdict(claim);
+}
+
+function isHeld(claim: Provenance | ClaimResponse): claim is Provenance {
+  return isVerdict(claim) && claim.kind === 'held';
+}
