Let an answered job's record go of the answer it unpacked

Cause: the wait for a job's answer that its time limit keeps was never removed, so each record held the unpacked answer beside the packed one for its whole retention.

--- a/src/entry/Job.ts
+++ b/src/entry/Job.ts
@@ -175,7 +175,10 @@
   private finish(answer: Answer): void {
     this.final = { outcome: answer.outcome, bytes: toBinary(AnswerSchema, answer) };
     this.results = [];
-    [...this.waiters].forEach((settle) => settle(answer));
+    const waiters = [...this.waiters];
+    // Kept, they would keep the unpacked answer.
+    this.waiters.clear();
+    waiters.forEach((settle) => settle(answer));
   }
 }
 
--- a/tools/measureCapacity/measureRecords.ts
+++ b/tools/measureCapacity/measureRecords.ts
@@ -67,6 +67,7 @@
       const inputs = new Array<Uint8Array>(size).fill(new Uint8Array());
       const submission = create(SubmissionSchema, { service: 'booking', digest: key, inputs });
       const job = Job.fromSubmission(key, submission, 0);
+      job.answered();
       for (let index = 0; index < size; index += 1) {
         job.starting(index, 'sidecar');
         const result = { index, status: TaskStatus.COMPLETED, output: output(), runMs: 1 };
