--- a/tools/measureCapacity/measureEntryTasks.ts
+++ b/tools/measureCapacity/measureEntryTasks.ts
@@ -1,7 +1,7 @@
 import EntryLoad from './EntryLoad';
 import Series from './Series';
 
-const WARM_UP = { rate: 1500, seconds: 3 };
+const WARM_UP = { rate: 1500, seconds: 10 };
 const RATES = [500, 1500];
 const RATE_SECONDS = 3;
 const TASK = 'task start/s';
