--- a/src/callers/CallerServer.ts
+++ b/src/callers/CallerServer.ts
@@ -1,4 +1,6 @@
 import http from 'node:http';
+import https from 'node:https';
+import net from 'node:net';
 import type { Duplex } from 'node:stream';
 import { create } from '@bufbuild/protobuf';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
@@ -6,6 +8,7 @@
 import ByteBudget from './ByteBudget';
 import type CallerServerOptions from './CallerServerOptions';
 import type CallerSubmission from './CallerSubmission';
+import type TlsCredentials from '../link/TlsCredentials';
 import findBodyMistake from './findBodyMistake';
 import headerOf from './headerOf';
 import parseVersion from './parseVersion';
@@ -24,7 +27,7 @@
  * hold memory or connections for long.
  */
 export default class CallerServer {
-  private readonly server: http.Server;
+  private readonly server: http.Server | https.Server;
 
   /** The last response of each open connection; none before its first request. */
   private readonly responses = new Map<Duplex, http.ServerResponse | undefined>();
@@ -41,9 +44,9 @@
   private closing = false;
 
   private constructor(private readonly options: CallerServerOptions) {
-    const { limits } = options;
+    const { limits, tls } = options;
     this.bodies = ByteBudget.of(limits.openBodyBytes);
-    this.server = http.createServer({
+    this.server = createServer(tls, {
       maxHeaderSize: limits.headerBytes,
       headersTimeout: limits.headerTimeoutMs,
       requestTimeout: limits.bodyTimeoutMs,
@@ -52,10 +55,16 @@
       noDelay: true,
     });
     this.server.maxConnections = limits.connections;
-    this.server.on('connection', (socket) => this.connected(socket));
-    this.server.on('request', (req, res) => this.serve(req, res));
-    this.server.on('checkContinue', (req, res) => this.serve(req, res));
-    this.server.on('clientError', (error, socket) => this.unreadable(error, socket));
+    this.server.on(tls ? 'secureConnection' : 'connection', (socket: Duplex) =>
+      this.connected(socket),
+    );
+    this.server.on('request', (req: http.IncomingMessage, res: http.ServerResponse) =>
+      this.serve(req, res),
+    );
+    this.server.on('checkContinue', (req: http.IncomingMessage, res: http.ServerResponse) =>
+      this.serve(req, res),
+    );
+    this.server.on('clientError', (error: Error, socket: Duplex) => this.unreadable(error, socket));
   }
 
   /** Creates the server without listening. */
@@ -79,12 +88,15 @@
   /**
    * Stops accepting; resolves once all answers under way are out. A caller
    * that still waits when the time is over is told so, which is an answer too.
+   * An idle connection is not cut, since a request may be on its way on it: it
+   * ends with its next answer or after the keep-alive time that callers know.
    */
   async close(drainMs: number): Promise<void> {
     const { timer, limits } = this.options;
     this.closing = true;
     const closed = new Promise<void>((resolve) => {
-      this.server.close(() => resolve());
+      // The method of http.Server would cut the idle connections.
+      net.Server.prototype.close.call(this.server, () => resolve());
     });
     const silent = timer.after(Math.min(limits.headerTimeoutMs, drainMs), () => this.dropSilent());
     const over = timer.after(drainMs, () => this.endWaits());
@@ -226,6 +238,15 @@
   }
 }
 
+/** A server with the limits; with credentials it follows their changes. */
+function createServer(tls: TlsCredentials | undefined, limits: http.ServerOptions) {
+  if (!tls) return http.createServer(limits);
+  const { cert, key } = tls.current;
+  const server = https.createServer({ ...limits, cert, key });
+  tls.subscribe((changed) => server.setSecureContext({ cert: changed.cert, key: changed.key }));
+  return server;
+}
+
 /** How often Node looks for requests that take too long. */
 const CHECK_INTERVAL_MS = 500;
 
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -283,8 +283,9 @@
         if (view) this.views.adopt(view);
         return this.router.forwarded(submission!, configurationVersion, never);
       },
-      claim: async ({ job, view }) => {
+      claim: async ({ job, view, owner }) => {
         if (view) this.views.adopt(view);
+        if (owner !== this.self) return create(ClaimResponseSchema, { stranger: true });
         return create(ClaimResponseSchema, {
           held: this.jobs.holds(job),
           ...this.recovery.testify(job),
@@ -552,6 +553,7 @@
     const { settings, timer, random, log } = this.options;
     return CallerServer.create({
       limits: settings.limits,
+      tls: this.options.tls,
       manifest: () => this.callersManifest,
       version: () => this.configurations.number,
       reached: (version) => this.configurations.reached(version, timer, VERSION_WAIT_MS),
--- a/src/entry/Router.ts
+++ b/src/entry/Router.ts
@@ -59,19 +59,22 @@
     gone: AbortSignal,
   ): Promise<ForwardResponse> {
     if (!(await this.hasVersion(version))) {
-      return this.responseOf({ result: { case: 'answer', value: behind() } });
+      return this.answeredWith(behind());
     }
     const reply = await this.jobs.handle(submission);
-    if (reply.kind === 'notOwner') {
-      const value = this.options.views.current;
-      const { mayHaveRun } = reply;
-      return this.responseOf({ result: { case: 'notOwner', value }, mayHaveRun });
-    }
-    const value =
-      reply.kind === 'answer'
-        ? reply.answer
-        : ((await this.passOn(submission, this.memberOf(reply.incarnation), gone)).answer ??
-          giveUp());
+    if (reply.kind === 'notOwner') return this.notOwner(reply.mayHaveRun);
+    if (reply.kind === 'answer') return this.answeredWith(reply.answer);
+    const { answer, sent } = await this.passOn(submission, this.memberOf(reply.incarnation), gone);
+    return answer ? this.answeredWith(answer) : this.notOwner(sent);
+  }
+
+  /** Has the sender try again, with the newest view. */
+  private notOwner(mayHaveRun: boolean): ForwardResponse {
+    const value = this.options.views.current;
+    return this.responseOf({ result: { case: 'notOwner', value }, mayHaveRun });
+  }
+
+  private answeredWith(value: Answer): ForwardResponse {
     return this.responseOf({ result: { case: 'answer', value } });
   }
 
--- a/src/gen/settingsSchema.ts
+++ b/src/gen/settingsSchema.ts
@@ -248,6 +248,36 @@
         },
         "default": {}
       },
+      "tls": {
+        "type": "object",
+        "description": "TLS for callers, and mutual TLS between entries and sidecars; without it their listeners are without TLS.",
+        "additionalProperties": false,
+        "properties": {
+          "cert": {
+            "type": "string",
+            "description": "Certificate of this process, followed by the ones between it and the authority.",
+            "title": "a path",
+            "pattern": "\\S"
+          },
+          "key": {
+            "type": "string",
+            "description": "Private key of the certificate.",
+            "title": "a path",
+            "pattern": "\\S"
+          },
+          "ca": {
+            "type": "string",
+            "description": "Certificate of the authority that the certificates of all entries and sidecars come from.",
+            "title": "a path",
+            "pattern": "\\S"
+          }
+        },
+        "required": [
+          "cert",
+          "key",
+          "ca"
+        ]
+      },
       "log": {
         "type": "object",
         "description": "What is logged.",
@@ -465,6 +495,36 @@
         },
         "default": {}
       },
+      "tls": {
+        "type": "object",
+        "description": "Mutual TLS for the links to entries; without it they are without TLS.",
+        "additionalProperties": false,
+        "properties": {
+          "cert": {
+            "type": "string",
+            "description": "Certificate of this process, followed by the ones between it and the authority.",
+            "title": "a path",
+            "pattern": "\\S"
+          },
+          "key": {
+            "type": "string",
+            "description": "Private key of the certificate.",
+            "title": "a path",
+            "pattern": "\\S"
+          },
+          "ca": {
+            "type": "string",
+            "description": "Certificate of the authority that the certificates of all entries and sidecars come from.",
+            "title": "a path",
+            "pattern": "\\S"
+          }
+        },
+        "required": [
+          "cert",
+          "key",
+          "ca"
+        ]
+      },
       "log": {
         "type": "object",
         "description": "What is logged.",
