--- a/src/dispatch/Dispatcher.ts
+++ b/src/dispatch/Dispatcher.ts
@@ -207,8 +207,9 @@
     const useless = held.filter((one) => !isUsable(one));
     held.filter(isUsable).forEach((usable) => lane.pool.add(usable));
     this.giveBack(lane, useless);
-    // An entry that lent useless credits is asked again only after its next heartbeat.
     this.loads.setIdle(entry, lend.service, useless.length > 0 ? 0 : lend.idle);
+    // An entry that lent useless credits is not asked again at once: they would only go to and fro.
+    if (useless.length > 0) lane.asked.open(entry, lane.queue.length, this.options.timer.now());
     this.pump(lane);
   }
 
