Doubt new ids for five seconds after a double loss, not thirty

Cause: after an owner and a sidecar are lost together, ids created up to the clock skew later end as unknown; the skew allowed was 30 s. Conclusion: 5 s holds for clocks kept by NTP; it is a setting.

--- a/src/gen/settingsSchema.ts
+++ b/src/gen/settingsSchema.ts
@@ -223,7 +223,7 @@
             "description": "Largest difference of wall clocks assumed between callers and entries.",
             "minimum": 1,
             "maximum": 86400000,
-            "default": 30000
+            "default": 5000
           }
         },
         "default": {}
@@ -442,7 +442,7 @@
             "description": "Largest difference of wall clocks assumed between callers and sidecars.",
             "minimum": 1,
             "maximum": 86400000,
-            "default": 30000
+            "default": 5000
           }
         },
         "default": {}
