--- a/test/settings/loadSettings.test.ts
+++ b/test/settings/loadSettings.test.ts
@@ -56,7 +56,7 @@
 test('defaults are filled in', () => {
   const settings = loadSettings(ENTRY, 'a.yaml').unwrapOr(undefined);
   expect(JSON.stringify(settings)).toMatchInlineSnapshot(
-    `"{"role":"entry","cluster":"c","instance":"e1","zone":"a","listen":{"callers":"127.0.0.1:0","peers":"127.0.0.1:7000","operators":"127.0.0.1:0"},"store":{"address":"127.0.0.1:2400","leaseMs":5000,"timeoutMs":2000,"callsPerSecond":20},"peers":[],"limits":{"bodyBytes":4194304,"openBodyBytes":134217728,"headerBytes":16384,"bodyTimeoutMs":10000,"headerTimeoutMs":5000,"connections":2000,"recordBytes":268435456},"heartbeat":{"intervalMs":1000,"suspectMs":3000,"closeMs":10000},"recovery":{"witnessMs":3000,"clockSkewMs":30000},"dispatch":{"policy":"credits"},"log":{"level":"info"},"traces":{"sample":0,"otlp":"","output":""},"stop":{"drainMs":30000},"advertise":"127.0.0.1:7000"}"`,
+    `"{"role":"entry","cluster":"c","instance":"e1","zone":"a","listen":{"callers":"127.0.0.1:0","peers":"127.0.0.1:7000","operators":"127.0.0.1:0"},"store":{"address":"127.0.0.1:2400","leaseMs":5000,"timeoutMs":2000,"callsPerSecond":20},"peers":[],"limits":{"bodyBytes":4194304,"openBodyBytes":134217728,"headerBytes":16384,"bodyTimeoutMs":10000,"headerTimeoutMs":5000,"connections":2000,"recordBytes":268435456},"heartbeat":{"intervalMs":1000,"suspectMs":3000,"closeMs":10000},"recovery":{"witnessMs":3000,"clockSkewMs":5000},"dispatch":{"policy":"credits"},"log":{"level":"info"},"traces":{"sample":0,"otlp":"","output":""},"stop":{"drainMs":30000},"advertise":"127.0.0.1:7000"}"`,
   );
 });
 
