--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -10,19 +10,13 @@
 import {
   type Answer,
   AnswerSchema,
-  ClaimResponseSchema,
   type Configuration,
   ConfigurationSchema,
   GoodbyeSchema,
-  HandoverResponseSchema,
   type Heartbeat,
   HeartbeatSchema,
-  type Hello,
-  HelloSchema,
   type InspectRequest,
   type InspectResponse,
-  type Member,
-  MemberSchema,
   Outcome,
   Role,
   type View,
@@ -31,15 +25,14 @@
 import handleMessage from '../link/handleMessage';
 import type Link from '../link/Link';
 import type Listener from '../link/Listener';
-import type PeerHandlers from '../link/PeerHandlers';
 import type PeerMessage from '../link/PeerMessage';
-import PROTOCOL_VERSION from '../link/PROTOCOL_VERSION';
 import Membership from '../membership/Membership';
 import StoreWatch from '../membership/StoreWatch';
 import Recovery from '../recovery/Recovery';
 import type Manifest from '../settings/Manifest';
 import Admission from './Admission';
 import type EntryAddresses from './EntryAddresses';
+import EntryIdentity from './EntryIdentity';
 import EntryLinks from './EntryLinks';
 import entryMessageHandlers from './entryMessageHandlers';
 import type EntryOptions from './EntryOptions';
@@ -47,6 +40,8 @@
 import inspectEntry from './inspectEntry';
 import Jobs from './Jobs';
 import ManifestView from './ManifestView';
+import OwnerWatch from './OwnerWatch';
+import peerHandlersOf from './peerHandlersOf';
 import RetryBudget from './RetryBudget';
 import Router from './Router';
 import SidecarLinks from './SidecarLinks';
@@ -80,13 +75,15 @@
 
   readonly entryLinks: EntryLinks;
 
-  private readonly sightings: Sightings;
+  readonly sightings: Sightings;
 
   private readonly callers: CallerServer;
 
   private readonly budget: RetryBudget;
 
-  private readonly watchers = new Set<() => void>();
+  private readonly identity: EntryIdentity;
+
+  private readonly ownerWatch: OwnerWatch;
 
   private leaving = false;
 
@@ -99,6 +96,12 @@
   private readonly seeds: SeedLinks;
 
   private constructor(private readonly options: EntryOptions) {
+    this.identity = EntryIdentity.of(options, () => this.addresses?.peers);
+    this.ownerWatch = OwnerWatch.create({
+      timer: options.timer,
+      views: this.views,
+      isSuspected: (incarnation) => this.entryLinks.isSuspected(incarnation),
+    });
     this.budget = RetryBudget.create((name) => this.manifest.service(name)?.retryBudget ?? 0);
     this.dispatcher = this.createDispatcher();
     this.recovery = this.createRecovery();
@@ -151,7 +154,7 @@
   async listenToPeers(): Promise<Result<string, string>> {
     const { peers } = this.options.settings.listen;
     const { network } = this.options;
-    const listener = await network.listen(peers, () => this.hello(), this.peerHandlers());
+    const listener = await network.listen(peers, () => this.identity.hello(), peerHandlersOf(this));
     if (listener.isErr()) return err(`${peers}: ${listener.error.reason}`);
     this.listener = listener.value;
     return ok(listener.value.address);
@@ -237,7 +240,7 @@
       this.options.log.warn('this entry was removed from the view');
       this.jobs.abandon();
     }
-    this.wakeWatchers();
+    this.ownerWatch.changed();
   }
 
   private async leave(membership: Membership): Promise<void> {
@@ -275,32 +278,6 @@
     this.recovery.expire(timer.wall() - keepMs);
   }
 
-  private peerHandlers(): PeerHandlers {
-    const never = new AbortController().signal;
-    return {
-      link: (link) => linkServers[link.peer.role](this, link),
-      forward: async ({ submission, view, configurationVersion }) => {
-        if (view) this.views.adopt(view);
-        return this.router.forwarded(submission!, configurationVersion, never);
-      },
-      claim: async ({ job, view, owner }) => {
-        if (view) this.views.adopt(view);
-        if (owner !== this.self) return create(ClaimResponseSchema, { stranger: true });
-        return create(ClaimResponseSchema, {
-          held: this.jobs.holds(job),
-          ...this.recovery.testify(job),
-        });
-      },
-      handover: async ({ view, records }) => {
-        if (view) this.views.adopt(view);
-        this.jobs.takeOver(records);
-        this.sightings.took(records);
-        return create(HandoverResponseSchema);
-      },
-      inspect: async (req) => this.inspect(req),
-    };
-  }
-
   private greet(link: Link): void {
     if (this.views.number > 0n) link.send({ case: 'view', value: this.views.current });
     if (this.configurations.number > 0n) {
@@ -320,37 +297,6 @@
     });
   }
 
-  private hello(): Hello {
-    const { settings, incarnation } = this.options;
-    return create(HelloSchema, {
-      protocol: PROTOCOL_VERSION,
-      cluster: settings.cluster,
-      role: Role.ENTRY,
-      instance: settings.instance,
-      incarnation,
-      zone: settings.zone,
-      address: this.member().address,
-      operators: this.options.operators?.() ?? '',
-    });
-  }
-
-  private member(): Member {
-    const { settings, incarnation } = this.options;
-    const address = this.advertised();
-    return create(MemberSchema, {
-      instance: settings.instance,
-      incarnation,
-      address,
-      zone: settings.zone,
-      operators: this.options.operators?.() ?? '',
-    });
-  }
-
-  private advertised(): string {
-    const { advertise, listen } = this.options.settings;
-    return advertise === listen.peers ? (this.addresses?.peers ?? advertise) : advertise;
-  }
-
   private get self(): string {
     return this.options.incarnation;
   }
@@ -363,36 +309,6 @@
     return ownerOf(key, ownersIn(this.views.current)) === this.self;
   }
 
-  private wakeWatchers(): void {
-    [...this.watchers].forEach((wake) => wake());
-  }
-
-  private async viewOrDelay(delayMs: number): Promise<void> {
-    const over = new AbortController();
-    const wake = () => over.abort();
-    const unsubscribe = this.views.subscribe(wake);
-    await this.options.timer.sleep(delayMs, over.signal);
-    unsubscribe();
-  }
-
-  private untilSuspected(incarnation: string, gone: AbortSignal) {
-    const control = new AbortController();
-    const check = () => {
-      const isMember = this.views.current.members.some(
-        (member) => member.incarnation === incarnation,
-      );
-      if (!isMember || this.entryLinks.isSuspected(incarnation)) control.abort();
-    };
-    const abort = () => control.abort();
-    this.watchers.add(check);
-    gone.addEventListener('abort', abort, { once: true });
-    const end = () => {
-      this.watchers.delete(check);
-      gone.removeEventListener('abort', abort);
-    };
-    return { signal: control.signal, end };
-  }
-
   private createDispatcher(): Dispatcher {
     return Dispatcher.create({
       timer: this.options.timer,
@@ -463,8 +379,8 @@
         configurations: this.configurations,
         ownerWaitMs: settings.store.leaseMs + settings.heartbeat.suspectMs,
         isSuspected: (incarnation) => this.entryLinks.isSuspected(incarnation),
-        untilSuspected: (incarnation, gone) => this.untilSuspected(incarnation, gone),
-        viewOrDelay: (delayMs) => this.viewOrDelay(delayMs),
+        untilSuspected: (incarnation, gone) => this.ownerWatch.untilSuspected(incarnation, gone),
+        viewOrDelay: (delayMs) => this.ownerWatch.viewOrDelay(delayMs),
       },
       this.jobs,
     );
@@ -517,7 +433,7 @@
       random,
       network,
       self: this.self,
-      hello: () => this.hello(),
+      hello: () => this.identity.hello(),
       keepAlive: settings.heartbeat,
       heartbeat: () => this.heartbeat(),
       greet: (link) => this.greet(link),
@@ -531,7 +447,7 @@
         handleMessage(entryMessageHandlers, parts, message);
       },
       unlinked: (incarnation) => this.dispatcher.entryLost(incarnation),
-      changed: () => this.wakeWatchers(),
+      changed: () => this.ownerWatch.changed(),
     });
   }
 
@@ -541,7 +457,7 @@
       ...{ timer, random, network },
       addresses: settings.peers,
       self: this.self,
-      hello: () => this.hello(),
+      hello: () => this.identity.hello(),
       keepAlive: settings.heartbeat,
       views: this.views,
       configurations: this.configurations,
@@ -572,7 +488,7 @@
       store,
       timer,
       random,
-      self: this.member(),
+      self: this.identity.member(),
       views: this.views,
       isSuspected: (incarnation) => this.entryLinks.isSuspected(incarnation),
       retentionMs: () => this.manifest.longestRetentionMs,
@@ -614,12 +530,6 @@
 /** How long the last messages get to go out. */
 const LINGER_MS = 200;
 
-const linkServers: Record<Role, (entry: Entry, link: Link) => Promise<void>> = {
-  [Role.UNSPECIFIED]: async (_entry, link) => link.close(),
-  [Role.ENTRY]: (entry, link) => entry.entryLinks.serve(link),
-  [Role.SIDECAR]: (entry, link) => entry.sidecarLinks.serve(link),
-};
-
 function notRun(reason: string): Answer {
   return create(AnswerSchema, { outcome: Outcome.NOT_RUN, reason, retryAfterMs: COME_BACK_MS });
 }
