Refuse at once what would wait for more than half of its time

Cause: at 150% load with callers' deadlines of 4 s, queues grew until most tasks were started too late: work was done for callers who had given up. Change: an entry predicts a team's wait from the tasks before it and the pace of the last starts, and refuses as not run, with a jittered time to come back, when that exceeds half of the caller's time.

--- a/src/dispatch/Dispatcher.ts
+++ b/src/dispatch/Dispatcher.ts
@@ -30,6 +30,7 @@
 import pickers from './pickers';
 import type QueuedTask from './QueuedTask';
 import type SidecarPeer from './SidecarPeer';
+import StartPace from './StartPace';
 import TeamQueue from './TeamQueue';
 import traceStart from './traceStart';
 
@@ -63,6 +64,12 @@
     return this.lanes.get(service)?.queue.length ?? 0;
   }
 
+  /** How long a further task of the team would wait, by the pace of the last starts. */
+  predictedWaitMs(service: string, team: string): number {
+    const lane = this.lanes.get(service);
+    return lane ? lane.queue.ahead(team) * lane.pace.intervalMs : 0;
+  }
+
   /** Number of tasks that were sent to sidecars and have not ended. */
   get inFlight(): number {
     return this.running.size;
@@ -255,6 +262,7 @@
         queue: TeamQueue.create((team) => this.options.shareOf(team)),
         pool: CreditPool.create(),
         teamsRunning: new Map(),
+        pace: StartPace.create(),
         asking: undefined,
         asked: OpenAsks.create(),
         wants: OpenAsks.create(),
@@ -337,6 +345,7 @@
   private start(lane: Lane, task: QueuedTask, { sidecar, credit }: Placement): void {
     const { timer, owner, viewNumber, metrics } = this.options;
     metrics?.taskStarted(task.service, timer.now() - task.queuedAt);
+    lane.pace.started(timer.now(), lane.queue.length > 0);
     task.starting(sidecar);
     this.track({ task, sidecar });
     const oldest = lane.queue.oldestQueuedAt();
@@ -455,6 +464,7 @@
   readonly queue: TeamQueue;
   readonly pool: CreditPool;
   readonly teamsRunning: Map<string, number>;
+  readonly pace: StartPace;
   /** The entry that was asked for credits and has not answered. */
   asking: string | undefined;
   /** Entries that were asked, had no credit and will lend the next idle one. */
--- a/src/dispatch/TeamQueue.ts
+++ b/src/dispatch/TeamQueue.ts
@@ -90,6 +90,18 @@
     return oldest;
   }
 
+  /** About how many tasks are started before the last one of a team, by the teams' shares. */
+  ahead(team: string): number {
+    const line = this.teams.get(team);
+    const own = line ? line.tasks.length - line.head : 0;
+    let ahead = own;
+    this.forEachTeam((other, queued) => {
+      if (other === team) return;
+      ahead += Math.min(queued, ((own + 1) * this.shareOf(other)) / this.shareOf(team));
+    });
+    return ahead;
+  }
+
   /** Calls the visitor with each team that has waiting tasks and their number. */
   forEachTeam(visit: (team: string, queued: number) => void): void {
     this.teams.forEach((line) => {
--- a/src/entry/Admission.ts
+++ b/src/entry/Admission.ts
@@ -33,6 +33,10 @@
     if (queued(submission.service) + submission.inputs.length > service.queue.maxTasks) {
       return this.notRun('the queue of the service is full');
     }
+    const waitMs = this.options.predictedWaitMs(submission.service, submission.team);
+    const timeMs = Math.min(submission.deadlineMs || service.jobTimeoutMs, service.jobTimeoutMs);
+    if (waitMs > timeMs * WAIT_SHARE)
+      return this.notRun('the wait would take too much of the time');
     return undefined;
   }
 
@@ -42,4 +46,7 @@
   }
 }
 
+/** Part of the caller's time that waiting may take; the rest is for running. */
+const WAIT_SHARE = 0.5;
+
 const RETRY_AFTER_MS = 1000;
--- a/src/entry/AdmissionOptions.ts
+++ b/src/entry/AdmissionOptions.ts
@@ -7,5 +7,7 @@
   readonly recordBytes: number;
   /** Number of tasks waiting for a service. */
   readonly queued: (service: string) => number;
+  /** How long a further task of a team would wait. */
+  readonly predictedWaitMs: (service: string, team: string) => number;
   readonly isLeaving: () => boolean;
 }
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -417,6 +417,7 @@
         manifest: this.manifest,
         recordBytes: settings.limits.recordBytes,
         queued: (service) => this.dispatcher.queued(service),
+        predictedWaitMs: (service, team) => this.dispatcher.predictedWaitMs(service, team),
         isLeaving: () => this.leaving,
       },
       random,
--- /dev/null
+++ b/test/dispatch/predictedWait.test.ts
@@ -0,0 +1,32 @@
+import { expect, it } from 'vitest';
+import DispatcherCase from '../support/DispatcherCase';
+
+async function backlog(): Promise<DispatcherCase> {
+  const run = DispatcherCase.of();
+  run.link('x');
+  run.enqueue('j', { count: 300 });
+  for (let at = 0; at < 200; at += 1) {
+    run.grant('x', 1);
+    await run.timer.advance(10);
+  }
+  return run;
+}
+
+it('predicts the wait of a team by the tasks before it and the pace of starts', async () => {
+  const run = await backlog();
+  const wait = (team: string) => Math.round(run.dispatcher.predictedWaitMs('booking', team));
+  expect({ sameTeam: wait('web'), otherTeam: wait('other') }).toMatchInlineSnapshot(`
+    {
+      "otherTeam": 10,
+      "sameTeam": 1000,
+    }
+  `);
+});
+
+it('predicts no wait without a queue', () => {
+  const run = DispatcherCase.of();
+  run.link('x');
+  run.grant('x', 1);
+  run.enqueue('j');
+  expect(run.dispatcher.predictedWaitMs('booking', 'web')).toBe(0);
+});
--- a/tools/measure/LoadGenerator.ts
+++ b/tools/measure/LoadGenerator.ts
@@ -60,7 +60,7 @@
       'magnoliakeel-created': String(Date.now()),
     };
     const path = `/v1/services/booking/jobs/${id}`;
-    this.cancelLater(arrival, path);
+    this.cancelLater(arrival, path, headers);
     for (let tried = 0; tried < TRIES; tried += 1) {
       try {
         const init = { method: 'PUT', headers, body } as const;
@@ -73,10 +73,14 @@
     return this.answered(arrival, 'broken');
   }
 
-  private async cancelLater({ cancelAfterMs, entry }: Arrival, path: string): Promise<void> {
+  private async cancelLater(
+    { cancelAfterMs, entry }: Arrival,
+    path: string,
+    headers: Record<string, string>,
+  ): Promise<void> {
     if (cancelAfterMs === undefined) return;
     await sleep(cancelAfterMs);
-    await this.send(entry, path, { method: 'DELETE' }).catch(() => undefined);
+    await this.send(entry, path, { method: 'DELETE', headers }).catch(() => undefined);
   }
 
   private async send(
--- a/tools/measure/main.ts
+++ b/tools/measure/main.ts
@@ -43,6 +43,7 @@
 cli.help();
 cli.parse(process.argv, { run: false });
 await cli.runMatchedCommand();
+process.exit(0);
 
 async function measure(flags: Flags): Promise<void> {
   const results: RunResult[] = [];
