--- a/src/dispatch/CreditPool.ts
+++ b/src/dispatch/CreditPool.ts
@@ -48,12 +48,21 @@
     return best === undefined ? undefined : this.takeFrom(best);
   }
 
-  /** Takes half of the credits, rounded up, but no more than wanted. */
-  takeHalf(wanted: number): HeldCredit[] {
-    const number = Math.min(wanted, Math.ceil(this.count / 2));
+  /** Number of idle credits of sidecars that are not avoided. */
+  usable(avoid: (sidecar: string) => boolean): number {
+    let usable = 0;
+    this.bySidecar.forEach((credits, sidecar) => {
+      if (!avoid(sidecar)) usable += credits.length;
+    });
+    return usable;
+  }
+
+  /** Takes half of the usable credits, rounded up, but no more than wanted. */
+  takeHalf(wanted: number, avoid: (sidecar: string) => boolean): HeldCredit[] {
+    const number = Math.min(wanted, Math.ceil(this.usable(avoid) / 2));
     const taken: HeldCredit[] = [];
     while (taken.length < number) {
-      const credit = this.take(() => false);
+      const credit = this.take(avoid);
       if (!credit) break;
       taken.push(credit);
     }
--- a/src/dispatch/Dispatcher.ts
+++ b/src/dispatch/Dispatcher.ts
@@ -23,6 +23,7 @@
 import type PeerMessage from '../link/PeerMessage';
 import CreditPool from './CreditPool';
 import type DispatcherOptions from './DispatcherOptions';
+import Ejections from './Ejections';
 import EntryLoads from './EntryLoads';
 import type HeldCredit from './HeldCredit';
 import OpenAsks from './OpenAsks';
@@ -121,7 +122,10 @@
   /** Gives a sidecar up: its tasks may have run, and nothing more is expected of it. */
   sidecarLost(incarnation: string): void {
     this.sidecars.delete(incarnation);
-    this.lanes.forEach(({ pool }) => pool.drop(incarnation));
+    this.lanes.forEach(({ pool, ejections }) => {
+      pool.drop(incarnation);
+      ejections.drop(incarnation);
+    });
     const lost = [...(this.bySidecar.get(incarnation) ?? [])];
     lost.forEach((entry) => {
       this.forget(entry);
@@ -153,6 +157,7 @@
     const matches = entry?.task.attempt === done.task?.attempt;
     if (entry && matches) {
       this.forget(entry);
+      this.judge(entry, done.status);
       this.settleDone(entry.task, done);
     } else {
       this.options.metrics?.wasted('result_untaken');
@@ -170,6 +175,7 @@
     if (!entry || entry.sidecar !== peer.incarnation) return;
     this.options.metrics?.startRefused(refuse.cause);
     this.forget(entry);
+    this.laneOf(entry.task.service).ejections.notRun(entry.sidecar);
     if (refuse.cause === RefusalCause.DUPLICATE) {
       this.attemptLost(entry.task, 'the sidecar had started this task before');
       return;
@@ -183,6 +189,7 @@
       const entry = this.running.get(taskKey(id.job, id.index));
       if (!entry || entry.sidecar !== peer.incarnation) return;
       this.forget(entry);
+      this.laneOf(entry.task.service).ejections.notRun(entry.sidecar);
       this.startAgain(entry.task, 'never started before the new link');
     });
   }
@@ -246,7 +253,7 @@
       const oldest = lane.queue.oldestQueuedAt();
       return create(ServiceLoadSchema, {
         service,
-        idle: lane.pool.size,
+        idle: this.idle(lane),
         queued: lane.queue.length,
         oldestWaitMs: oldest === undefined ? 0 : Math.ceil(this.options.timer.now() - oldest),
         teams: [...lane.teamsRunning].map(([team, running]) => ({ team, running })),
@@ -263,6 +270,7 @@
         pool: CreditPool.create(),
         teamsRunning: new Map(),
         pace: StartPace.create(),
+        ejections: Ejections.create(() => this.options.ejectOf?.(service)),
         asking: undefined,
         asked: OpenAsks.create(),
         wants: OpenAsks.create(),
@@ -290,7 +298,7 @@
 
   /** Lends credits that are idle now to the entries that asked when there were none. */
   private lendToWaiting(lane: Lane): void {
-    while (lane.pool.size > 0) {
+    while (this.idle(lane) > 0) {
       const ask = lane.wants.takeOldest(this.options.timer.now());
       if (!ask) return;
       const value = this.lend(lane, ask.entry, ask.wanted);
@@ -299,10 +307,10 @@
   }
 
   private lend(lane: Lane, entry: string, wanted: number): Lend {
-    const taken = lane.pool.takeHalf(wanted);
+    const taken = lane.pool.takeHalf(wanted, (sidecar) => this.avoids(lane, sidecar));
     this.options.metrics?.creditsLent(lane.service, taken.length);
     this.lentTo.set(entry, [...(this.lentTo.get(entry) ?? []), ...taken].slice(-LENT_KEPT));
-    return create(LendSchema, { service: lane.service, credits: taken, idle: lane.pool.size });
+    return create(LendSchema, { service: lane.service, credits: taken, idle: this.idle(lane) });
   }
 
   private takeBack(lane: Lane, { credits }: Lend): void {
@@ -318,7 +326,16 @@
   private place(lane: Lane): Placement | undefined {
     const { policy } = this.options;
     if (policy !== 'credits') return this.placeFreely(lane, policy);
-    return lane.pool.take((sidecar) => this.sidecars.get(sidecar)?.suspected ?? true);
+    return lane.pool.take((sidecar) => this.avoids(lane, sidecar));
+  }
+
+  private avoids(lane: Lane, sidecar: string): boolean {
+    if (this.sidecars.get(sidecar)?.suspected ?? true) return true;
+    return lane.ejections.avoids(sidecar, this.options.timer.now());
+  }
+
+  private idle(lane: Lane): number {
+    return lane.pool.usable((sidecar) => this.avoids(lane, sidecar));
   }
 
   private placeFreely(lane: Lane, policy: keyof typeof pickers): Placement | undefined {
@@ -345,6 +362,7 @@
   private start(lane: Lane, task: QueuedTask, { sidecar, credit }: Placement): void {
     const { timer, owner, viewNumber, metrics } = this.options;
     metrics?.taskStarted(task.service, timer.now() - task.queuedAt);
+    lane.ejections.started(sidecar);
     lane.pace.started(timer.now(), lane.queue.length > 0);
     task.starting(sidecar);
     this.track({ task, sidecar });
@@ -405,6 +423,11 @@
     this.pump(lane);
   }
 
+  private judge({ task, sidecar }: RunningTask, status: TaskStatus): void {
+    const failed = status === TaskStatus.FAILED || status === TaskStatus.LOST;
+    this.laneOf(task.service).ejections.ended(sidecar, failed, this.options.timer.now());
+  }
+
   private settleDone(task: QueuedTask, done: Done): void {
     if (done.status === TaskStatus.LOST) {
       this.attemptLost(task, done.reason);
@@ -465,6 +488,7 @@
   readonly pool: CreditPool;
   readonly teamsRunning: Map<string, number>;
   readonly pace: StartPace;
+  readonly ejections: Ejections;
   /** The entry that was asked for credits and has not answered. */
   asking: string | undefined;
   /** Entries that were asked, had no credit and will lend the next idle one. */
--- a/src/dispatch/DispatcherOptions.ts
+++ b/src/dispatch/DispatcherOptions.ts
@@ -3,6 +3,7 @@
 import type PeerMessage from '../link/PeerMessage';
 import type EntryMetrics from '../observe/EntryMetrics';
 import type Tracer from '../observe/Tracer';
+import type ServiceConfig from '../settings/ServiceConfig';
 import type PolicyName from './PolicyName';
 
 /** What a dispatcher needs from the entry around it. */
@@ -21,6 +22,8 @@
   readonly shareOf: (team: string) => number;
   /** How many tasks of a team may run at once, everywhere; undefined for no limit. */
   readonly maxRunningOf: (team: string) => number | undefined;
+  /** When a service's failing backend servers are left alone; the defaults when not given. */
+  readonly ejectOf?: (service: string) => ServiceConfig['eject'] | undefined;
   /** Takes one retry from a service's budget, if there is one. */
   readonly mayRetry: (service: string) => boolean;
   /** Sends to another entry; false when there is no link to it. */
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -392,6 +392,7 @@
       viewNumber: () => this.views.number,
       shareOf: (team) => this.manifest.shareOf(team),
       maxRunningOf: (team) => this.manifest.maxRunningOf(team),
+      ejectOf: (name) => this.manifest.service(name)?.eject,
       mayRetry: (service) => this.budget.take(service),
       sendToEntry: (incarnation, message) => this.entryLinks.send(incarnation, message),
     });
--- /dev/null
+++ b/test/dispatch/ejections.test.ts
@@ -0,0 +1,84 @@
+import { expect, it } from 'vitest';
+import Ejections from '../../src/dispatch/Ejections';
+import { TaskStatus } from '../../src/gen/magnoliakeel/v1/peer_pb';
+import DispatcherCase from '../support/DispatcherCase';
+
+const LIMITS = {
+  failureShare: 0.5,
+  minTasks: 4,
+  windowMs: 10_000,
+  probationMs: 1000,
+  maxShare: 0.3,
+};
+
+/** Four backend servers with four finished tasks each; those named have failed some. */
+function afterFailuresOf(failing: string, failures: number): Ejections {
+  const ejections = Ejections.create(() => LIMITS);
+  for (let at = 0; at < 4; at += 1) {
+    [...'wxyz'].forEach((name) =>
+      ejections.ended(name, failing.includes(name) && at < failures, 0),
+    );
+  }
+  [...failing].forEach((name) => ejections.ended(name, failures > 0, 1));
+  return ejections;
+}
+
+function avoided(ejections: Ejections, now: number): string {
+  return [...'wxyz'].filter((name) => ejections.avoids(name, now)).join('');
+}
+
+it('avoids a backend server that fails far more than its peers, and no others', () => {
+  expect({
+    allOfOne: avoided(afterFailuresOf('x', 4), 1),
+    fewOfOne: avoided(afterFailuresOf('x', 1), 1),
+    allOfTwo: avoided(afterFailuresOf('yz', 4), 1),
+    allOfAll: avoided(afterFailuresOf('wxyz', 4), 1),
+  }).toMatchInlineSnapshot(`
+    {
+      "allOfAll": "",
+      "allOfOne": "x",
+      "allOfTwo": "y",
+      "fewOfOne": "",
+    }
+  `);
+});
+
+it('tries a single task after the probation', () => {
+  const ejections = afterFailuresOf('x', 4);
+  const afterProbation = avoided(ejections, 1001);
+  ejections.started('x');
+  ejections.notRun('x');
+  const notRun = avoided(ejections, 1001);
+  ejections.started('x');
+  const onTrial = avoided(ejections, 1001);
+  ejections.ended('x', true, 1100);
+  const afterFailure = avoided(ejections, 2099);
+  ejections.started('x');
+  ejections.ended('x', false, 2200);
+  const afterSuccess = avoided(ejections, 2200);
+  expect({ afterProbation, notRun, onTrial, afterFailure, afterSuccess }).toMatchInlineSnapshot(`
+    {
+      "afterFailure": "x",
+      "afterProbation": "",
+      "afterSuccess": "",
+      "notRun": "",
+      "onTrial": "x",
+    }
+  `);
+});
+
+it('neither uses nor lends the credits of an ejected backend server', () => {
+  const run = DispatcherCase.of({ ejectOf: () => ({ ...LIMITS, minTasks: 1, maxShare: 1 }) });
+  run.link('x');
+  run.grant('x', 1);
+  run.enqueue('j');
+  run.done('x', 'j', 0, TaskStatus.FAILED);
+  run.enqueue('k');
+  expect([run.take(), run.dispatcher.serviceLoads()[0]!.idle]).toMatchInlineSnapshot(`
+    [
+      "x: start j/0
+    j/0 FAILED",
+      0,
+    ]
+  `);
+});
