--- a/src/dispatch/Dispatcher.ts
+++ b/src/dispatch/Dispatcher.ts
@@ -24,6 +24,7 @@
 import type PeerMessage from '../link/PeerMessage';
 import CreditPool from './CreditPool';
 import type DispatcherOptions from './DispatcherOptions';
+import Ejections from './Ejections';
 import EntryLoads from './EntryLoads';
 import type HeldCredit from './HeldCredit';
 import OpenAsks from './OpenAsks';
@@ -31,6 +32,7 @@
 import pickers from './pickers';
 import type QueuedTask from './QueuedTask';
 import type SidecarPeer from './SidecarPeer';
+import StartPace from './StartPace';
 import TeamQueue from './TeamQueue';
 import traceStart from './traceStart';
 
@@ -64,6 +66,12 @@
     return this.lanes.get(service)?.queue.length ?? 0;
   }
 
+  /** How long a further task of the team would wait, by the pace of the last starts. */
+  predictedWaitMs(service: string, team: string): number {
+    const lane = this.lanes.get(service);
+    return lane ? lane.queue.ahead(team) * lane.pace.intervalMs : 0;
+  }
+
   /** Number of tasks that were sent to sidecars and have not ended. */
   get inFlight(): number {
     return this.running.size;
@@ -115,7 +123,10 @@
   /** Gives a sidecar up: its tasks may have run, and nothing more is expected of it. */
   sidecarLost(incarnation: string): void {
     this.sidecars.delete(incarnation);
-    this.lanes.forEach(({ pool }) => pool.drop(incarnation));
+    this.lanes.forEach(({ pool, ejections }) => {
+      pool.drop(incarnation);
+      ejections.drop(incarnation);
+    });
     const lost = [...(this.bySidecar.get(incarnation) ?? [])];
     lost.forEach((entry) => {
       this.forget(entry);
@@ -148,6 +159,7 @@
     const matches = entry?.task.attempt === done.task?.attempt;
     if (entry && matches) {
       this.forget(entry);
+      this.judge(entry, done.status);
       this.settleDone(entry.task, done);
     } else {
       this.options.metrics?.wasted('result_untaken');
@@ -165,6 +177,7 @@
     if (!entry || entry.sidecar !== peer.incarnation) return;
     this.options.metrics?.startRefused(refuse.cause);
     this.forget(entry);
+    this.laneOf(entry.task.service).ejections.notRun(entry.sidecar);
     if (refuse.cause === RefusalCause.DUPLICATE) {
       this.attemptLost(entry.task, 'the sidecar had started this task before');
       return;
@@ -178,6 +191,7 @@
       const entry = this.running.get(taskKey(id.job, id.index));
       if (!entry || entry.sidecar !== peer.incarnation) return;
       this.forget(entry);
+      this.laneOf(entry.task.service).ejections.notRun(entry.sidecar);
       this.giveBackOf(entry);
       this.startAgain(entry.task, 'never started before the new link');
     });
@@ -243,7 +257,7 @@
       const oldest = lane.queue.oldestQueuedAt();
       return create(ServiceLoadSchema, {
         service,
-        idle: lane.pool.size,
+        idle: this.idle(lane),
         queued: lane.queue.length,
         oldestWaitMs: oldest === undefined ? 0 : Math.ceil(this.options.timer.now() - oldest),
         teams: [...lane.teamsRunning]
@@ -271,6 +285,8 @@
         queue: TeamQueue.create((team) => this.options.shareOf(team)),
         pool: CreditPool.create(),
         teamsRunning: new Map(),
+        pace: StartPace.create(),
+        ejections: Ejections.create(() => this.options.ejectOf?.(service)),
         asking: undefined,
         asked: OpenAsks.create(),
         wants: OpenAsks.create(),
@@ -298,7 +314,7 @@
 
   /** Lends credits that are idle now to the entries that asked when there were none. */
   private lendToWaiting(lane: Lane): void {
-    while (lane.pool.size > 0) {
+    while (this.idle(lane) > 0) {
       const ask = lane.wants.takeOldest(this.options.timer.now());
       if (!ask) return;
       const value = this.lend(lane, ask.entry, ask.wanted);
@@ -307,11 +323,11 @@
   }
 
   private lend(lane: Lane, entry: string, wanted: number): Lend {
-    const taken = lane.pool.takeHalf(wanted);
+    const taken = lane.pool.takeHalf(wanted, (sidecar) => this.avoids(lane, sidecar));
     this.options.metrics?.creditsLent(lane.service, taken.length);
     this.lentTo.set(entry, [...(this.lentTo.get(entry) ?? []), ...taken].slice(-LENT_KEPT));
     const credits = taken.map(({ sidecar, credit }) => ({ sidecar, credit }));
-    return create(LendSchema, { service: lane.service, credits, idle: lane.pool.size });
+    return create(LendSchema, { service: lane.service, credits, idle: this.idle(lane) });
   }
 
   private takeBack(lane: Lane, { credits }: Lend): void {
@@ -327,7 +343,16 @@
   private place(lane: Lane): Placement | undefined {
     const { policy } = this.options;
     if (policy !== 'credits') return this.placeFreely(lane, policy);
-    return lane.pool.take((sidecar) => this.sidecars.get(sidecar)?.suspected ?? true);
+    return lane.pool.take((sidecar) => this.avoids(lane, sidecar));
+  }
+
+  private avoids(lane: Lane, sidecar: string): boolean {
+    if (this.sidecars.get(sidecar)?.suspected ?? true) return true;
+    return lane.ejections.avoids(sidecar, this.options.timer.now());
+  }
+
+  private idle(lane: Lane): number {
+    return lane.pool.usable((sidecar) => this.avoids(lane, sidecar));
   }
 
   private placeFreely(lane: Lane, policy: keyof typeof pickers): Placement | undefined {
@@ -355,6 +380,8 @@
     const { timer, owner, viewNumber, metrics } = this.options;
     const { sidecar, credit } = place;
     metrics?.taskStarted(task.service, timer.now() - task.queuedAt);
+    lane.ejections.started(sidecar);
+    lane.pace.started(timer.now(), lane.queue.length > 0);
     task.starting(sidecar);
     this.track({ task, sidecar, place });
     const oldest = lane.queue.oldestQueuedAt();
@@ -456,6 +483,11 @@
     this.pump(lane);
   }
 
+  private judge({ task, sidecar }: RunningTask, status: TaskStatus): void {
+    const failed = status === TaskStatus.FAILED || status === TaskStatus.LOST;
+    this.laneOf(task.service).ejections.ended(sidecar, failed, this.options.timer.now());
+  }
+
   private settleDone(task: QueuedTask, done: Done): void {
     if (done.status === TaskStatus.LOST) {
       this.attemptLost(task, done.reason);
@@ -515,6 +547,8 @@
   readonly queue: TeamQueue;
   readonly pool: CreditPool;
   readonly teamsRunning: Map<string, number>;
+  readonly pace: StartPace;
+  readonly ejections: Ejections;
   /** The entry that was asked for credits and has not answered. */
   asking: string | undefined;
   /** Entries that were asked, had no credit and will lend the next idle one. */
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -320,6 +320,7 @@
       viewNumber: () => this.views.number,
       shareOf: (team) => this.manifest.shareOf(team),
       maxRunningOf: (team) => this.manifest.maxRunningOf(team),
+      ejectOf: (name) => this.manifest.service(name)?.eject,
       mayRetry: (service) => this.budget.take(service),
       sendToEntry: (incarnation, message) => this.entryLinks.send(incarnation, message),
     });
@@ -345,6 +346,7 @@
         manifest: this.manifest,
         recordBytes: settings.limits.recordBytes,
         queued: (service) => this.dispatcher.queued(service),
+        predictedWaitMs: (service, team) => this.dispatcher.predictedWaitMs(service, team),
         isLeaving: () => this.leaving,
       },
       random,
