Take on a job that is continued however long the queue is

Cause: a job with evidence of an earlier owner could be refused for its predicted wait, and its caller was told that it may have run. Change: the predicted wait is looked at for new work only.

--- a/src/entry/Admission.ts
+++ b/src/entry/Admission.ts
@@ -42,8 +42,9 @@
     }
     const waitMs = this.options.predictedWaitMs(submission.service, submission.team);
     const timeMs = Math.min(submission.deadlineMs || service.jobTimeoutMs, service.jobTimeoutMs);
-    if (waitMs > timeMs * WAIT_SHARE)
+    if (!isContinued && waitMs > timeMs * WAIT_SHARE) {
       return this.notRun('the wait would take too much of the time');
+    }
     return undefined;
   }
 
--- a/test/entry/admission.test.ts
+++ b/test/entry/admission.test.ts
@@ -5,7 +5,7 @@
 import type AdmissionOptions from '../../src/entry/AdmissionOptions';
 import { Outcome, SubmissionSchema } from '../../src/gen/magnoliakeel/v1/peer_pb';
 
-function outcomeWith(predictedWaitMs: number, deadlineMs: number): string {
+function outcomeWith(predictedWaitMs: number, deadlineMs: number, isContinued = false): string {
   const service = { jobTimeoutMs: 8000, queue: { maxTasks: 100 } };
   const options = {
     manifest: { service: () => service, offers: () => true, offersTeam: () => true },
@@ -13,7 +13,7 @@
     predictedWaitMs: () => predictedWaitMs,
   } as unknown as AdmissionOptions;
   const submission = create(SubmissionSchema, { service: 'booking', team: 'web', deadlineMs });
-  const answer = Admission.create(options, Random.fromSeed(1)).refuse(submission, 0, false);
+  const answer = Admission.create(options, Random.fromSeed(1)).refuse(submission, 0, isContinued);
   return answer ? `${Outcome[answer.outcome]}, again in ${answer.retryAfterMs} ms` : 'taken on';
 }
 
@@ -23,11 +23,13 @@
     longWait: outcomeWith(1100, 2000),
     longWaitOfLongTime: outcomeWith(1100, 0),
     beyondTheServiceLimit: outcomeWith(4100, 60_000),
+    ofContinuedJob: outcomeWith(1100, 2000, true),
   }).toMatchInlineSnapshot(`
     {
       "beyondTheServiceLimit": "NOT_RUN, again in 1500 ms",
       "longWait": "NOT_RUN, again in 1500 ms",
       "longWaitOfLongTime": "taken on",
+      "ofContinuedJob": "taken on",
       "shortWait": "taken on",
     }
   `);
