Ask in one place whether an entry is a member, and hand out messages in one way

Cause: a reading of the whole change found the membership test written four times, a second table type and dispatch for messages at the sidecar beside handleMessage, and two members that nothing calls (Fences.forget, Entry.listening). Change: isMember moves to core and all call it; the sidecar uses MessageHandlers and handleMessage; the two unused members go.

--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -2,6 +2,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import CallerServer from '../callers/CallerServer';
 import type CallerSubmission from '../callers/CallerSubmission';
+import isMember from '../core/isMember';
 import listenProblem from '../core/listenProblem';
 import ownerOf from '../core/ownerOf';
 import ownersIn from '../core/ownersIn';
@@ -134,11 +135,6 @@
     return !this.leaving && this.callersManifest !== undefined && this.views.number > 0n;
   }
 
-  /** The addresses in use, once it listens. */
-  get listening(): EntryAddresses | undefined {
-    return this.addresses;
-  }
-
   /** Opens the listening addresses. The error says which could not be had and why. */
   async listen(): Promise<Result<EntryAddresses, string>> {
     const peers = await this.listenToPeers();
@@ -302,7 +298,7 @@
   }
 
   private isIn(view: View): boolean {
-    return view.members.some(({ incarnation }) => incarnation === this.self);
+    return isMember(view, this.self);
   }
 
   private ownsNew(key: string): boolean {
--- a/src/entry/OwnerWatch.ts
+++ b/src/entry/OwnerWatch.ts
@@ -1,3 +1,4 @@
+import isMember from '../core/isMember';
 import type TimerService from '../core/TimerService';
 import type Versioned from '../core/Versioned';
 import type { View } from '../gen/magnoliakeel/v1/peer_pb';
@@ -38,7 +39,11 @@
   untilSuspected(incarnation: string, gone: AbortSignal): OwnerWait {
     const control = new AbortController();
     const check = () => {
-      if (!this.isMember(incarnation) || this.options.isSuspected(incarnation)) control.abort();
+      if (
+        !isMember(this.options.views.current, incarnation) ||
+        this.options.isSuspected(incarnation)
+      )
+        control.abort();
     };
     const abort = () => control.abort();
     this.checks.add(check);
@@ -49,9 +54,4 @@
     };
     return { signal: control.signal, end };
   }
-
-  private isMember(incarnation: string): boolean {
-    const { members } = this.options.views.current;
-    return members.some((member) => member.incarnation === incarnation);
-  }
 }
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -1,5 +1,6 @@
 import { toJsonString } from '@bufbuild/protobuf';
 import Backoff from '../core/Backoff';
+import isMember from '../core/isMember';
 import { MemberSchema, ViewSchema, type Member, type View } from '../gen/magnoliakeel/v1/peer_pb';
 import changeKey from '../store/changeKey';
 import type StoreItem from '../store/StoreItem';
@@ -278,7 +279,7 @@
   }
 
   private isIn(view: View): boolean {
-    return view.members.some(({ incarnation }) => incarnation === this.options.self.incarnation);
+    return isMember(view, this.options.self.incarnation);
   }
 
   private untilNextTurn(): number {
--- a/src/recovery/Fences.ts
+++ b/src/recovery/Fences.ts
@@ -53,11 +53,6 @@
       .forEach((sidecar) => this.confirmed.delete(sidecar));
   }
 
-  /** Forgets a job once it has a record. */
-  forget(job: string): void {
-    this.named.delete(job);
-  }
-
   /** Wakes those who wait for a change; meant for when something they look at changed elsewhere. */
   changed(): void {
     const waiting = [...this.waiters];
--- a/src/sidecar/Credits.ts
+++ b/src/sidecar/Credits.ts
@@ -11,7 +11,7 @@
 import type EntryPeer from './EntryPeer';
 import type Ledger from './Ledger';
 import type Slots from './Slots';
-import isMember from './isMember';
+import isMember from '../core/isMember';
 
 /** By how much another entry's oldest task must be older to get a credit that was freed. */
 const MUCH_OLDER_MS = 100;
--- a/src/sidecar/Evidence.ts
+++ b/src/sidecar/Evidence.ts
@@ -20,7 +20,7 @@
 import type LedgerJob from './LedgerJob';
 import type LedgerTask from './LedgerTask';
 import type Tasks from './Tasks';
-import isMember from './isMember';
+import isMember from '../core/isMember';
 
 interface EvidenceParts {
   readonly entries: Entries;
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -11,6 +11,7 @@
   type Hello,
   type View,
 } from '../gen/magnoliakeel/v1/peer_pb';
+import handleMessage from '../link/handleMessage';
 import KeepAlive from '../link/KeepAlive';
 import type Link from '../link/Link';
 import PROTOCOL_VERSION from '../link/PROTOCOL_VERSION';
@@ -28,7 +29,7 @@
 import type SidecarParts from './SidecarParts';
 import Slots from './Slots';
 import Tasks from './Tasks';
-import isMember from './isMember';
+import isMember from '../core/isMember';
 import messageHandlers from './messageHandlers';
 
 const EXPIRE_INTERVAL_MS = 10_000;
@@ -228,9 +229,7 @@
   }
 
   private handle(peer: EntryPeer, message: PeerMessage): void {
-    const handler = messageHandlers[message.case] as
-      ((parts: SidecarParts, from: EntryPeer, value: PeerMessage['value']) => void) | undefined;
-    handler?.(this.parts, peer, message.value);
+    handleMessage(messageHandlers, { parts: this.parts, peer }, message);
   }
 
   private opened(peer: EntryPeer): void {
--- a/src/sidecar/Tasks.ts
+++ b/src/sidecar/Tasks.ts
@@ -25,7 +25,7 @@
 import SidecarCounters from './SidecarCounters';
 import type Slots from './Slots';
 import TaskTrace from './TaskTrace';
-import isMember from './isMember';
+import isMember from '../core/isMember';
 
 const NO_OUTPUT = new Uint8Array();
 
