--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -9,7 +9,7 @@
   outdir: 'target',
   outExtension: { '.js': '.cjs' },
   bundle: true,
-  minify: true,
+  minify: !process.env.NOMINIFY,
   keepNames: true,
   format: 'cjs',
   platform: 'node',
--- a/src/batches/SidecarPeer.ts
+++ b/src/batches/SidecarPeer.ts
@@ -183,6 +183,9 @@
   take({ number }: RunEnd): OrderedRun | undefined {
     const run = this.runs.get(number);
     this.runs.delete(number);
+    // The last report counted it as taken; the next one will not.
+    const isCounted = number <= this.room.newestOrder;
+    if (run && isCounted) this.reported = this.reported.plus(run.task.step.needs);
     return run;
   }
 
--- a/src/observe/JsonReporter.ts
+++ b/src/observe/JsonReporter.ts
@@ -1,50 +1,27 @@
 import type { ConsolaReporter, LogObject } from 'consola';
 
-/**
- * Writes each log line as one JSON object: time, level, message and the line's own fields. A reader
- * that is behind never holds up the process: lines beyond the limit are counted and left out, and
- * the count is written once there is room again.
- */
+/** Makes each log line one JSON object: time, level, message and the line's own fields. */
 export default class JsonReporter implements ConsolaReporter {
-  private dropped = 0;
-
-  private constructor(private readonly stream: LineStream) {}
+  private constructor(private readonly put: (line: string) => void) {}
 
   /** Creates a reporter that writes to the stream. */
-  static to(stream: LineStream): JsonReporter {
-    return new JsonReporter(stream);
+  static to(stream: NodeJS.WritableStream): JsonReporter {
+    return new JsonReporter((line) => stream.write(`${line}\n`));
+  }
+
+  /** Creates a reporter that hands each line, without its end, to the function. */
+  static with(put: (line: string) => void): JsonReporter {
+    return new JsonReporter(put);
   }
 
   log(line: LogObject): void {
-    if ((this.stream.writableLength ?? 0) > MAX_WAITING_BYTES) {
-      this.dropped += 1;
-      return;
-    }
-    if (this.dropped > 0) this.tellDropped(line.date);
     const texts = line.args.filter((arg) => !isFields(arg)).map(textOf);
     const fields = Object.assign({}, ...line.args.filter(isFields));
     const head = { time: line.date.toISOString(), level: line.type, message: texts.join(' ') };
-    this.write({ ...fields, ...head });
-  }
-
-  private tellDropped(date: Date): void {
-    const lines = this.dropped;
-    this.dropped = 0;
-    const message = 'log lines were left out because the reader was behind';
-    this.write({ lines, time: date.toISOString(), level: 'warn', message });
-  }
-
-  private write(line: object): void {
-    this.stream.write(`${JSON.stringify(line, encode)}\n`);
+    this.put(JSON.stringify({ ...fields, ...head }, encode));
   }
 }
 
-/** A stream that may know how much of what was written still waits, bytes. */
-type LineStream = NodeJS.WritableStream & { readonly writableLength?: number };
-
-/** Lines that wait for a reader, bytes: some seconds of a busy process. */
-const MAX_WAITING_BYTES = 1024 * 1024;
-
 function isFields(arg: unknown): boolean {
   return typeof arg === 'object' && arg !== null && !(arg instanceof Error);
 }
--- a/src/peering/pulseLimits.ts
+++ b/src/peering/pulseLimits.ts
@@ -1,7 +1,7 @@
 /** How an entry and a sidecar confirm to each other that both are awake, in milliseconds. */
 const pulseLimits = {
   /** How often a sidecar asks while it has runs of the entry; each answer confirms both directions. */
-  busyIntervalMs: 150,
+  busyIntervalMs: 200,
   /** How often it asks while it has none, to find a connection that went silent. */
   idleIntervalMs: 400,
   /**
@@ -15,7 +15,7 @@
   /** After this long without a sidecar's pulse an entry closes the link. */
   closeMs: 1_500,
   /** How often this process looks whether it was held up. */
-  watchIntervalMs: 50,
+  watchIntervalMs: 100,
   /** A gap in this process's own time, or between its two clocks, that may have been a suspension. */
   gapMs: 400,
 } as const;
--- a/src/runs/BackendLife.ts
+++ b/src/runs/BackendLife.ts
@@ -355,8 +355,12 @@
   private async missed(failure: BackendRunFailure): Promise<void> {
     const { log, timer, changed } = this.opts;
     if (this.isOver(failure)) return;
-    this.unanswered += 1;
     const { kind, reason } = failure;
+    if (kind === 'closed') {
+      await timer.sleep(runLimits.retryMs);
+      return;
+    }
+    this.unanswered += 1;
     log.warn('a renewal was not answered', { kind, reason, unanswered: this.unanswered });
     if (this.state === 'open' && this.unanswered >= runLimits.silentAfter) {
       this.state = 'silent';
--- a/src/runs/RoomReports.ts
+++ b/src/runs/RoomReports.ts
@@ -7,9 +7,9 @@
 import type RunHost from './RunHost';
 
 /**
- * Tells the entries what room there is. Ends and changes of readiness go out with the same turn of
- * the event loop, since a task may be waiting for them; what other entries have started here is told
- * a few milliseconds later, together.
+ * Tells the entries what room there is. An entry knows what its own orders take and give back, so a
+ * report is only about what the others do. While there is plenty, a report may be late; when room
+ * is short, tasks are waiting for it somewhere, and it is told with the same turn of the event loop.
  */
 export default class RoomReports {
   private readonly told = new Map<OwnerLink, Room>();
@@ -18,6 +18,8 @@
 
   private isDue = false;
 
+  private wasAccepting = false;
+
   private constructor(
     private readonly timer: TimerService,
     private readonly host: RunHost,
@@ -33,18 +35,25 @@
     return new RoomReports(timer, host, owners);
   }
 
-  /** Reports after this turn: room has become free, or readiness has changed. */
+  /** Something has changed: reports when it matters. */
+  changed(): void {
+    const {isAccepting} = this.host;
+    if (isAccepting !== this.wasAccepting || this.isShort) this.now();
+    else this.soon();
+    this.wasAccepting = isAccepting;
+  }
+
+  /** Reports after this turn. */
   now(): void {
     if (this.isDue) return;
     this.isDue = true;
     queueMicrotask(() => this.tell());
   }
 
-  /** Reports soon: room was taken. */
+  /** Reports soon, with what else changes until then. */
   soon(): void {
     if (this.isDue || this.later) return;
-    const count = [...this.owners()].length;
-    this.later = this.timer.after(TAKEN_MS * Math.max(1, count / FEW_ENTRIES), () => this.tell());
+    this.later = this.timer.after(this.isShort ? SHORT_MS : PLENTY_MS, () => this.tell());
   }
 
   /** Forgets an owner whose link has ended. */
@@ -52,6 +61,12 @@
     this.told.delete(owner);
   }
 
+  private get isShort(): boolean {
+    const life = this.host.current;
+    if (!life) return true;
+    return life.free.cpuMilli < life.report.capacity.cpuMilli * SHORT_SHARE;
+  }
+
   private tell(): void {
     this.isDue = false;
     this.later?.cancel();
@@ -90,8 +105,11 @@
 
 const THOUSAND = 1000;
 
-/** Room that was taken is told this much later, ms: a few starts of a busy moment share one message. */
-const TAKEN_MS = 5;
+/** Room is short below this share of the whole: about three tasks of ten. */
+const SHORT_SHARE = 0.3;
+
+/** How late a report may be while room is short and was only taken, ms: a few starts share one. */
+const SHORT_MS = 5;
 
-/** Entries up to which that pause is kept; with more it grows, so that messages do not. */
-const FEW_ENTRIES = 3;
+/** How late a report may be while there is plenty, ms: less than the shortest tasks take. */
+const PLENTY_MS = 40;
--- a/src/runs/RunSidecar.ts
+++ b/src/runs/RunSidecar.ts
@@ -118,7 +118,8 @@
     log.info('linked to an entry', { entry, incarnation: link.peer.incarnation });
     this.owners.add(owner);
     this.uncleared.add(owner);
-    this.changed();
+    this.settle();
+    this.reports.now();
     for await (const message of link.messages()) {
       if (link.closed.aborted) break;
       this.gaps.check();
@@ -137,7 +138,7 @@
 
   private changed(): void {
     this.settle();
-    this.reports.now();
+    this.reports.changed();
   }
 
   /** Tells newly linked entries once nothing of their earlier links is left. */
--- /dev/null
+++ b/test/batches/BatchEntry.test.ts
@@ -0,0 +1,187 @@
+import { expect, test } from 'vitest';
+import Resources from '../../src/room/Resources';
+import BatchCase from '../support/BatchCase';
+
+const step = {
+  ...{ count: 1, estimateMs: 100, after: [], label: '', preferredLabel: '', mostTogether: 0 },
+  needs: Resources.of({ cpuMilli: 4_000, memoryMb: 64 }),
+};
+
+test('a batch is completed when all its tasks are done', async () => {
+  const batchCase = await BatchCase.open();
+  const caller = batchCase.submit('a', { tasks: 8 });
+  await batchCase.timer.advance(150);
+  expect(caller.answer).toEqual({ kind: 'completed' });
+});
+
+test('tasks for which there is no room wait for it', async () => {
+  const batchCase = await BatchCase.open();
+  const caller = batchCase.submit('a', { tasks: 12 });
+  await batchCase.timer.advance(150);
+  const busiest = batchCase.backends.map((backend) => backend.busiest);
+  const early = caller.answer;
+  await batchCase.timer.advance(100);
+  expect([busiest, early, caller.answer]).toEqual([[4, 4], undefined, { kind: 'completed' }]);
+});
+
+test('a step begins when the steps before it are done', async () => {
+  const batchCase = await BatchCase.open();
+  batchCase.submit('a', {
+    steps: [
+      { ...step, count: 2 },
+      { ...step, after: [0] },
+    ],
+  });
+  await batchCase.timer.advance(50);
+  const first = batchCase.running;
+  await batchCase.timer.advance(100);
+  expect([first, batchCase.running]).toEqual([['a.0.0', 'a.0.1'], ['a.1.0']]);
+});
+
+test('a task that fails is tried elsewhere, and the batch fails after its attempts', async () => {
+  const batchCase = await BatchCase.open({ work: () => ({ ms: 50, fails: true }) });
+  const caller = batchCase.submit('a');
+  await batchCase.timer.advance(200);
+  const starts = batchCase.backends.map((backend) => backend.starts.length);
+  expect([starts, caller.answer]).toEqual([
+    [1, 1],
+    { kind: 'failed', reason: 'a task failed 2 times' },
+  ]);
+});
+
+test('the runs of a caller that has gone are stopped at once', async () => {
+  const batchCase = await BatchCase.open();
+  const caller = batchCase.submit('a', { tasks: 4, ms: 5_000 });
+  await batchCase.timer.advance(50);
+  caller.gone.abort();
+  await batchCase.timer.advance(60);
+  expect(batchCase.running).toEqual([]);
+});
+
+test('the same id again at the same entry gets the same answer', async () => {
+  const batchCase = await BatchCase.open();
+  const first = batchCase.submit('a', { ms: 300 });
+  await batchCase.timer.advance(100);
+  const second = batchCase.submit('a', { ms: 300 });
+  first.gone.abort();
+  await batchCase.timer.advance(300);
+  const starts = batchCase.backends.flatMap((backend) => backend.starts);
+  expect([second.answer, starts.length]).toEqual([{ kind: 'completed' }, 1]);
+});
+
+test('a batch whose time is over is answered at once, and what runs of it is stopped', async () => {
+  const batchCase = await BatchCase.open();
+  const caller = batchCase.submit('a', { ms: 5_000, waitMs: 400 });
+  await batchCase.timer.advance(500);
+  expect([caller.answer?.kind, batchCase.running]).toEqual(['unknown', []]);
+});
+
+test('a batch that never started is answered as not run when its time is over', async () => {
+  const batchCase = await BatchCase.open();
+  batchCase.submit('a', { tasks: 8, ms: 5_000 });
+  await batchCase.timer.advance(50);
+  const caller = batchCase.submit('b', { waitMs: 400 });
+  await batchCase.timer.advance(500);
+  expect(caller.answer).toMatchObject({ kind: 'not-run', retryAfterMs: expect.any(Number) });
+});
+
+test('a task that is larger than every backend server is refused at once', async () => {
+  const batchCase = await BatchCase.open();
+  const needs = Resources.of({ cpuMilli: 99_000 });
+  const caller = batchCase.submit('a', { steps: [{ ...step, needs }] });
+  await batchCase.timer.advance(1);
+  expect(caller.answer).toMatchObject({ kind: 'not-run' });
+});
+
+test('runs of a killed entry are over before the caller comes back elsewhere', async () => {
+  const batchCase = await BatchCase.open();
+  batchCase.submit('a', { tasks: 4, ms: 2_000 });
+  await batchCase.timer.advance(100);
+  batchCase.network.kill('e0');
+  await batchCase.timer.advance(100);
+  expect(batchCase.running).toEqual([]);
+});
+
+test('runs of an entry that is cut off are over before the caller comes back elsewhere', async () => {
+  const batchCase = await BatchCase.open();
+  batchCase.submit('a', { tasks: 4, ms: 5_000 });
+  await batchCase.timer.advance(100);
+  batchCase.network.pause('e0');
+  await batchCase.timer.advance(1_000);
+  expect(batchCase.running).toEqual([]);
+});
+
+test('tasks at a killed sidecar run elsewhere once their lease has passed, never twice at a time', async () => {
+  const batchCase = await BatchCase.open();
+  const caller = batchCase.submit('a', { tasks: 2, ms: 3_000 });
+  await batchCase.timer.advance(100);
+  batchCase.network.kill('s0');
+  const log = [];
+  for (let at = 0; at < 2_500; at += 250) {
+    await batchCase.timer.advance(250);
+    log.push(new Set(batchCase.running).size === batchCase.running.length);
+  }
+  await batchCase.timer.advance(3_000);
+  expect([log.every(Boolean), caller.answer]).toEqual([true, { kind: 'completed' }]);
+});
+
+test('a sidecar that comes back says that nothing of before is left', async () => {
+  const batchCase = await BatchCase.open({ sidecars: 1 });
+  const caller = batchCase.submit('a', { ms: 1_000 });
+  await batchCase.timer.advance(100);
+  batchCase.network.kill('s0');
+  await batchCase.timer.advance(50);
+  batchCase.restartSidecar(0);
+  await batchCase.timer.advance(1_400);
+  expect(caller.answer).toEqual({ kind: 'completed' });
+});
+
+test('entries tell one another the configuration and where they listen', async () => {
+  const batchCase = await BatchCase.open({ entries: 2, sidecars: 1 });
+  await batchCase.addEntry(2);
+  await batchCase.timer.advance(500);
+  const [, , third] = batchCase.entries;
+  expect([third?.table.version, third?.sidecarCount]).toEqual([1, 1]);
+});
+
+test('an older configuration does not displace a newer one', async () => {
+  const batchCase = await BatchCase.open();
+  const [entry] = batchCase.entries;
+  const { table } = entry!;
+  entry!.configure(Object.create(table, { version: { value: 0 } }), 'a test');
+  expect(entry!.table.version).toBe(1);
+});
+
+test('an entry that leaves finishes what it has taken', async () => {
+  const batchCase = await BatchCase.open();
+  const caller = batchCase.submit('a', { ms: 1_000 });
+  await batchCase.timer.advance(50);
+  const left = batchCase.entries[0]!.leave(5_000);
+  const {isReady} = (batchCase.entries[0]!);
+  await batchCase.timer.advance(1_200);
+  await left;
+  expect([isReady, caller.answer]).toEqual([false, { kind: 'completed' }]);
+});
+
+test('a sidecar that leaves takes nothing new and lets its runs end', async () => {
+  const batchCase = await BatchCase.open();
+  const first = batchCase.submit('a', { tasks: 8, ms: 500 });
+  await batchCase.timer.advance(50);
+  batchCase.sidecars[0]!.leave(5_000);
+  await batchCase.timer.advance(600);
+  batchCase.submit('b', { tasks: 8, ms: 500 });
+  await batchCase.timer.advance(100);
+  expect([first.answer, batchCase.backends[0]!.tasks]).toEqual([{ kind: 'completed' }, []]);
+});
+
+test('after a gap in its own time an entry gives up what it had taken', async () => {
+  const batchCase = await BatchCase.open();
+  const caller = batchCase.submit('a', { ms: 5_000 });
+  await batchCase.timer.advance(100);
+  batchCase.timer.jump(2_000);
+  await batchCase.timer.advance(100);
+  expect([caller.answer, batchCase.running]).toEqual([
+    { kind: 'unknown', reason: 'this entry was held up' },
+    [],
+  ]);
+});
--- /dev/null
+++ b/test/runs/BackendLife.test.ts
@@ -0,0 +1,174 @@
+import { expect, test } from 'vitest';
+import RunCase from '../support/RunCase';
+
+test('ends are reported as the backend server lists them', async () => {
+  const { runCase } = await RunCase.open((run) => ({ ms: 80, fails: run.index === 1 }));
+  runCase.order('a', 2);
+  await runCase.timer.advance(200);
+  expect(runCase.ends).toEqual(['a.0 DONE', 'a.1 FAILED']);
+});
+
+test('a task for which there is no room is refused', async () => {
+  const { runCase, backend } = await RunCase.open();
+  runCase.order('a', 5);
+  await runCase.timer.advance(50);
+  expect([runCase.ends, backend.busiest]).toEqual([['a.4 REFUSED'], 4]);
+});
+
+test('what is being stopped takes its room until its end is listed', async () => {
+  const { runCase, backend } = await RunCase.open();
+  runCase.order('a', 4);
+  await runCase.timer.advance(10);
+  runCase.host.stop(runCase.owner);
+  runCase.order('b');
+  await runCase.timer.advance(100);
+  runCase.order('c');
+  await runCase.timer.advance(10);
+  expect([runCase.ends, backend.tasks]).toMatchInlineSnapshot(`
+    [
+      [
+        "b.0 REFUSED",
+        "a.0 LOST",
+        "a.1 LOST",
+        "a.2 LOST",
+        "a.3 LOST",
+      ],
+      [
+        "c.0.0",
+      ],
+    ]
+  `);
+});
+
+test('runs go on for as long as the lease is renewed', async () => {
+  const { runCase } = await RunCase.open();
+  runCase.order('a', 1, { spec: '5000' });
+  await runCase.timer.advance(5_200);
+  expect(runCase.ends).toEqual(['a.0 DONE']);
+});
+
+test('a start whose answer is lost is sent again and runs once', async () => {
+  const { runCase, backend } = await RunCase.open();
+  backend.fail({ call: 'start', how: 'lost' });
+  runCase.order('a');
+  await runCase.timer.advance(500);
+  expect([runCase.ends, backend.starts.length]).toEqual([['a.0 DONE'], 1]);
+});
+
+test('a start that is never answered is stopped before its room is given back', async () => {
+  const { runCase, backend } = await RunCase.open();
+  for (let i = 0; i < 3; i += 1) backend.fail({ call: 'start', how: 'late', lateMs: 2_000 });
+  runCase.order('a');
+  await runCase.timer.advance(3_000);
+  expect([runCase.ends, backend.starts, runCase.host.size]).toEqual([['a.0 LOST'], [], 0]);
+});
+
+test('a stop that is not answered is sent again', async () => {
+  const { runCase, backend } = await RunCase.open();
+  runCase.order('a', 1, { spec: '5000' });
+  await runCase.timer.advance(10);
+  backend.fail({ call: 'stop', how: 'dropped' });
+  runCase.host.stop(runCase.owner);
+  await runCase.timer.advance(400);
+  expect([runCase.ends, backend.tasks]).toEqual([['a.0 LOST'], []]);
+});
+
+test('runs at a silent backend server are over only when their lease has surely passed', async () => {
+  const { runCase, backend } = await RunCase.open();
+  runCase.order('a', 1, { spec: '5000' });
+  await runCase.timer.advance(100);
+  backend.fallSilent();
+  const log: string[] = [];
+  for (let at = 250; at <= 1500; at += 250) {
+    await runCase.timer.advance(250);
+    log.push(`${at}: ${backend.tasks.length} run, ${runCase.ends.length} over`);
+  }
+  expect(log).toMatchInlineSnapshot(`
+    [
+      "250: 1 run, 0 over",
+      "500: 1 run, 0 over",
+      "750: 0 run, 0 over",
+      "1000: 0 run, 0 over",
+      "1250: 0 run, 1 over",
+      "1500: 0 run, 1 over",
+    ]
+  `);
+});
+
+test('a backend server that was silent takes tasks again when it answers', async () => {
+  const { runCase, backend } = await RunCase.open();
+  runCase.order('a', 1, { spec: '5000' });
+  await runCase.timer.advance(100);
+  backend.fallSilent();
+  await runCase.timer.advance(2_000);
+  const wasAccepting = runCase.host.isAccepting;
+  backend.speak();
+  await runCase.timer.advance(500);
+  expect([wasAccepting, runCase.host.isAccepting]).toEqual([false, true]);
+});
+
+test('runs of a backend server whose process is gone are over at once', async () => {
+  const { runCase, backend } = await RunCase.open();
+  runCase.order('a');
+  await runCase.timer.advance(10);
+  backend.crash();
+  await runCase.timer.advance(300);
+  expect([runCase.ends, runCase.host.isAccepting]).toEqual([['a.0 LOST'], false]);
+});
+
+test('a draining backend server gets no task after its heartbeat', async () => {
+  const { runCase, backend } = await RunCase.open();
+  runCase.host.hear(backend.report({ draining: true }));
+  runCase.host.hear(backend.report());
+  runCase.order('a');
+  await runCase.timer.advance(100);
+  expect([runCase.ends, backend.starts]).toEqual([['a.0 REFUSED'], []]);
+});
+
+test('a late heartbeat of an ended life does not displace the new one', async () => {
+  const { runCase, backend } = await RunCase.open();
+  backend.replace();
+  const late = backend.report();
+  const next = runCase.live('b2');
+  runCase.host.hear(next.report());
+  await runCase.timer.advance(50);
+  runCase.host.hear(late);
+  await runCase.timer.advance(50);
+  expect(runCase.host.current?.report.id).toBe('b2');
+});
+
+test('what an earlier sidecar left running is stopped before tasks are taken', async () => {
+  const { runCase, backend } = await RunCase.open();
+  runCase.order('a', 1, { spec: '700' });
+  await runCase.timer.advance(10);
+  const second = RunCase.beside(backend, runCase.timer);
+  const before = backend.tasks;
+  await runCase.timer.advance(150);
+  expect([before, backend.tasks, second.host.isAccepting]).toEqual([['a.0.0'], [], true]);
+});
+
+test('the same task for another owner waits until the earlier run is over', async () => {
+  const { runCase, backend } = await RunCase.open();
+  runCase.order('a', 1, { spec: '5000' });
+  await runCase.timer.advance(10);
+  runCase.order('a', 1, { owner: {}, spec: '100' });
+  await runCase.timer.advance(400);
+  expect([runCase.ends, backend.busiest]).toEqual([['a.0 LOST', 'a.0 DONE'], 1]);
+});
+
+test('an attempt number that was used there before is raised', async () => {
+  const { runCase, backend } = await RunCase.open();
+  await backend.stop({ batch: 'a', step: 0, index: 0, attempt: 1 }, 50_000);
+  runCase.order('a');
+  await runCase.timer.advance(500);
+  expect([runCase.ends, backend.starts[0]?.attempt]).toEqual([['a.0 DONE'], 2]);
+});
+
+test('tasks without the label, of another service, or too many together are refused', async () => {
+  const { runCase } = await RunCase.open();
+  runCase.order('a', 1, { label: 'x' });
+  runCase.order('b', 1, { service: 'other' });
+  runCase.order('c', 2, { mostTogether: 1 });
+  await runCase.timer.advance(10);
+  expect(runCase.ends).toEqual(['a.0 REFUSED', 'b.0 REFUSED', 'c.1 REFUSED']);
+});
--- /dev/null
+++ b/test/support/BatchCase.ts
@@ -0,0 +1,150 @@
+import type BatchAnswer from '../../src/batches/BatchAnswer';
+import BatchEntry from '../../src/batches/BatchEntry';
+import type BatchStep from '../../src/batches/BatchStep';
+import type Queue from '../../src/batches/Queue';
+import QueueTable from '../../src/batches/QueueTable';
+import Random from '../../src/core/Random';
+import Resources from '../../src/room/Resources';
+import RunSidecar from '../../src/runs/RunSidecar';
+import LeasedBackend from '../../tools/leasedBackend/LeasedBackend';
+import ManualTimer from './ManualTimer';
+import MemoryNetwork from './MemoryNetwork';
+
+type Work = Parameters<typeof LeasedBackend.create>[0]['work'];
+
+interface BatchCaseOptions {
+  readonly entries?: number;
+  readonly sidecars?: number;
+  readonly work?: Work;
+}
+
+/** Entries for batches, and sidecars with their backend servers, in one memory network. */
+export default class BatchCase {
+  readonly timer = ManualTimer.create();
+
+  readonly network = MemoryNetwork.create(this.timer);
+
+  readonly entries: BatchEntry[] = [];
+
+  readonly sidecars: RunSidecar[] = [];
+
+  readonly backends: LeasedBackend[] = [];
+
+  /** What was logged, without the fields. */
+  readonly lines: string[] = [];
+
+  private constructor(private readonly work: Work) {}
+
+  /** Starts everything and waits until all are linked. Each backend server has room for four tasks. */
+  static async open({
+    entries = 2,
+    sidecars = 2,
+    work,
+  }: BatchCaseOptions = {}): Promise<BatchCase> {
+    const batchCase = new BatchCase(work);
+    for (let number = 0; number < entries; number += 1) await batchCase.addEntry(number);
+    for (let number = 0; number < sidecars; number += 1) batchCase.addSidecar(number);
+    await batchCase.timer.advance(300);
+    batchCase.entries[0]!.configure(tableOf(1), 'a test');
+    await batchCase.timer.advance(100);
+    return batchCase;
+  }
+
+  /** Starts an entry; after a kill, its next process. */
+  async addEntry(number: number): Promise<BatchEntry> {
+    const instance = `e${number}`;
+    const entry = BatchEntry.create({
+      ...this.partsOf(instance),
+      listen: `${instance}:1`,
+      seeds: ['e0:1', 'e1:1'],
+    });
+    this.entries[number] = entry;
+    await entry.start();
+    return entry;
+  }
+
+  /** Starts a sidecar with a backend server that sends heartbeats. */
+  addSidecar(number: number): void {
+    const { timer } = this;
+    const backend = LeasedBackend.create({ timer, id: `b${number}`, work: this.work });
+    this.backends[number] = backend;
+    this.restartSidecar(number);
+  }
+
+  /** Starts a sidecar's next process beside its backend server. */
+  restartSidecar(number: number): void {
+    const backend = this.backends[number]!;
+    const sidecar = RunSidecar.start({
+      ...this.partsOf(`s${number}`),
+      seeds: ['e0:1', 'e1:1'],
+      connect: () => backend,
+    });
+    this.sidecars[number] = sidecar;
+    sidecar.hear(backend.report());
+  }
+
+  /** Submits a batch of tasks that each need a quarter of a backend server, and take `ms`. */
+  submit(id: string, change: Submitted = {}): Submission {
+    const { entry = 0, tasks = 1, ms = 100, waitMs = 10_000, steps } = change;
+    const gone = new AbortController();
+    const submission: Submission = { answer: undefined, gone };
+    const queue = { ...QUEUE, ...change.queue };
+    this.entries[entry]!.submit(
+      { id, queue, spec: String(ms), waitMs, steps: steps ?? [stepOf(tasks, ms)] },
+      gone.signal,
+    ).then((answer) => {
+      submission.answer = answer;
+    });
+    return submission;
+  }
+
+  /** Tasks that run now, on all backend servers. */
+  get running(): readonly string[] {
+    return this.backends.flatMap(({ tasks }) => tasks).sort();
+  }
+
+  private partsOf(instance: string) {
+    const { timer } = this;
+    const note = (message: string): void => {
+      this.lines.push(`${instance}: ${message}`);
+    };
+    return {
+      ...{ timer, instance, cluster: 'c', zone: 'z' },
+      random: Random.fromSeed(1),
+      incarnation: `${instance}.${this.timer.now()}`,
+      network: this.network.endpoint(instance),
+      log: { info: note, warn: note },
+    };
+  }
+}
+
+interface Submitted {
+  readonly entry?: number;
+  readonly tasks?: number;
+  readonly ms?: number;
+  readonly waitMs?: number;
+  readonly steps?: readonly BatchStep[];
+  readonly queue?: Partial<Queue>;
+}
+
+/** A caller that waits for an answer, or has gone. */
+interface Submission {
+  answer: BatchAnswer | undefined;
+  readonly gone: AbortController;
+}
+
+const QUEUE: Queue = {
+  ...{ name: 'q', host: 'h', prefix: '/q/', service: 'booking' },
+  ...{ priority: 0, maxAttempts: 2, timeoutMs: 10_000, stretch: 2, targetLatencyMs: 50 },
+};
+
+function tableOf(version: number): QueueTable {
+  return QueueTable.of({ version, queues: [QUEUE], limits: QueueTable.none.limits });
+}
+
+function stepOf(count: number, estimateMs: number): BatchStep {
+  return {
+    ...{ count, estimateMs, after: [], label: '', preferredLabel: '', mostTogether: 0 },
+    needs: Resources.of({ cpuMilli: 4_000, memoryMb: 64 }),
+  };
+}
--- /dev/null
+++ b/test/support/RunCase.ts
@@ -0,0 +1,73 @@
+import Resources from '../../src/room/Resources';
+import { RunOutcome, type RunEnd } from '../../src/gen/magnoliakeel/v1/peer_pb';
+import type RunBackend from '../../src/runs/RunBackend';
+import RunHost from '../../src/runs/RunHost';
+import type RunRequest from '../../src/runs/RunRequest';
+import LeasedBackend from '../../tools/leasedBackend/LeasedBackend';
+import ManualTimer from './ManualTimer';
+
+/** A sidecar's dealings with its backend server, with the ends it reports. */
+export default class RunCase {
+  /** What became of each order: "task outcome". */
+  readonly ends: string[] = [];
+
+  readonly warnings: string[] = [];
+
+  readonly owner = {};
+
+  readonly host: RunHost;
+
+  private readonly lives = new Map<string, LeasedBackend>();
+
+  private numbers = 0;
+
+  private constructor(readonly timer: ManualTimer) {
+    this.host = RunHost.create({
+      timer: this.timer,
+      connect: ({ id }): RunBackend => this.lives.get(id)!,
+      log: { info: () => undefined, warn: (message) => this.warnings.push(message) },
+      changed: () => undefined,
+    });
+  }
+
+  /** A sidecar whose backend server has announced itself and takes tasks. */
+  static async open(work?: Parameters<typeof LeasedBackend.create>[0]['work']) {
+    const runCase = new RunCase(ManualTimer.create());
+    const backend = runCase.live('b1', work);
+    runCase.host.hear(backend.report());
+    await runCase.timer.advance(50);
+    return { runCase, backend };
+  }
+
+  /** A sidecar that starts anew beside a backend server that is there already. */
+  static beside(backend: LeasedBackend, timer: ManualTimer): RunCase {
+    const runCase = new RunCase(timer);
+    runCase.lives.set('b1', backend);
+    runCase.host.hear(backend.report());
+    return runCase;
+  }
+
+  /** Adds a life of the backend server, which has not announced itself. */
+  live(id: string, work?: Parameters<typeof LeasedBackend.create>[0]['work']): LeasedBackend {
+    const backend = LeasedBackend.create({ timer: this.timer, id, work });
+    this.lives.set(id, backend);
+    return backend;
+  }
+
+  /** Orders tasks of four cores and the given time each; the backend server has room for four. */
+  order(batch: string, count = 1, change: Partial<RunRequest> = {}): void {
+    for (let index = 0; index < count; index += 1) this.orderOne(batch, index, change);
+  }
+
+  private orderOne(batch: string, index: number, change: Partial<RunRequest>): void {
+    this.numbers += 1;
+    const request: RunRequest = {
+      ...{ batch, step: 0, index, service: 'booking', spec: '300', estimateMs: 300 },
+      ...{ attempt: 1, mostTogether: 0, label: '', number: this.numbers, owner: this.owner },
+      needs: Resources.of({ cpuMilli: 4_000, memoryMb: 64 }),
+      ended: ({ outcome }: RunEnd) => this.ends.push(`${batch}.${index} ${RunOutcome[outcome]}`),
+      ...change,
+    };
+    this.host.start(request, (reason) => this.ends.push(`${batch}.${index} ${reason}`));
+  }
+}
--- /dev/null
+++ b/tools/leasedBackend/LeasedBackend.ts
@@ -0,0 +1,281 @@
+import { err, errAsync, ok, okAsync, type Result, ResultAsync } from 'neverthrow';
+import type Subscription from '../../src/core/Subscription';
+import type TimerService from '../../src/core/TimerService';
+import type BackendHold from '../../src/runs/BackendHold';
+import type BackendRefusal from '../../src/runs/BackendRefusal';
+import type BackendReport from '../../src/runs/BackendReport';
+import type BackendRunFailure from '../../src/runs/BackendRunFailure';
+import type RunBackend from '../../src/runs/RunBackend';
+import type RunName from '../../src/runs/RunName';
+import taskKey from '../../src/runs/taskKey';
+import Resources from '../../src/room/Resources';
+
+/** How a call to the stand-in goes wrong; each applies to one call of the kind named. */
+interface CallFault {
+  readonly call: 'start' | 'stop' | 'hold';
+  /** `lost`: carried out, not answered. `dropped`: neither. `late`: not answered, carried out after `lateMs`. */
+  readonly how: 'lost' | 'dropped' | 'late';
+  readonly lateMs?: number;
+}
+
+interface LeasedBackendOptions {
+  readonly timer: TimerService;
+  readonly id?: string;
+  readonly service?: string;
+  readonly capacity?: Resources;
+  readonly labels?: readonly string[];
+  /** How a task's work goes: how long it takes and whether it fails. The spec says, unless this does. */
+  readonly work?: (run: RunName, spec: string) => { readonly ms: number; readonly fails: boolean };
+}
+
+interface Running {
+  readonly run: RunName;
+  readonly ms: number;
+  readonly startedAt: number;
+  readonly end: Subscription;
+}
+
+/**
+ * A stand-in for one life of a backend server that runs tasks under a lease: fencing tokens, attempt
+ * numbers that only rise, ends listed until they are acknowledged, calls that are lost or carried out
+ * late. It never refuses for want of room, as the users' do, and notes when it was overfilled.
+ */
+export default class LeasedBackend implements RunBackend {
+  /** Every start that was carried out, in order. */
+  readonly starts: RunName[] = [];
+
+  /** Most that ran at once. */
+  busiest = 0;
+
+  private readonly running = new Map<string, Running>();
+
+  private readonly highest = new Map<string, number>();
+
+  private ends: BackendHold['ended'][number][] = [];
+
+  private endCount = 0;
+
+  private token = 0;
+
+  private leaseUntil = 0;
+
+  private lease: Subscription | undefined;
+
+  private readonly faults: CallFault[] = [];
+
+  private readonly waiters = new Set<() => void>();
+
+  private fate: 'alive' | 'silent' | 'gone' | 'replaced' = 'alive';
+
+  private sequence = 0;
+
+  private constructor(private readonly opts: LeasedBackendOptions) {}
+
+  /** Creates a backend server on which nothing runs. */
+  static create(opts: LeasedBackendOptions): LeasedBackend {
+    return new LeasedBackend(opts);
+  }
+
+  /** Its next heartbeat. */
+  report(change: Partial<BackendReport> = {}): BackendReport {
+    const { id = 'b1', service = 'booking', labels = [] } = this.opts;
+    const { capacity = Resources.of({ cpuMilli: 16_000, memoryMb: 4_096 }) } = this.opts;
+    this.sequence += 1;
+    const { sequence } = this;
+    const clockMs = this.clock();
+    const address = '127.0.0.1:1';
+    return {
+      ...{ id, service, labels, capacity, sequence, clockMs, address },
+      draining: false,
+      ...change,
+    };
+  }
+
+  /** Names of the tasks that run now. */
+  get tasks(): readonly string[] {
+    return [...this.running.keys()].sort();
+  }
+
+  /** Makes the next call of a kind go wrong. */
+  fail(fault: CallFault): void {
+    this.faults.push(fault);
+  }
+
+  /** From now on it answers nothing, and what runs goes on to the end of its lease. */
+  fallSilent(): void {
+    this.fate = 'silent';
+  }
+
+  /** It answers again. */
+  speak(): void {
+    this.fate = 'alive';
+  }
+
+  /** Its process is gone: connections are refused and nothing runs. */
+  crash(): void {
+    this.fate = 'gone';
+    this.waiters.forEach((wake) => wake());
+    this.killAll();
+  }
+
+  /** Another life is at its address: calls for this one are turned away and nothing of it runs. */
+  replace(): void {
+    this.fate = 'replaced';
+    this.killAll();
+  }
+
+  start(
+    run: RunName,
+    spec: string,
+    leaseUntil: number,
+    token: number,
+  ): ResultAsync<BackendRefusal | 'started', BackendRunFailure> {
+    return this.call('start', () => this.carryOutStart(run, spec, leaseUntil, token));
+  }
+
+  stop(run: RunName, token: number): ResultAsync<void, BackendRunFailure> {
+    return this.call('stop', () => {
+      if (!this.passes(token)) return;
+      const key = taskKey(run);
+      this.highest.set(key, Math.max(this.highest.get(key) ?? 0, run.attempt));
+      const running = this.running.get(key);
+      if (running?.run.attempt === run.attempt) {
+        this.opts.timer.after(STOP_MS, () => this.end(key, running, 'lost', 'stopped'));
+      }
+    });
+  }
+
+  hold(
+    seenEnd: number,
+    token: number,
+    waitMs: number,
+    leaseUntil?: number,
+  ): ResultAsync<BackendHold, BackendRunFailure> {
+    return this.call('hold', () => {
+      if (this.passes(token) && leaseUntil !== undefined) this.renew(leaseUntil);
+      this.ends = this.ends.filter(({ number }) => number > seenEnd);
+    }).andThen(() => new ResultAsync(this.waitForEnd(waitMs)));
+  }
+
+  private async waitForEnd(waitMs: number): Promise<Result<BackendHold, BackendRunFailure>> {
+    if (waitMs > 0 && this.ends.length === 0) {
+      const ended = new AbortController();
+      const wake = (): void => ended.abort();
+      this.waiters.add(wake);
+      await this.opts.timer.sleep(waitMs, ended.signal);
+      this.waiters.delete(wake);
+    }
+    if (this.fate !== 'alive') return err(unanswered);
+    return ok({
+      running: [...this.running.values()].map(({ run, ms, startedAt }) => ({
+        run,
+        percent: Math.min(PERCENT, Math.floor(((this.clock() - startedAt) * PERCENT) / ms)),
+      })),
+      ended: [...this.ends],
+    });
+  }
+
+  private call<T>(kind: CallFault['call'], carryOut: () => T): ResultAsync<T, BackendRunFailure> {
+    if (this.fate === 'gone') return errAsync({ kind: 'closed', reason: 'connection refused' });
+    if (this.fate === 'replaced') return errAsync({ kind: 'replaced', reason: 'another life' });
+    const at = this.faults.findIndex(({ call }) => call === kind);
+    const [fault] = at < 0 ? [] : this.faults.splice(at, 1);
+    if (this.fate === 'silent' || fault) {
+      if (fault?.how === 'lost') carryOut();
+      if (fault?.how === 'late') this.opts.timer.after(fault.lateMs ?? LATE_MS, carryOut);
+      const answer = this.opts.timer.sleep(ANSWER_MS).then(() => err(unanswered));
+      return new ResultAsync<T, BackendRunFailure>(answer);
+    }
+    return okAsync(carryOut());
+  }
+
+  private carryOutStart(
+    run: RunName,
+    spec: string,
+    leaseUntil: number,
+    token: number,
+  ): BackendRefusal | 'started' {
+    if (!this.passes(token)) return 'fenced';
+    const key = taskKey(run);
+    if (this.running.get(key)?.run.attempt === run.attempt) return 'started';
+    if (run.attempt <= (this.highest.get(key) ?? 0) || this.running.has(key)) return 'spent';
+    if (leaseUntil <= this.clock()) return 'late';
+    this.renew(leaseUntil);
+    this.highest.set(key, run.attempt);
+    this.starts.push(run);
+    const { ms, fails } = this.workOf(run, spec);
+    const startedAt = this.clock();
+    const end = this.opts.timer.after(ms, () =>
+      this.end(key, running, fails ? 'failed' : 'done', fails ? 'failed' : 'done'),
+    );
+    const running: Running = { run, ms, startedAt, end };
+    this.running.set(key, running);
+    this.busiest = Math.max(this.busiest, this.running.size);
+    return 'started';
+  }
+
+  private workOf(run: RunName, spec: string): { readonly ms: number; readonly fails: boolean } {
+    if (this.opts.work) return this.opts.work(run, spec);
+    return { ms: Number(spec) || TASK_MS, fails: false };
+  }
+
+  private end(
+    key: string,
+    running: Running,
+    how: 'done' | 'failed' | 'lost',
+    reason: string,
+  ): void {
+    if (this.running.get(key) !== running) return;
+    running.end.cancel();
+    this.running.delete(key);
+    this.endCount += 1;
+    this.ends.push({ number: this.endCount, run: running.run, how, reason });
+    this.waiters.forEach((wake) => wake());
+  }
+
+  private renew(leaseUntil: number): void {
+    const until = Math.min(leaseUntil, this.clock() + LONGEST_LEASE_MS);
+    this.leaseUntil = Math.max(this.leaseUntil, until);
+    this.lease?.cancel();
+    this.lease = this.opts.timer.after(this.leaseUntil - this.clock(), () =>
+      [...this.running].forEach(([key, running]) => this.end(key, running, 'lost', 'lapsed')),
+    );
+  }
+
+  private passes(token: number): boolean {
+    if (token < this.token) return false;
+    this.token = token;
+    return true;
+  }
+
+  private killAll(): void {
+    this.running.forEach(({ end }) => end.cancel());
+    this.running.clear();
+    this.lease?.cancel();
+  }
+
+  private clock(): number {
+    return CLOCK_START_MS + this.opts.timer.now();
+  }
+}
+
+const unanswered: BackendRunFailure = { kind: 'unanswered', reason: 'no answer' };
+
+const PERCENT = 100;
+
+/** Its steady clock counts from some time before the test's. */
+const CLOCK_START_MS = 50_000;
+
+/** How long a stop takes, ms. */
+const STOP_MS = 30;
+
+/** How long a caller waits for an answer that does not come, ms. */
+const ANSWER_MS = 100;
+
+/** How much later a late call is carried out when the fault does not say, ms. */
+const LATE_MS = 2_000;
+
+/** How long a task takes when nothing says, ms. */
+const TASK_MS = 100;
+
+const LONGEST_LEASE_MS = 1_000;
