Order, refuse, shun and move by what a batch's answer is worth (trial)

Cause: after an outage the line was first come first served, so everything stayed late; slow and hanging backend servers kept getting tasks.

--- a/src/batches/Batch.ts
+++ b/src/batches/Batch.ts
@@ -1,6 +1,7 @@
 import type BatchAnswer from './BatchAnswer';
 import type BatchSubmission from './BatchSubmission';
 import type BatchTask from './BatchTask';
+import Objective from './Objective';
 
 interface StepProgress {
   readonly tasks: readonly BatchTask[];
@@ -28,6 +29,9 @@
   /** Whether some run may have been started by a backend server. */
   mayHaveRun = false;
 
+  /** By when it should be answered. */
+  readonly objective: Objective;
+
   private readonly steps: readonly StepProgress[];
 
   private final: BatchAnswer | undefined;
@@ -41,11 +45,13 @@
     /** When it was accepted, by the timer service. */
     readonly acceptedAt: number,
   ) {
+    this.objective = Objective.of(submission);
     this.steps = submission.steps.map((step, stepNumber) => ({
       tasks: Array.from({ length: step.count }, (_, index) => ({
         ...{ step, stepNumber, index },
         attempt: 1,
         failures: 0,
+        moves: 0,
         failedAt: new Set<string>(),
         readyAt: undefined,
       })),
@@ -78,6 +84,26 @@
     return this.steps.reduce((sum, { unfinished }) => sum + unfinished, 0);
   }
 
+  /** Work of the tasks that wait for room, in thousandths of a core times ms. */
+  get waitingWork(): number {
+    return this.ready.reduce((sum, { step }) => sum + step.needs.cpuMilli * step.estimateMs, 0);
+  }
+
+  /** Time left before the rest has to start in order to be answered in its aim, ms; below 0 it is late. */
+  slackMs(now: number): number {
+    return this.acceptedAt + this.objective.aimMs - this.restMs - now;
+  }
+
+  /** Whether it can no longer be answered while the answer is of use, even if it had room now. */
+  isHopeless(now: number): boolean {
+    return now + this.restMs > this.acceptedAt + this.objective.uselessMs;
+  }
+
+  /** The longest estimate of the tasks that are ready, ms; steps behind them are left out. */
+  private get restMs(): number {
+    return this.ready.reduce((most, { step }) => Math.max(most, step.estimateMs), 0);
+  }
+
   /** Takes a task that is ready, since it is being started. */
   starting(task: BatchTask): void {
     const at = this.ready.indexOf(task);
--- a/src/batches/BatchEntry.ts
+++ b/src/batches/BatchEntry.ts
@@ -28,12 +28,16 @@
 import type BatchAnswer from './BatchAnswer';
 import type BatchEntryOptions from './BatchEntryOptions';
 import type BatchSubmission from './BatchSubmission';
+import compareBatches from './compareBatches';
 import LostSidecars from './LostSidecars';
+import findShunned from './findShunned';
 import noPeerCalls from './noPeerCalls';
 import type OrderedRun from './OrderedRun';
+import predictWait from './predictWait';
 import QueueTable from './QueueTable';
 import Scheduler from './Scheduler';
 import SidecarPeer from './SidecarPeer';
+import worthMoving from './worthMoving';
 
 /**
  * The process that takes batches from callers, has their tasks run at sidecars and answers when they
@@ -73,6 +77,7 @@
     this.scheduler = Scheduler.create({
       ...{ timer, zone },
       peers: () => this.sidecars,
+      hopeless: (batch) => this.refuseWaiting(batch),
       ordered: (batch, task, peer) =>
         opts.log.info('a start is ordered', {
           request: batch.id,
@@ -98,6 +103,7 @@
     this.beats = [
       timer.every(TELL_INTERVAL_MS, () => this.broadcastEntries()),
       timer.every(pulseLimits.idleIntervalMs, () => this.closeSilent()),
+      timer.every(MOVE_INTERVAL_MS, () => this.moveRuns()),
     ];
   }
 
@@ -185,6 +191,8 @@
     if (refusal) return refusal;
     const earlier = [...(this.ending.get(id) ?? [])];
     const batch = Batch.accept(submission, this.opts.timer.now());
+    const tooLate = this.refuseIfTooLate(batch);
+    if (tooLate) return tooLate;
     this.batches.set(id, batch);
     const deadline = this.opts.timer.after(submission.waitMs, () => this.expire(batch));
     batch.answered().then(() => deadline.cancel());
@@ -254,6 +262,59 @@
     return undefined;
   }
 
+  /** A batch that would wait until its answer is of no use is refused before it waits at all. */
+  private refuseIfTooLate(batch: Batch): BatchAnswer | undefined {
+    const { line } = this.scheduler;
+    if (line.length === 0) return undefined;
+    const now = this.opts.timer.now();
+    const ahead = line.filter((other) => compareBatches(other, batch, now) <= 0);
+    const entries = this.entryCount;
+    const waitMs = predictWait(ahead, [...this.sidecars], entries);
+    if (!batch.isHopeless(now + waitMs)) return undefined;
+    const reason = 'it would wait longer than its answer is of use';
+    this.opts.log.info('a batch is refused', {
+      request: batch.id,
+      ...{ reason, waitMs: Math.round(waitMs), ahead: ahead.length, entries },
+      ...batch.objective,
+    });
+    return { kind: 'not-run', reason, retryAfterMs: this.retryAfter(waitMs) };
+  }
+
+  /** The line moved more slowly than predicted: what waits in vain gets its answer now. */
+  private refuseWaiting(batch: Batch): void {
+    const waitMs = predictWait(this.scheduler.line, [...this.sidecars], this.entryCount);
+    const reason = 'it has waited until its answer is of no use';
+    this.finish(batch, { kind: 'not-run', reason, retryAfterMs: this.retryAfter(waitMs) });
+  }
+
+  /** The predicted wait, spread so that callers do not come back together. */
+  private retryAfter(waitMs: number): number {
+    return Math.round(this.opts.random.jitter(Math.max(waitMs, LEAST_RETRY_MS)));
+  }
+
+  /** Entries that callers are spread over, this one included. */
+  private get entryCount(): number {
+    return 1 + new Set([...this.entries].map(({ peer }) => peer.instance)).size;
+  }
+
+  /** Stops runs that crawl at a shunned backend server; they are started elsewhere once they are over. */
+  private moveRuns(): void {
+    const now = this.opts.timer.now();
+    findShunned(this.sidecars).forEach((peer) => {
+      const runs = [...peer.runs.values()].filter((run) => worthMoving(run, peer, now));
+      if (runs.length === 0) return;
+      runs.forEach(({ task }) => {
+        task.moves += 1;
+      });
+      peer.stopRuns(runs);
+      this.opts.log.info('runs are moved from a slow backend server', {
+        sidecar: peer.instance,
+        slowness: peer.slowness,
+        requests: runs.map(({ batch }) => batch.id),
+      });
+    });
+  }
+
   private logAccepted({ submission }: Batch, earlier: number): void {
     const { id, queue, steps, waitMs } = submission;
     this.opts.log.info('a batch is accepted', {
@@ -476,5 +537,11 @@
 /** Time for links and connections to end at the last, ms. */
 const CLOSE_MS = 250;
 
+/** How often runs at slow backend servers are looked at, ms. */
+const MOVE_INTERVAL_MS = 100;
+
+/** The shortest time after which a refused caller is asked to come back, ms. */
+const LEAST_RETRY_MS = 300;
+
 /** When to come back after a refusal for want of backend servers, ms: two of their heartbeats. */
 const NO_ROOM_RETRY_MS = 3_000;
--- a/src/batches/BatchTask.ts
+++ b/src/batches/BatchTask.ts
@@ -7,6 +7,8 @@
   readonly index: number;
   /** The lowest number for its next attempt. */
   attempt: number;
+  /** Times it was stopped in order to run elsewhere. */
+  moves: number;
   /** Runs that ended as failed. */
   failures: number;
   /** Sidecar instances where it failed; they are avoided while there are others. */
--- a/src/batches/Scheduler.ts
+++ b/src/batches/Scheduler.ts
@@ -3,12 +3,15 @@
 import type BatchTask from './BatchTask';
 import choosePeer from './choosePeer';
 import compareBatches from './compareBatches';
+import findShunned from './findShunned';
 import type SidecarPeer from './SidecarPeer';
 
 interface SchedulerOptions {
   readonly timer: TimerService;
   readonly zone: string;
   readonly peers: () => Iterable<SidecarPeer>;
+  /** Told of a batch that was never started and cannot be answered in time any more. */
+  readonly hopeless: (batch: Batch) => void;
   /** Told of each start that is ordered. */
   readonly ordered: (batch: Batch, task: BatchTask, peer: SidecarPeer) => void;
 }
@@ -33,7 +36,9 @@
 
   /** Batches with tasks that wait for room, in the order in which they get it. */
   get line(): readonly Batch[] {
-    return [...this.waiting].filter(({ ready }) => ready.length > 0).sort(compareBatches);
+    const now = this.opts.timer.now();
+    const waiting = [...this.waiting].filter(({ ready }) => ready.length > 0);
+    return waiting.sort((a, b) => compareBatches(a, b, now));
   }
 
   /** The batch has tasks that are ready, now or later. */
@@ -60,24 +65,47 @@
   private assign(): void {
     const { line } = this;
     if (line.length === 0) return;
+    const peers = [...this.opts.peers()];
+    const shunned = findShunned(peers);
     for (const batch of line) {
-      if (!this.assignBatch(batch)) break;
+      if (!this.assignBatch(batch, peers, shunned)) break;
     }
-    [...this.opts.peers()].forEach((peer) => peer.flush());
+    peers.forEach((peer) => peer.flush());
+    this.dropHopeless();
+  }
+
+  /** What got no room now and can no longer be of use is not kept waiting. */
+  private dropHopeless(): void {
+    const now = this.opts.timer.now();
+    const hopeless = [...this.waiting].filter(
+      (batch) => batch.startsSent === 0 && batch.ready.length > 0 && batch.isHopeless(now),
+    );
+    hopeless.forEach((batch) => this.opts.hopeless(batch));
   }
 
   /** Starts what can be started of a batch; false when room is short, so that nobody behind it goes first. */
-  private assignBatch(batch: Batch): boolean {
+  private assignBatch(
+    batch: Batch,
+    peers: readonly SidecarPeer[],
+    shunned: ReadonlySet<SidecarPeer>,
+  ): boolean {
     for (const task of [...batch.ready]) {
-      const peer = choosePeer(batch, task, this.opts.peers(), this.opts.zone);
+      const peer = choosePeer({ batch, task, peers, shunned, ...this.place });
       const isPicky = task.step.label !== '' || task.step.mostTogether > 0;
       if (!peer && !isPicky) return false;
-      if (peer) {
-        peer.order(batch, task);
-        batch.starting(task);
-        this.opts.ordered(batch, task, peer);
-      }
+      if (peer) this.order(batch, task, peer, shunned.has(peer));
     }
     return true;
   }
+
+  private order(batch: Batch, task: BatchTask, peer: SidecarPeer, isTrial: boolean): void {
+    if (isTrial) peer.triedAt = this.opts.timer.now();
+    peer.order(batch, task);
+    batch.starting(task);
+    this.opts.ordered(batch, task, peer);
+  }
+
+  private get place(): { readonly zone: string; readonly now: number } {
+    return { zone: this.opts.zone, now: this.opts.timer.now() };
+  }
 }
--- a/src/batches/SidecarPeer.ts
+++ b/src/batches/SidecarPeer.ts
@@ -39,6 +39,9 @@
 
   private lastNumber = 0;
 
+  /** When a task was last tried here although the backend server is shunned. */
+  triedAt = -Infinity;
+
   /** No orders before this time: the sidecar has refused one and its next report is awaited. */
   private pausedUntil = 0;
 
@@ -80,9 +83,14 @@
     return this.total;
   }
 
-  /** Time that work takes there against its estimates; 1 when not known. */
-  get slowness(): number {
-    return this.room.slowness > 0 ? this.room.slowness / THOUSAND : 1;
+  /** Time that work takes there against its estimates; undefined when not known. */
+  get slowness(): number | undefined {
+    return this.room.slowness > 0 ? this.room.slowness / THOUSAND : undefined;
+  }
+
+  /** Whether most of what ended there lately has failed. */
+  get isFailing(): boolean {
+    return this.room.failing > 0;
   }
 
   /** Whether its backend server takes tasks, as far as it has told. */
@@ -170,7 +178,12 @@
 
   /** Asks to stop the runs of a batch; each is reported once it is over. */
   stop(batch: Batch): void {
-    const runs = [...this.runs.values()].filter((run) => run.batch === batch && !run.isStopping);
+    this.stopRuns([...this.runs.values()].filter((run) => run.batch === batch));
+  }
+
+  /** Asks to stop these runs. */
+  stopRuns(wanted: readonly OrderedRun[]): void {
+    const runs = wanted.filter(({ isStopping }) => !isStopping);
     if (runs.length === 0) return;
     runs.forEach((run) => {
       run.isStopping = true;
--- a/src/batches/choosePeer.ts
+++ b/src/batches/choosePeer.ts
@@ -2,24 +2,31 @@
 import type BatchTask from './BatchTask';
 import type SidecarPeer from './SidecarPeer';
 
+interface Choice {
+  readonly batch: Batch;
+  readonly task: BatchTask;
+  readonly peers: Iterable<SidecarPeer>;
+  /** Backend servers that are slow or failing. */
+  readonly shunned: ReadonlySet<SidecarPeer>;
+  /** The availability zone of this entry. */
+  readonly zone: string;
+  readonly now: number;
+}
+
 /**
- * Chooses where a task starts: among the sidecars that can take it now, the one where it is likely to
- * be done first. That is the fastest backend server, and among equals the emptiest: entries decide
- * at the same time with reports a few milliseconds old, and spreading over free room keeps them from
+ * Chooses where a task starts: among the sidecars that can take it now, the emptiest. Entries decide
+ * at the same time with reports some milliseconds old, and spreading over free room keeps them from
  * choosing the same place. The own availability zone counts for little, because crossing to another
  * costs a millisecond, and a refused start more.
+ *
+ * A shunned backend server gets single tasks with a pause between them, by which its return shows.
  */
-export default function choosePeer(
-  batch: Batch,
-  task: BatchTask,
-  peers: Iterable<SidecarPeer>,
-  zone: string,
-): SidecarPeer | undefined {
+export default function choosePeer(choice: Choice): SidecarPeer | undefined {
   let best: SidecarPeer | undefined;
   let bestScore = -Infinity;
-  [...peers].forEach((peer) => {
-    if (!canTake(peer, batch, task)) return;
-    const score = scoreOf(peer, task, zone);
+  [...choice.peers].forEach((peer) => {
+    if (!canTake(peer, choice)) return;
+    const score = scoreOf(peer, choice);
     if (score <= bestScore) return;
     best = peer;
     bestScore = score;
@@ -27,14 +34,17 @@
   return best;
 }
 
-function canTake(peer: SidecarPeer, batch: Batch, { step, stepNumber }: BatchTask): boolean {
+function canTake(peer: SidecarPeer, { batch, task, shunned, now }: Choice): boolean {
+  const { step, stepNumber } = task;
   if (!peer.isUsable || peer.service !== batch.submission.queue.service) return false;
   if (step.label !== '' && !peer.labels.includes(step.label)) return false;
   if (!peer.free.holds(step.needs)) return false;
+  if (shunned.has(peer) && (peer.runs.size > 0 || now - peer.triedAt < TRIAL_MS)) return false;
   return step.mostTogether === 0 || peer.together(batch, stepNumber) < step.mostTogether;
 }
 
-function scoreOf(peer: SidecarPeer, { step, failedAt }: BatchTask, zone: string): number {
+function scoreOf(peer: SidecarPeer, { task, zone }: Choice): number {
+  const { step, failedAt } = task;
   const freeShare = peer.free.cpuMilli / Math.max(1, peer.capacity.cpuMilli);
   const isPreferred = step.preferredLabel !== '' && peer.labels.includes(step.preferredLabel);
   return (
@@ -53,3 +63,6 @@
 
 /** A task that failed somewhere goes elsewhere while there is anything else. */
 const FAILED_THERE = 4;
+
+/** Pause between tasks that are tried on a shunned backend server, ms, by each entry. */
+const TRIAL_MS = 500;
--- /dev/null
+++ b/src/runs/BackendHealth.ts
@@ -0,0 +1,80 @@
+import type TimerService from '../core/TimerService';
+import type RunState from './RunState';
+
+/**
+ * How well a backend server works, by what its runs show: how long they take against their
+ * estimates, and how many fail. It answers a backend server that turns slow, hangs or fails all it
+ * starts while its heartbeats stay good.
+ *
+ * Slowness is the time that runs have spent over the work that they got done, both fading within
+ * some hundred milliseconds. It shows a slow or hanging backend server before anything has ended
+ * there, and the errors of single estimates, some 40%, even out over the ten runs that it usually has.
+ */
+export default class BackendHealth {
+  private spentMs = 0;
+
+  private workedMs = 0;
+
+  private lookedAt: number;
+
+  private failures = 0;
+
+  private constructor(private readonly timer: TimerService) {
+    this.lookedAt = timer.now();
+  }
+
+  /** Creates the measure of a backend server of which nothing is known. */
+  static create(timer: TimerService): BackendHealth {
+    return new BackendHealth(timer);
+  }
+
+  /** Time that work takes against its estimates; undefined while too little is known. */
+  get slowness(): number | undefined {
+    if (this.spentMs < LEAST_SPENT_MS) return undefined;
+    return Math.min(SLOWEST, this.spentMs / Math.max(this.workedMs, 1));
+  }
+
+  /** Share of the newest ends that were failures, 0 to 1. */
+  get failing(): number {
+    return this.failures;
+  }
+
+  /** Counts the time since the last look for the runs that go on. */
+  look(running: Iterable<RunState>): void {
+    const now = this.timer.now();
+    const sinceMs = now - this.lookedAt;
+    this.lookedAt = now;
+    const fade = Math.exp(-sinceMs / FADE_MS);
+    this.spentMs *= fade;
+    this.workedMs *= fade;
+    [...running].forEach(({ startedAt, request, isConfirmed }) => {
+      if (!isConfirmed || request.estimateMs <= 0) return;
+      this.spentMs += Math.min(sinceMs, now - startedAt);
+    });
+  }
+
+  /** A run was seen to have come this much further, in hundredths of its work. */
+  progressed({ request }: RunState, percent: number): void {
+    this.workedMs += (Math.max(0, percent) / PERCENT) * request.estimateMs;
+  }
+
+  /** A run has ended by itself. */
+  ended(state: RunState, isDone: boolean): void {
+    this.failures += ((isDone ? 0 : 1) - this.failures) * FAILURE_WEIGHT;
+    if (isDone) this.progressed(state, PERCENT - state.percent);
+  }
+}
+
+const PERCENT = 100;
+
+/** How fast what was seen fades, ms: a few looks of a busy backend server. */
+const FADE_MS = 300;
+
+/** Time of runs that has to be seen before anything is said, ms: one run for that long, or ten for a tenth. */
+const LEAST_SPENT_MS = 150;
+
+/** The highest slowness told: nothing is decided by more. */
+const SLOWEST = 100;
+
+/** Weight of the newest end: three failures in a row make more than half. */
+const FAILURE_WEIGHT = 0.25;
--- a/src/runs/BackendLife.ts
+++ b/src/runs/BackendLife.ts
@@ -4,6 +4,7 @@
 import Resources from '../room/Resources';
 import AttemptNumbers from './AttemptNumbers';
 import BackendClock from './BackendClock';
+import BackendHealth from './BackendHealth';
 import type BackendHold from './BackendHold';
 import type BackendLifeOptions from './BackendLifeOptions';
 import type BackendRefusal from './BackendRefusal';
@@ -13,7 +14,6 @@
 import type RunName from './RunName';
 import type RunRequest from './RunRequest';
 import type RunState from './RunState';
-import Slowness from './Slowness';
 import taskKey from './taskKey';
 
 /**
@@ -59,13 +59,14 @@
 
   private newest: BackendReport;
 
-  readonly slowness: Slowness;
+  /** How well it works, by its runs. */
+  readonly health: BackendHealth;
 
   private constructor(private readonly opts: BackendLifeOptions) {
     this.newest = opts.report;
     this.clock = BackendClock.of(opts.timer, opts.report.clockMs);
     this.token = Math.max(1, Math.floor(opts.report.clockMs));
-    this.slowness = Slowness.create(opts.timer);
+    this.health = BackendHealth.create(opts.timer);
   }
 
   /** Takes over a backend server: ends what an earlier sidecar left running, then takes tasks. */
@@ -218,7 +219,6 @@
       confirmedAtLook: 0,
       isStopping: false,
       percent: 0,
-      percentAt: now,
     };
     this.runs.set(key, state);
     this.work.wake();
@@ -347,8 +347,10 @@
     this.refusedConnections = 0;
     this.acknowledgedEnd = Math.max(this.acknowledgedEnd, seen);
     if (isSilent) this.speakAgain();
+    this.health.look(this.runs.values());
     this.hearEnds(res.value);
     this.hearRunning(res.value, look);
+    this.opts.changed();
     if (this.proofs.size > 0) await timer.sleep(runLimits.stopCheckMs);
   }
 
@@ -391,7 +393,7 @@
       const key = taskKey(run);
       const state = this.runs.get(key);
       if (state?.run.attempt !== run.attempt) return;
-      if (how === 'done') this.slowness.finished(state);
+      if (how !== 'lost') this.health.ended(state, how === 'done');
       this.finish(key, state, outcomes[how], reason);
     });
   }
@@ -406,9 +408,8 @@
       }
       seen.add(state);
       this.confirm(state);
-      if (percent === state.percent) return;
+      this.health.progressed(state, percent - state.percent);
       state.percent = percent;
-      state.percentAt = this.opts.timer.now();
     });
     [...this.proofs].forEach(([state, provenBy]) => {
       if (look < provenBy || seen.has(state)) return;
--- a/src/runs/RoomReports.ts
+++ b/src/runs/RoomReports.ts
@@ -37,7 +37,7 @@
 
   /** Something has changed: reports when it matters. */
   changed(): void {
-    const {isAccepting} = this.host;
+    const { isAccepting } = this.host;
     if (isAccepting !== this.wasAccepting || this.isShort) this.now();
     else this.soon();
     this.wasAccepting = isAccepting;
@@ -94,7 +94,8 @@
       free: amountOf(life.free),
       labels: [...labels],
       accepting: this.host.isAccepting,
-      slowness: Math.round((life.slowness.average ?? 0) * THOUSAND),
+      slowness: Math.round(stepped(life.health.slowness ?? 0) * THOUSAND),
+      failing: life.health.failing >= FAILING ? THOUSAND : 0,
     });
   }
 }
@@ -103,8 +104,17 @@
   return create(AmountSchema, { cpuMilli, memoryMb, accelerators });
 }
 
+/** Coarse steps, so that small changes make no message: powers of the square root of two. */
+function stepped(slowness: number): number {
+  if (slowness <= 0) return 0;
+  return 2 ** (Math.round(2 * Math.log2(slowness)) / 2);
+}
+
 const THOUSAND = 1000;
 
+/** Share of failures from which a backend server is called failing; a failing one soon has all. */
+const FAILING = 0.5;
+
 /** Room is short below this share of the whole: about three tasks of ten. */
 const SHORT_SHARE = 0.3;
 
--- a/src/runs/RunState.ts
+++ b/src/runs/RunState.ts
@@ -13,7 +13,6 @@
   confirmedAtLook: number;
   /** Whether a stop has been asked for, so that its end is no result. */
   isStopping: boolean;
-  /** How much of its work was done at the last look, 0 to 100, and when that was. */
+  /** How much of its work was done at the last look, 0 to 100. */
   percent: number;
-  percentAt: number;
 }
