--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -9,7 +9,7 @@
   outdir: 'target',
   outExtension: { '.js': '.cjs' },
   bundle: true,
-  minify: !process.env.NOMINIFY,
+  minify: true,
   keepNames: true,
   format: 'cjs',
   platform: 'node',
--- a/scripts/describeMetrics.mjs
+++ b/scripts/describeMetrics.mjs
@@ -16,7 +16,12 @@
 \`_count\` cover everything since the start, so rates over any span come from these.
 `;
 
-const ROLES = { entry: 'Entries', sidecar: 'Sidecars' };
+const ROLES = {
+  entry: 'Entries',
+  sidecar: 'Sidecars',
+  batchEntry: 'Entries for batches',
+  runSidecar: 'Sidecars for leased runs',
+};
 
 const { code } = await transform(await readFile(TABLE, 'utf8'), { loader: 'ts' });
 const { default: table } = await import(`data:text/javascript,${encodeURIComponent(code)}`);
--- a/src/batches/BatchEntry.ts
+++ b/src/batches/BatchEntry.ts
@@ -78,14 +78,19 @@
       ...{ timer, zone },
       peers: () => this.sidecars,
       hopeless: (batch) => this.refuseWaiting(batch),
-      ordered: (batch, task, peer) =>
+      ordered: (batch, task, peer) => {
+        const waitedMs = timer.now() - (task.readyAt ?? 0);
+        const { name } = batch.submission.queue;
+        opts.metrics?.add('runs_ordered_total', 1, name);
+        opts.metrics?.record('batch_wait_seconds', waitedMs / SECOND_MS, name);
         opts.log.info('a start is ordered', {
           request: batch.id,
           ...{ step: task.stepNumber, index: task.index, attempt: task.attempt },
           ...{ sidecar: peer.instance, freeCpuMilli: peer.free.cpuMilli },
           reportAgeMs: Math.round(peer.silentMs),
-          waitedMs: Math.round(timer.now() - (task.readyAt ?? 0)),
-        }),
+          waitedMs: Math.round(waitedMs),
+        });
+      },
     });
     this.lost = LostSidecars.create(timer, (run, peer, reason) =>
       this.runOver(run, peer, RunOutcome.LOST, reason),
@@ -166,6 +171,11 @@
     return this.batches.get(id);
   }
 
+  /** Links to other entries now, in either direction. */
+  get entryLinkCount(): number {
+    return this.entries.size;
+  }
+
   /** Puts a configuration in force unless a newer one is; tells all peers of it. */
   configure(table: QueueTable, source: string): void {
     if (!this.tables.adopt(table)) return;
@@ -183,6 +193,12 @@
 
   /** Runs a batch and resolves to its answer. When `gone` aborts first, its runs are stopped. */
   async submit(submission: BatchSubmission, gone: AbortSignal): Promise<BatchAnswer> {
+    const answer = await this.answerTo(submission, gone);
+    this.opts.metrics?.add('batches_answered_total', 1, submission.queue.name, answer.kind);
+    return answer;
+  }
+
+  private async answerTo(submission: BatchSubmission, gone: AbortSignal): Promise<BatchAnswer> {
     this.gaps.check();
     const { id } = submission;
     const known = this.batches.get(id);
@@ -194,6 +210,7 @@
     const tooLate = this.refuseIfTooLate(batch);
     if (tooLate) return tooLate;
     this.batches.set(id, batch);
+    this.opts.metrics?.add('batches_accepted_total', 1, submission.queue.name);
     const deadline = this.opts.timer.after(submission.waitMs, () => this.expire(batch));
     batch.answered().then(() => deadline.cancel());
     this.logAccepted(batch, earlier.length);
@@ -307,6 +324,7 @@
         task.moves += 1;
       });
       peer.stopRuns(runs);
+      this.opts.metrics?.add('runs_moved_total', runs.length);
       this.opts.log.info('runs are moved from a slow backend server', {
         sidecar: peer.instance,
         slowness: peer.slowness,
@@ -346,13 +364,15 @@
   /** The batch has its answer: what of it still runs is stopped. */
   private answered(batch: Batch, answer: BatchAnswer): void {
     const { id } = batch;
+    const tookMs = this.opts.timer.now() - batch.acceptedAt;
+    this.opts.metrics?.record('batch_seconds', tookMs / SECOND_MS, batch.submission.queue.name);
     this.batches.delete(id);
     this.scheduler.remove(batch);
     this.sidecars.forEach((peer) => peer.stop(batch));
     this.opts.log.info('a batch is answered', {
       request: id,
       ...answer,
-      tookMs: Math.round(this.opts.timer.now() - batch.acceptedAt),
+      tookMs: Math.round(tookMs),
       starts: batch.startsSent,
       stillRunning: batch.runs,
     });
@@ -377,6 +397,7 @@
   private runOver(run: OrderedRun, peer: SidecarPeer, outcome: RunOutcome, reason: string): void {
     const { batch, task } = run;
     const now = this.opts.timer.now();
+    this.opts.metrics?.add('runs_over_total', 1, RunOutcome[outcome].toLowerCase());
     batch.runOver();
     if (outcome !== RunOutcome.REFUSED) batch.mayHaveRun = true;
     if (outcome !== RunOutcome.DONE && !batch.answer) {
@@ -537,6 +558,8 @@
 /** Time for links and connections to end at the last, ms. */
 const CLOSE_MS = 250;
 
+const SECOND_MS = 1_000;
+
 /** How often runs at slow backend servers are looked at, ms. */
 const MOVE_INTERVAL_MS = 100;
 
--- a/src/batches/BatchEntryOptions.ts
+++ b/src/batches/BatchEntryOptions.ts
@@ -1,6 +1,7 @@
 import type Random from '../core/Random';
 import type TimerService from '../core/TimerService';
 import type Network from '../link/Network';
+import type Metrics from '../observe/Metrics';
 import type RunLog from '../runs/RunLog';
 
 /** What an entry for batches is made of. */
@@ -9,6 +10,7 @@
   readonly random: Random;
   readonly network: Network;
   readonly log: RunLog;
+  readonly metrics?: Metrics;
   readonly cluster: string;
   readonly instance: string;
   /** Unique for each run of the process. */
--- a/src/batches/compareBatches.ts
+++ b/src/batches/compareBatches.ts
@@ -3,17 +3,29 @@
 /**
  * The order in which waiting batches get room, for the load in which more is asked than there is
  * room for. The queue's priority comes first, since operators set it. Among equals, batches that can
- * still be answered in their aim go before those that are late already, which are worth a fraction:
- * after an outage the line would otherwise stay late for long after the backlog is gone. Among those
- * in time, whoever has to start soonest goes first.
+ * still be answered in their aim go before those that are late or nearly so, which are worth a
+ * fraction: after an outage the line would otherwise stay late for long after the backlog is gone.
+ * "Nearly" is kept wide, because estimates are wrong by 40% and a batch started at the last moment
+ * ends late as often as not. Among those in time, one that has begun is finished before another is
+ * begun, and then whoever has to start soonest goes first.
  */
 export default function compareBatches(a: Batch, b: Batch, now: number): number {
   const byPriority = a.submission.queue.priority - b.submission.queue.priority;
   if (byPriority !== 0) return byPriority;
-  const slackOfA = a.slackMs(now);
-  const slackOfB = b.slackMs(now);
-  const isLateA = slackOfA < 0;
-  const isLateB = slackOfB < 0;
-  if (isLateA !== isLateB) return isLateA ? 1 : -1;
-  return slackOfA - slackOfB;
+  const byLateness = rankOf(a, now) - rankOf(b, now);
+  return byLateness || a.slackMs(now) - b.slackMs(now);
 }
+
+/** Begun and in time, waiting and in time, or late. */
+function rankOf(batch: Batch, now: number): number {
+  const { aimMs, chainMs } = batch.objective;
+  if (batch.slackMs(now) < (aimMs - chainMs) * NEARLY_LATE) return LATE;
+  return batch.startsSent > 0 ? BEGUN : WAITING;
+}
+
+const BEGUN = 0;
+const WAITING = 1;
+const LATE = 2;
+
+/** Share of a batch's first slack below which it counts as late. */
+const NEARLY_LATE = 0.25;
--- /dev/null
+++ b/src/batches/exposeBatchEntry.ts
@@ -0,0 +1,11 @@
+import type Metrics from '../observe/Metrics';
+import type BatchEntry from './BatchEntry';
+
+/** Has the state of an entry for batches read whenever its metrics are shown. */
+export default function exposeBatchEntry(entry: BatchEntry, metrics: Metrics): void {
+  metrics.read('batches_open', () => [{ value: entry.openCount }]);
+  metrics.read('batch_tasks_waiting', () => [{ value: entry.queuedCount }]);
+  metrics.read('linked_sidecars', () => [{ value: entry.sidecarCount }]);
+  metrics.read('linked_entries', () => [{ value: entry.entryLinkCount }]);
+  metrics.read('configuration_version', () => [{ value: entry.table.version }]);
+}
--- a/src/observe/MetricRow.ts
+++ b/src/observe/MetricRow.ts
@@ -3,7 +3,7 @@
   /** A summary shows quantiles of the last minutes, and the sum and the count since the start. */
   readonly kind: 'counter' | 'gauge' | 'summary';
   /** The roles of process that show it. */
-  readonly roles: readonly ('entry' | 'sidecar')[];
+  readonly roles: readonly ('entry' | 'sidecar' | 'batchEntry' | 'runSidecar')[];
   readonly unit: string;
   readonly labels: readonly string[];
   readonly help: string;
--- a/src/runs/OwnerLink.ts
+++ b/src/runs/OwnerLink.ts
@@ -23,6 +23,8 @@
   readonly host: RunHost;
   readonly link: Link;
   readonly log: RunLog;
+  /** Counts orders that are over, by outcome. */
+  readonly outcomes: Map<string, number>;
 }
 
 /**
@@ -168,9 +170,10 @@
   }
 
   private report(end: RunEnd): void {
-    const { link, log } = this.opts;
+    const { link, log, outcomes } = this.opts;
     const { number, attempt, reason } = end;
-    const outcome = RunOutcome[end.outcome];
+    const outcome = RunOutcome[end.outcome].toLowerCase();
+    outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1);
     if (end.outcome !== RunOutcome.DONE) {
       log.info('a run is over', { entry: link.peer.instance, number, attempt, outcome, reason });
     }
--- a/src/runs/RunSidecar.ts
+++ b/src/runs/RunSidecar.ts
@@ -21,6 +21,9 @@
 export default class RunSidecar {
   private readonly host: RunHost;
 
+  /** Orders that are over, by outcome. */
+  readonly outcomes = new Map<string, number>();
+
   private readonly owners = new Set<OwnerLink>();
 
   /** Owners whose links have ended, and whose runs may not all be over. */
@@ -66,6 +69,11 @@
     return this.host.size;
   }
 
+  /** Whether the backend server takes tasks. */
+  get isAccepting(): boolean {
+    return this.host.isAccepting;
+  }
+
   /** Takes a heartbeat of the backend server. */
   hear(report: BackendReport): void {
     this.host.hear(report);
@@ -114,7 +122,7 @@
   private async serve(link: Link): Promise<boolean> {
     const { timer, log } = this.opts;
     const entry = link.peer.instance;
-    const owner = OwnerLink.open({ timer, host: this.host, link, log });
+    const owner = OwnerLink.open({ timer, host: this.host, link, log, outcomes: this.outcomes });
     log.info('linked to an entry', { entry, incarnation: link.peer.incarnation });
     this.owners.add(owner);
     this.uncleared.add(owner);
--- a/test/batches/BatchEntry.test.ts
+++ b/test/batches/BatchEntry.test.ts
@@ -157,7 +157,7 @@
   const caller = batchCase.submit('a', { ms: 1_000 });
   await batchCase.timer.advance(50);
   const left = batchCase.entries[0]!.leave(5_000);
-  const {isReady} = (batchCase.entries[0]!);
+  const { isReady } = batchCase.entries[0]!;
   await batchCase.timer.advance(1_200);
   await left;
   expect([isReady, caller.answer]).toEqual([false, { kind: 'completed' }]);
--- /dev/null
+++ b/test/usersPlatform/CallerServer.test.ts
@@ -0,0 +1,97 @@
+import { request } from 'node:http';
+import { expect, test } from 'vitest';
+import CallerServer from '../../platform/CallerServer';
+import BatchCase from '../support/BatchCase';
+
+const log = { info: () => undefined, warn: () => undefined };
+const ID = '5c0e7a21d94b36f8';
+const job = { best_effort: true, spec: '50', steps: [{ count: 2, cpu: 4_000, estimate_ms: 50 }] };
+
+interface Ask {
+  readonly method?: string;
+  readonly path?: string;
+  readonly host?: string;
+  readonly body?: unknown;
+}
+
+/** Answers of a caller server before an entry and two sidecars in memory, whose time is moved on. */
+async function ask(asks: readonly Ask[], prepare?: (server: CallerServer) => void) {
+  const batchCase = await BatchCase.open({ entries: 1 });
+  const server = CallerServer.of(batchCase.entries[0]!, log);
+  await server.listen('127.0.0.1:0');
+  prepare?.(server);
+  const answers = [];
+  for (const each of asks) {
+    const answer = send(server.port, each);
+    let isAnswered = false;
+    answer.then(() => {
+      isAnswered = true;
+    });
+    while (!isAnswered) await batchCase.timer.advance(20);
+    answers.push(await answer);
+  }
+  server.close();
+  return answers;
+}
+
+function send(port: number, { method = 'POST', path = `/q/${ID}`, host = 'h', body }: Ask) {
+  return new Promise<string>((resolve, reject) => {
+    const headers = { host, 'content-type': 'application/json', 'x-deadline-ms': '3000' };
+    const req = request({ port, method, path, headers, host: '127.0.0.1' }, (res) => {
+      let text = '';
+      res.on('data', (chunk: Buffer) => {
+        text += chunk.toString();
+      });
+      const { connection, 'retry-after': retry } = res.headers;
+      const marks = [retry === undefined ? '' : ' with Retry-After', ` ${connection}`].join('');
+      res.on('end', () => resolve(`${res.statusCode} ${text}${marks}`));
+    });
+    req.on('error', reject);
+    req.end(body === undefined ? undefined : JSON.stringify(body));
+  });
+}
+
+test('a job is answered when it has ended', async () => {
+  expect(await ask([{ body: job }])).toMatchInlineSnapshot(`
+    [
+      "200 {"state":"completed"} keep-alive",
+    ]
+  `);
+});
+
+test('requests that cannot be served are told why', async () => {
+  const asks: Ask[] = [
+    { host: 'other', body: job },
+    { body: { ...job, best_effort: false } },
+    { body: 'no job' },
+    { path: '/q/short', body: job },
+    { method: 'PATCH' },
+    { body: { ...job, spec: 'x'.repeat(300_000) } },
+  ];
+  expect(await ask(asks)).toMatchInlineSnapshot(`
+    [
+      "404 {"error":"no such queue"} keep-alive",
+      "503 {"error":"not supported: jobs that are kept: only best-effort jobs are run so far","retry_after_ms":1000} with Retry-After keep-alive",
+      "400 {"error":"the body is no JSON object"} keep-alive",
+      "400 {"error":"the id is not 16 hexadecimal digits"} keep-alive",
+      "405 {"error":"use POST, GET or DELETE"} keep-alive",
+      "413 {"error":"the body is too long"} keep-alive",
+    ]
+  `);
+});
+
+test('a job that is not open is gone, and a queue tells how many wait', async () => {
+  const asks: Ask[] = [{ method: 'GET' }, { method: 'DELETE' }, { method: 'GET', path: '/q/' }];
+  expect(await ask(asks)).toMatchInlineSnapshot(`
+    [
+      "410 {"error":"no such job"} keep-alive",
+      "410 {} keep-alive",
+      "200 {"pending":0} keep-alive",
+    ]
+  `);
+});
+
+test('a leaving entry ends connections with their answers', async () => {
+  const answers = await ask([{ body: job }], (server) => server.leave());
+  expect(answers).toEqual(['200 {"state":"completed"} close']);
+});
--- /dev/null
+++ b/test/usersPlatform/formats.test.ts
@@ -0,0 +1,118 @@
+import { expect, test } from 'vitest';
+import readConfiguration from '../../platform/readConfiguration';
+import readHeartbeat from '../../platform/readHeartbeat';
+import readSubmission from '../../platform/readSubmission';
+
+const step = { count: 2, cpu: 6200, mem_mb: 64, estimate_ms: 85.4 };
+
+test('a job is read into steps of the product', () => {
+  const steps = [
+    step,
+    { count: 1, after: [0], constraints: 'a', affinity: 'r1', anti_affinity: 3 },
+  ];
+  expect(readSubmission({ spec: 's', best_effort: true, steps })).toMatchInlineSnapshot(`
+    {
+      "kind": "batch",
+      "spec": "s",
+      "steps": [
+        {
+          "after": [],
+          "count": 2,
+          "estimateMs": 85,
+          "label": "",
+          "mostTogether": 0,
+          "needs": Resources {
+            "accelerators": 0,
+            "cpuMilli": 6200,
+            "memoryMb": 64,
+          },
+          "preferredLabel": "",
+        },
+        {
+          "after": [
+            0,
+          ],
+          "count": 1,
+          "estimateMs": 0,
+          "label": "a",
+          "mostTogether": 3,
+          "needs": Resources {
+            "accelerators": 0,
+            "cpuMilli": 0,
+            "memoryMb": 0,
+          },
+          "preferredLabel": "r1",
+        },
+      ],
+    }
+  `);
+});
+
+test.each([
+  ['kept', { steps: [step] }],
+  ['a gang', { best_effort: true, steps: [{ ...step, gang: true }] }],
+  ['lasting', { best_effort: true, steps: [{ ...step, long_running: true }] }],
+  ['repeated', { best_effort: true, repeat_count: 3, steps: [step] }],
+  ['filling', { best_effort: true, steps: [{ ...step, utilization: true }] }],
+])('a job that is %s is told apart as not supported', (_name, job) => {
+  expect(readSubmission(job).kind).toBe('unsupported');
+});
+
+test.each([
+  ['no object', 7],
+  ['no step', { best_effort: true, steps: [] }],
+  ['a step without tasks', { best_effort: true, steps: [{ cpu: 1 }] }],
+  ['a step after itself', { best_effort: true, steps: [{ ...step, after: [0] }] }],
+])('a body with %s is invalid', (_name, job) => {
+  expect(readSubmission(job).kind).toBe('invalid');
+});
+
+test('a route of the configuration is a queue, found by host and longest prefix', () => {
+  const route = { host: 'h', service: 's', max_attempts: 2, timeout_ms: 1500, priority: 1 };
+  const table = readConfiguration(
+    JSON.stringify({
+      version: 7,
+      routes: [
+        { ...route, name: 'short', prefix: '/a/' },
+        { ...route, name: 'long', prefix: '/a/b/' },
+      ],
+      limits: { max_body_bytes: 10 },
+    }),
+  );
+  const found = ['/a/1', '/a/b/1', '/c/1'].map((path) => table.find('H', path)?.name);
+  expect([table.version, table.limits.bodyBytes, found]).toEqual([
+    7,
+    10,
+    ['short', 'long', undefined],
+  ]);
+});
+
+test('a heartbeat is read into a report of the product', () => {
+  const body = {
+    ...{ service: 's', addr: '10.0.0.1:8', state: 'draining', seq: 4, clock_ms: 9 },
+    ...{ capacity: { cpu: 64_000, mem_mb: 1_024 }, labels: ['a', 'r1-3'] },
+  };
+  expect(readHeartbeat('i-1', body)).toMatchInlineSnapshot(`
+    {
+      "address": "10.0.0.1:8",
+      "capacity": Resources {
+        "accelerators": 0,
+        "cpuMilli": 64000,
+        "memoryMb": 1024,
+      },
+      "clockMs": 9,
+      "draining": true,
+      "id": "i-1",
+      "labels": [
+        "a",
+        "r1-3",
+      ],
+      "sequence": 4,
+      "service": "s",
+    }
+  `);
+});
+
+test('a heartbeat without a clock is refused with the field', () => {
+  expect(readHeartbeat('i-1', { service: 's', addr: 'a:1' })).toBe('clock_ms: must be a number');
+});
--- /dev/null
+++ b/test/usersPlatform/store.test.ts
@@ -0,0 +1,95 @@
+import { expect, test } from 'vitest';
+import PresenceKey from '../../platform/PresenceKey';
+import StoreCalls from '../../platform/StoreCalls';
+import StoreFollower from '../../platform/StoreFollower';
+import Random from '../../src/core/Random';
+import SystemTimer from '../../src/core/SystemTimer';
+import HttpStandIn from '../support/HttpStandIn';
+
+const log = { info: () => undefined, warn: () => undefined };
+const timer = SystemTimer.create();
+
+function item(key: string, value: string, revision: number) {
+  return { key, value: Buffer.from(value).toString('base64'), revision };
+}
+
+/** Follows `op/config` until the wanted number of values has come, and returns them. */
+async function follow(store: HttpStandIn, wanted: number): Promise<readonly string[]> {
+  const stop = new AbortController();
+  const values: string[] = [];
+  const put = (_key: string, value: string): void => {
+    values.push(value);
+    if (values.length === wanted) stop.abort();
+  };
+  const calls = StoreCalls.to(timer, store.address);
+  const parts = { timer, log, random: Random.fromSeed(1), store: calls, prefix: 'op/config' };
+  await StoreFollower.of({ ...parts, put }).run(stop.signal);
+  await store.close();
+  return values;
+}
+
+test('a key is listed first and then watched from there', async () => {
+  const store = await HttpStandIn.open(({ path }) =>
+    path.includes('kv-range')
+      ? { status: 200, body: { items: [item('op/config', 'one', 4)], at: 5 } }
+      : { status: 200, body: { events: [item('op/config', 'two', 6)], at: 6 } },
+  );
+  const values = await follow(store, 2);
+  expect([values, store.calls.map(({ path }) => path)]).toMatchInlineSnapshot(`
+    [
+      [
+        "one",
+        "two",
+      ],
+      [
+        "/magnoliakeel/kv-range?prefix=op%2Fconfig",
+        "/magnoliakeel/kv-watch?prefix=op%2Fconfig&after=5&wait_ms=5000",
+      ],
+    ]
+  `);
+});
+
+test('a forgotten history is listed anew', async () => {
+  let lists = 0;
+  const store = await HttpStandIn.open(({ path }) => {
+    if (!path.includes('kv-range')) return { status: 410 };
+    lists += 1;
+    return { status: 200, body: { items: [item('op/config', `list ${lists}`, 4)], at: 5 } };
+  });
+  expect(await follow(store, 2)).toEqual(['list 1', 'list 2']);
+});
+
+test('a store that breaks connections is asked again', async () => {
+  let calls = 0;
+  const store = await HttpStandIn.open(() => {
+    calls += 1;
+    if (calls < 3) return 'reset';
+    return { status: 200, body: { items: [item('op/config', 'there', 4)], at: 5 } };
+  });
+  expect([await follow(store, 1), calls]).toEqual([['there'], 3]);
+});
+
+test('the key of a lapsed lease is written anew', async () => {
+  const stop = new AbortController();
+  const paths: string[] = [];
+  const store = await HttpStandIn.open(({ path }) => {
+    paths.push(path.split('/').slice(2).join('/'));
+    if (paths.length === 5) stop.abort();
+    if (path.includes('kv-keep')) return { status: 404 };
+    return { status: 200, body: path.includes('kv-lease') ? { lease_id: paths.length } : {} };
+  });
+  const calls = StoreCalls.to(timer, store.address);
+  const quick = { ...timer, now: () => timer.now(), wall: () => timer.wall() };
+  const key = PresenceKey.of({
+    timer: {
+      ...quick,
+      after: (delayMs, handler) => timer.after(delayMs, handler),
+      every: (delayMs, handler) => timer.every(delayMs, handler),
+      sleep: (_delayMs, signal) => timer.sleep(1, signal),
+    },
+    ...{ store: calls, log, key: 'entries/e1', value: '10.0.0.1:7' },
+  });
+  await key.run(stop.signal);
+  await store.close();
+  expect(paths.slice(0, 5)).toEqual(['kv-lease', 'kv-txn', 'kv-keep/1', 'kv-lease', 'kv-txn']);
+});
