--- a/src/runs/BackendLife.ts
+++ b/src/runs/BackendLife.ts
@@ -30,6 +30,9 @@
   /** Orders that wait for an earlier run of the same task to be over here. */
   private readonly followers = new Map<string, RunRequest>();
 
+  /** Orders that came when there was no room, oldest first: entries decide at the same time. */
+  private waiting: RunRequest[] = [];
+
   private readonly attempts = AttemptNumbers.create();
 
   private readonly clock: BackendClock;
@@ -102,7 +105,7 @@
 
   /** Runs that are not certainly over. */
   get size(): number {
-    return this.runs.size + this.followers.size;
+    return this.runs.size + this.followers.size + this.waiting.length;
   }
 
   /** Takes a later heartbeat of the same life; one that came late is ignored. */
@@ -128,6 +131,10 @@
   /** Starts a task, or says why not. The request is told how it ended in either case. */
   start(request: RunRequest): void {
     const refusal = this.refusalOf(request);
+    if (refusal === NO_ROOM && this.waiting.length < runLimits.waitingOrders) {
+      this.wait(request);
+      return;
+    }
     if (refusal !== undefined) {
       this.refuse(request, refusal);
       return;
@@ -147,6 +154,9 @@
       this.followers.delete(key);
       this.refuse(request, 'it was stopped before it was started');
     });
+    this.waiting
+      .filter((request) => request.owner === owner && matches(request))
+      .forEach((request) => this.giveUp(request, 'it was stopped before it was started'));
     [...this.runs.values()].forEach((run) => {
       if (run.request.owner === owner && matches(run.request)) this.stopRun(run);
     });
@@ -157,7 +167,8 @@
     const isOwned = (request: RunRequest): boolean => request.owner === owner;
     return (
       [...this.runs.values()].some(({ request }) => isOwned(request)) ||
-      [...this.followers.values()].some(isOwned)
+      [...this.followers.values()].some(isOwned) ||
+      this.waiting.some(isOwned)
     );
   }
 
@@ -189,6 +200,28 @@
     return undefined;
   }
 
+  /** Another entry's order was faster. The next end is a few milliseconds away on a busy server. */
+  private wait(request: RunRequest): void {
+    this.waiting.push(request);
+    this.opts.timer.after(runLimits.orderWaitMs, () => this.giveUp(request, NO_ROOM));
+  }
+
+  private giveUp(request: RunRequest, reason: string): void {
+    if (!this.waiting.includes(request)) return;
+    this.waiting = this.waiting.filter((other) => other !== request);
+    this.refuse(request, reason);
+  }
+
+  /** Starts what waited, now that there may be room. */
+  private startWaiting(): void {
+    const { waiting } = this;
+    this.waiting = [];
+    waiting.forEach((request) => {
+      if (this.refusalOf(request) === NO_ROOM) this.waiting.push(request);
+      else this.start(request);
+    });
+  }
+
   private together({ batch, step }: RunRequest): number {
     const requests = [...this.runs.values()].map((run) => run.request);
     return requests.filter((each) => each.batch === batch && each.step === step).length;
@@ -450,12 +483,14 @@
       this.followers.delete(key);
       this.start(next);
     }
+    this.startWaiting();
     this.opts.changed();
   }
 
   private loseAll(reason: string): void {
     [...this.followers.values()].forEach((request) => this.refuse(request, reason));
     this.followers.clear();
+    [...this.waiting].forEach((request) => this.giveUp(request, reason));
     [...this.runs].forEach(([key, state]) => this.finish(key, state, RunOutcome.LOST, reason));
   }
 
--- a/test/runs/BackendLife.test.ts
+++ b/test/runs/BackendLife.test.ts
@@ -15,6 +15,18 @@
   expect([runCase.ends, backend.busiest]).toEqual([['a.4 REFUSED'], 4]);
 });
 
+test('an order that finds no room starts when a run ends within a moment', async () => {
+  const { runCase, backend } = await RunCase.open((run) => ({
+    ms: run.index === 0 ? 60 : 900,
+    fails: false,
+  }));
+  runCase.order('a', 4);
+  await runCase.timer.advance(50);
+  runCase.order('b');
+  await runCase.timer.advance(30);
+  expect([runCase.ends, backend.busiest]).toEqual([['a.0 DONE'], 4]);
+});
+
 test('what is being stopped takes its room until its end is listed', async () => {
   const { runCase, backend } = await RunCase.open();
   runCase.order('a', 4);
