--- a/src/runs/RunHost.ts
+++ b/src/runs/RunHost.ts
@@ -1,5 +1,6 @@
 import type TimerService from '../core/TimerService';
 import BackendLife from './BackendLife';
+import type BackendRunFailure from './BackendRunFailure';
 import type BackendReport from './BackendReport';
 import type RunBackend from './RunBackend';
 import type RunLog from './RunLog';
@@ -99,10 +100,9 @@
   private async check(report: BackendReport): Promise<void> {
     this.checking = report.id;
     const backend = this.opts.connect(report);
-    const res = await backend.hold(0, 0, 0);
+    const kind = await this.look(backend);
     this.checking = undefined;
     const { log } = this.opts;
-    const kind = res.isErr() ? res.error.kind : undefined;
     if (kind === 'replaced') {
       log.info('a heartbeat of an ended backend server came late', { backend: report.id });
       this.remember(report.id);
@@ -118,6 +118,16 @@
     this.takeOver(report, backend);
   }
 
+  /** How a look at a backend server fails, if it does. A single answer may be lost, so it is asked again. */
+  private async look(backend: RunBackend): Promise<BackendRunFailure['kind'] | undefined> {
+    for (let tries = 1; ; tries += 1) {
+      const res = await backend.hold(0, 0, 0);
+      if (res.isOk()) return undefined;
+      const { kind } = res.error;
+      if (kind !== 'unanswered' || tries >= LOOKS) return kind;
+    }
+  }
+
   private takeOver(report: BackendReport, backend: RunBackend): void {
     const { timer, log, changed } = this.opts;
     this.life?.end('another life of it is there');
@@ -147,5 +157,8 @@
   }
 }
 
+/** Looks at a backend server that announces itself, before its next heartbeat is awaited. */
+const LOOKS = 3;
+
 /** Ended lives to remember; a heartbeat is late by seconds, in which only a few can end. */
 const REMEMBERED_LIVES = 64;
--- a/src/runs/RunSidecar.ts
+++ b/src/runs/RunSidecar.ts
@@ -1,4 +1,5 @@
 import { create } from '@bufbuild/protobuf';
+import type Subscription from '../core/Subscription';
 import { type Hello, HelloSchema, Role } from '../gen/magnoliakeel/v1/peer_pb';
 import handleMessage from '../link/handleMessage';
 import type Link from '../link/Link';
@@ -39,6 +40,8 @@
 
   private readonly gaps: GapWatch;
 
+  private readonly search: Subscription;
+
   private constructor(private readonly opts: RunSidecarOptions) {
     const { timer, random, network, connect, log, seeds } = opts;
     this.host = RunHost.create({ timer, connect, log, changed: () => this.changed() });
@@ -50,6 +53,9 @@
     });
     this.addresses = KnownAddresses.create(timer, seeds, (addresses) => this.keeper.aim(addresses));
     this.gaps = GapWatch.start(timer, (gapMs) => this.doubt(gapMs));
+    this.search = timer.every(SEARCH_MS, () => {
+      if (this.owners.size === 0) this.findEntries();
+    });
   }
 
   /** Creates a sidecar and dials the entries of its settings. */
@@ -104,6 +110,7 @@
     // The last ends are still to be written.
     await timer.sleep(LEAVE_POLL_MS);
     this.gaps.stop();
+    this.search.cancel();
     this.addresses.stop();
     await Promise.race([this.keeper.stop(), timer.sleep(STOP_MS)]);
   }
@@ -144,6 +151,17 @@
     return true;
   }
 
+  /** No entry that this sidecar knows of answers: all of them may have been replaced. */
+  private findEntries(): void {
+    this.opts.findEntries().then(
+      (addresses) => {
+        this.opts.log.info('no entry is linked; others were looked up', { addresses });
+        this.addresses.learn(addresses);
+      },
+      (error: unknown) => this.opts.log.warn('entries could not be looked up', { error }),
+    );
+  }
+
   private changed(): void {
     this.settle();
     this.reports.changed();
@@ -184,6 +202,9 @@
   };
 }
 
+/** How often entries are looked up while none is linked, ms. Each look is a call that is paid for. */
+const SEARCH_MS = 3_000;
+
 /** How often a leaving sidecar looks whether its runs are over, ms. */
 const LEAVE_POLL_MS = 20;
 
--- a/src/runs/RunSidecarOptions.ts
+++ b/src/runs/RunSidecarOptions.ts
@@ -18,6 +18,8 @@
   readonly zone: string;
   /** Addresses of entries to begin with. */
   readonly seeds: readonly string[];
+  /** Looks up where entries listen, for when no known one answers; empty when that is not known. */
+  readonly findEntries: () => Promise<readonly string[]>;
   /** Makes the calls to a life of the backend server. */
   readonly connect: (report: BackendReport) => RunBackend;
 }
--- a/test/batches/BatchEntry.test.ts
+++ b/test/batches/BatchEntry.test.ts
@@ -144,6 +144,16 @@
   expect([third?.table.version, third?.sidecarCount]).toEqual([1, 1]);
 });
 
+test('a sidecar that reaches none of its entries looks others up', async () => {
+  const batchCase = await BatchCase.open({ entries: 3, sidecars: 0 });
+  batchCase.network.kill('e0');
+  batchCase.network.kill('e1');
+  batchCase.lookUp = ['e2:1'];
+  batchCase.addSidecar(0);
+  await batchCase.timer.advance(4_000);
+  expect(batchCase.entries[2]?.sidecarCount).toBe(1);
+});
+
 test('an older configuration does not displace a newer one', async () => {
   const batchCase = await BatchCase.open();
   const [entry] = batchCase.entries;
--- a/test/runs/BackendLife.test.ts
+++ b/test/runs/BackendLife.test.ts
@@ -137,6 +137,15 @@
   expect([runCase.ends, backend.starts]).toEqual([['a.0 REFUSED'], []]);
 });
 
+test('a new backend server is asked again when its first answer is lost', async () => {
+  const { runCase } = await RunCase.open();
+  const next = runCase.live('b2');
+  next.fail({ call: 'hold', how: 'dropped' });
+  runCase.host.hear(next.report());
+  await runCase.timer.advance(300);
+  expect(runCase.host.current?.report.id).toBe('b2');
+});
+
 test('a late heartbeat of an ended life does not displace the new one', async () => {
   const { runCase, backend } = await RunCase.open();
   backend.replace();
--- a/test/support/BatchCase.ts
+++ b/test/support/BatchCase.ts
@@ -30,6 +30,9 @@
 
   readonly backends: LeasedBackend[] = [];
 
+  /** Addresses of entries that sidecars find when they look them up. */
+  lookUp: readonly string[] = [];
+
   /** What was logged, without the fields. */
   readonly lines: string[] = [];
 
@@ -77,6 +80,7 @@
     const sidecar = RunSidecar.start({
       ...this.partsOf(`s${number}`),
       seeds: ['e0:1', 'e1:1'],
+      findEntries: async () => this.lookUp,
       connect: () => backend,
     });
     this.sidecars[number] = sidecar;
