--- /dev/null
+++ b/test/batches/decisions.test.ts
@@ -0,0 +1,159 @@
+import { create } from '@bufbuild/protobuf';
+import { expect, test } from 'vitest';
+import Batch from '../../src/batches/Batch';
+import type BatchStep from '../../src/batches/BatchStep';
+import choosePeer from '../../src/batches/choosePeer';
+import compareBatches from '../../src/batches/compareBatches';
+import findShunned from '../../src/batches/findShunned';
+import predictWait from '../../src/batches/predictWait';
+import SidecarPeer from '../../src/batches/SidecarPeer';
+import worthMoving from '../../src/batches/worthMoving';
+import { AmountSchema, RoomSchema } from '../../src/gen/magnoliakeel/v1/peer_pb';
+import type Link from '../../src/link/Link';
+import Resources from '../../src/room/Resources';
+import ManualTimer from '../support/ManualTimer';
+
+const timer = ManualTimer.create();
+
+interface Sidecar {
+  readonly name: string;
+  readonly zone?: string;
+  readonly freeMilli?: number;
+  readonly slowness?: number;
+  readonly failing?: boolean;
+}
+
+/** A sidecar with 64 cores as an entry sees it. */
+function sidecar({ name, zone = 'z', freeMilli = 64_000, ...health }: Sidecar): SidecarPeer {
+  const link = {
+    peer: { instance: name, zone },
+    closed: new AbortController().signal,
+    send: () => undefined,
+  };
+  const peer = SidecarPeer.of(link as unknown as Link, timer);
+  peer.hearRoom(
+    create(RoomSchema, {
+      ...{ backend: `b-${name}`, service: 's', accepting: true },
+      total: create(AmountSchema, { cpuMilli: 64_000 }),
+      free: create(AmountSchema, { cpuMilli: freeMilli }),
+      slowness: Math.round((health.slowness ?? 1) * 1_000),
+      failing: health.failing ? 1_000 : 0,
+    }),
+  );
+  return peer;
+}
+
+function batch(id: string, change: Partial<BatchStep> = {}, priority = 0, acceptedAt = 0): Batch {
+  const queue = {
+    ...{ name: 'q', host: 'h', prefix: '/', service: 's', maxAttempts: 2, timeoutMs: 0 },
+    ...{ priority, stretch: 1.6, targetLatencyMs: 60 },
+  };
+  const step: BatchStep = {
+    ...{ count: 1, estimateMs: 300, after: [], label: '', preferredLabel: '', mostTogether: 0 },
+    needs: Resources.of({ cpuMilli: 6_000 }),
+    ...change,
+  };
+  return Batch.accept({ id, queue, spec: '', steps: [step], waitMs: 5_000 }, acceptedAt);
+}
+
+function chosen(peers: readonly SidecarPeer[], change: Partial<BatchStep> = {}) {
+  const one = batch('a', change);
+  const shunned = findShunned(peers);
+  const [task] = one.ready;
+  return choosePeer({ batch: one, task: task!, peers, shunned, zone: 'z', now: 0 })?.instance;
+}
+
+test('the emptiest backend server gets the task', () => {
+  const peers = [sidecar({ name: 'a', freeMilli: 20_000 }), sidecar({ name: 'b' })];
+  expect(chosen(peers)).toBe('b');
+});
+
+test('the own zone counts for about a task', () => {
+  const near = sidecar({ name: 'near', freeMilli: 58_000 });
+  const far = sidecar({ name: 'far', zone: 'y' });
+  const muchEmptier = sidecar({ name: 'far', zone: 'y', freeMilli: 64_000 });
+  const full = sidecar({ name: 'near', freeMilli: 30_000 });
+  expect([chosen([near, far]), chosen([full, muchEmptier])]).toEqual(['near', 'far']);
+});
+
+test('a backend server without room is not chosen', () => {
+  expect(chosen([sidecar({ name: 'a', freeMilli: 5_000 })])).toBeUndefined();
+});
+
+test('slow and failing backend servers are shunned, at most a third of all', () => {
+  const peers = [
+    sidecar({ name: 'a' }),
+    sidecar({ name: 'b', slowness: 1.4 }),
+    sidecar({ name: 'c' }),
+    sidecar({ name: 'd' }),
+    sidecar({ name: 'slow', slowness: 8 }),
+    sidecar({ name: 'slower', slowness: 16 }),
+    sidecar({ name: 'failing', failing: true }),
+  ];
+  const names = [...findShunned(peers)].map(({ instance }) => instance);
+  expect(names).toEqual(['failing', 'slower']);
+});
+
+test('estimates that are wrong for all alike shun nobody', () => {
+  const peers = ['a', 'b', 'c', 'd'].map((name) => sidecar({ name, slowness: 5 }));
+  expect(findShunned(peers).size).toBe(0);
+});
+
+test('a shunned backend server gets single tasks', () => {
+  const bad = sidecar({ name: 'bad', slowness: 16 });
+  const full = ['a', 'b', 'c'].map((name) => sidecar({ name, freeMilli: 0 }));
+  const first = chosen([bad, ...full]);
+  const one = batch('x');
+  bad.order(one, one.ready[0]!);
+  expect([first, chosen([bad, ...full])]).toEqual(['bad', undefined]);
+});
+
+test('priority goes first, then what is in time, then what must start soonest', () => {
+  const now = 1_000;
+  const batches = [
+    batch('urgent late', {}, 0, 0),
+    batch('urgent in time', {}, 0, 1_000),
+    batch('urgent in time, older', {}, 0, 950),
+    batch('other', {}, 1, 1_000),
+  ];
+  const order = batches.sort((a, b) => compareBatches(a, b, now)).map(({ id }) => id);
+  expect(order).toEqual(['urgent in time, older', 'urgent in time', 'urgent late', 'other']);
+});
+
+test('a batch that has begun is finished before an equal one is begun', () => {
+  const begun = batch('begun', { count: 2 }, 0, 1_000);
+  const waiting = batch('waiting', {}, 0, 990);
+  begun.starting(begun.ready[0]!);
+  expect(compareBatches(begun, waiting, 1_010)).toBeLessThan(0);
+});
+
+test('the wait is the work ahead over the share of the backend servers', () => {
+  const ahead = [batch('a', { count: 32 })];
+  const peers = [sidecar({ name: 'a', freeMilli: 0 })];
+  expect(predictWait(ahead, peers, 3)).toBe((32 * 6_000 * 300 * 3) / 64_000);
+});
+
+test('a batch is hopeless when three times its objective cannot be made', () => {
+  const one = batch('a');
+  // The objective is 1.6 * 300 + 60 = 540 ms, and 300 ms of work are left.
+  expect([one.isHopeless(1_319), one.isHopeless(1_321)]).toEqual([false, true]);
+});
+
+test.each([
+  ['crawls', { slowness: 8, at: 300 }, true],
+  ['is nearly done', { slowness: 1.4, at: 300 }, false],
+  ['has just begun', { slowness: 8, at: 100 }, false],
+])('a run that %s is moved: %o', (_name, { slowness, at }, expected) => {
+  const peer = sidecar({ name: 'a', slowness });
+  const one = batch('a');
+  const run = peer.order(one, one.ready[0]!);
+  expect(worthMoving(run, peer, at)).toBe(expected);
+});
+
+test('a run is moved once only', () => {
+  const peer = sidecar({ name: 'a', slowness: 8 });
+  const one = batch('a');
+  const run = peer.order(one, one.ready[0]!);
+  run.task.moves = 1;
+  expect(worthMoving(run, peer, 300)).toBe(false);
+});
--- /dev/null
+++ b/test/runs/BackendHealth.test.ts
@@ -0,0 +1,55 @@
+import { expect, test } from 'vitest';
+import Resources from '../../src/room/Resources';
+import BackendHealth from '../../src/runs/BackendHealth';
+import type RunState from '../../src/runs/RunState';
+import ManualTimer from '../support/ManualTimer';
+
+/** Ten runs of 300 ms each that get this much of their work done in each tenth of a second. */
+function watch(percentPerLook: number, looks: number): BackendHealth {
+  const timer = ManualTimer.create();
+  const health = BackendHealth.create(timer);
+  const runs = Array.from({ length: 10 }, runOf);
+  for (let look = 0; look < looks; look += 1) {
+    timer.jump(100);
+    health.look(runs);
+    runs.forEach((run) => health.progressed(run, percentPerLook));
+  }
+  return health;
+}
+
+function runOf(): RunState {
+  const none = { batch: 'a', step: 0, index: 0 };
+  return {
+    request: {
+      ...{ ...none, service: 's', spec: '', estimateMs: 300, attempt: 1, mostTogether: 0 },
+      ...{ label: '', number: 1, owner: {}, needs: Resources.none, ended: () => undefined },
+    },
+    run: { ...none, attempt: 1 },
+    ...{ startedAt: 0, isConfirmed: true, confirmedAtLook: 0, isStopping: false, percent: 0 },
+  };
+}
+
+test('work that goes as estimated shows no slowness', () => {
+  expect(watch(33, 3).slowness).toBeCloseTo(1, 1);
+});
+
+test('a backend server that is eight times slower shows within three looks', () => {
+  expect(watch(4, 3).slowness).toBeGreaterThan(7);
+});
+
+test('a backend server where nothing moves shows within three looks', () => {
+  expect(watch(0, 3).slowness).toBe(100);
+});
+
+test('nothing is said before some work was seen', () => {
+  expect(watch(33, 0).slowness).toBeUndefined();
+});
+
+test('three failures in a row are more than half, and one done run is less again', () => {
+  const health = watch(33, 1);
+  const shares = [false, false, false, true].map((isDone) => {
+    health.ended(runOf(), isDone);
+    return Math.round(health.failing * 100);
+  });
+  expect(shares).toEqual([25, 44, 58, 43]);
+});
