--- a/src/batches/BatchAnswer.ts
+++ b/src/batches/BatchAnswer.ts
@@ -2,11 +2,13 @@
  * The answer to a caller.
  * `completed`: every task is done. `failed`: a task has failed as often as its queue allows.
  * `not-run`: no task has started and none will; come back after `retryAfterMs`.
+ * `cancelled`: ended at its caller's wish; what ran is being stopped.
  * `unknown`: given up; tasks may have run, and what ran is being stopped.
  */
 type BatchAnswer =
   | { readonly kind: 'completed' }
   | { readonly kind: 'failed'; readonly reason: string }
   | { readonly kind: 'not-run'; readonly reason: string; readonly retryAfterMs: number }
+  | { readonly kind: 'cancelled' }
   | { readonly kind: 'unknown'; readonly reason: string };
 export type { BatchAnswer as default };
--- a/src/batches/BatchEntry.ts
+++ b/src/batches/BatchEntry.ts
@@ -225,7 +225,7 @@
   cancel(id: string): boolean {
     const batch = this.batches.get(id);
     if (!batch) return false;
-    this.finish(batch, { kind: 'unknown', reason: 'cancelled by the caller' });
+    this.finish(batch, { kind: 'cancelled' });
     return true;
   }
 
--- a/src/observe/metricTable.ts
+++ b/src/observe/metricTable.ts
@@ -269,7 +269,7 @@
     roles: ['batchEntry'],
     unit: 'batches',
     labels: ['queue', 'answer'],
-    help: 'Answers to batches: completed, failed, not-run or unknown; refused ones are not-run',
+    help: 'Answers to batches: completed, failed, cancelled, not-run or unknown; refused ones are not-run',
   },
   batch_seconds: {
     kind: 'summary',
--- a/test/batches/BatchEntry.test.ts
+++ b/test/batches/BatchEntry.test.ts
@@ -58,6 +58,15 @@
   expect(batchCase.running).toEqual([]);
 });
 
+test('a cancelled batch is answered so, and its runs are stopped at once', async () => {
+  const batchCase = await BatchCase.open();
+  const caller = batchCase.submit('a', { tasks: 4, ms: 5_000 });
+  await batchCase.timer.advance(50);
+  batchCase.entries[0]!.cancel('a');
+  await batchCase.timer.advance(60);
+  expect([caller.answer, batchCase.running]).toEqual([{ kind: 'cancelled' }, []]);
+});
+
 test('the same id again at the same entry gets the same answer', async () => {
   const batchCase = await BatchCase.open();
   const first = batchCase.submit('a', { ms: 300 });
--- a/test/usersPlatform/CallerServer.test.ts
+++ b/test/usersPlatform/CallerServer.test.ts
@@ -91,6 +91,21 @@
   `);
 });
 
+test('a cancelled job is answered as cancelled, so that it is not sent again', async () => {
+  const batchCase = await BatchCase.open({ entries: 1 });
+  const server = CallerServer.of(batchCase.entries[0]!, log);
+  await server.listen('127.0.0.1:0');
+  const answer = send(server.port, { body: { ...job, spec: '5000' } });
+  while (batchCase.running.length === 0) await batchCase.timer.advance(20);
+  const cancelling = await send(server.port, { method: 'DELETE' });
+  const answered = await answer;
+  server.close();
+  expect([cancelling, answered]).toEqual([
+    '200 {} keep-alive',
+    '200 {"state":"cancelled"} keep-alive',
+  ]);
+});
+
 test('a leaving entry ends connections with their answers', async () => {
   const answers = await ask([{ body: job }], (server) => server.leave());
   expect(answers).toEqual(['200 {"state":"completed"} close']);
