Hold the presence key by the lease keeper there was, and keep the pauses out of platform/

What stood twice: platform/PresenceKey renewed, granted and wrote again as src/membership/LeaseKeeper does. It now only says when to call it. StoreCalls offers what the lease keeper and the follower need in the product's own terms (LeaseStore, WatchedStore), so both pieces move to src/membership: how often a key is renewed and a store asked again is decided there, not in the folder that only translates. RunLog, which was never about runs, becomes observe/EventLog.

Tests unchanged but for their imports.

--- a/src/batches/BatchEntryOptions.ts
+++ b/src/batches/BatchEntryOptions.ts
@@ -2,14 +2,14 @@
 import type TimerService from '../core/TimerService';
 import type Network from '../link/Network';
 import type Metrics from '../observe/Metrics';
-import type RunLog from '../runs/RunLog';
+import type EventLog from '../observe/EventLog';
 
 /** What an entry for batches is made of. */
 export default interface BatchEntryOptions {
   readonly timer: TimerService;
   readonly random: Random;
   readonly network: Network;
-  readonly log: RunLog;
+  readonly log: EventLog;
   readonly metrics?: Metrics;
   readonly cluster: string;
   readonly instance: string;
--- a/src/membership/LeaseKeeper.ts
+++ b/src/membership/LeaseKeeper.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from 'neverthrow';
-import type Store from '../store/Store';
+import type LeaseStore from '../store/LeaseStore';
 import type StoreError from '../store/StoreError';
 
 /** Holds one key under a lease of this process, and takes a new lease when the old one lapsed. */
@@ -9,14 +9,14 @@
   private written = false;
 
   private constructor(
-    private readonly store: Store,
+    private readonly store: LeaseStore,
     private readonly key: string,
     private readonly value: string,
     private readonly ttlMs: number,
   ) {}
 
   /** Creates a keeper that holds nothing yet. */
-  static of(store: Store, key: string, value: string, ttlMs: number): LeaseKeeper {
+  static of(store: LeaseStore, key: string, value: string, ttlMs: number): LeaseKeeper {
     return new LeaseKeeper(store, key, value, ttlMs);
   }
 
--- a/platform/StoreFollower.ts
+++ b/src/membership/StoreFollower.ts
@@ -1,14 +1,14 @@
-import type TimerService from '../src/core/TimerService';
-import type RunLog from '../src/runs/RunLog';
-import Backoff from '../src/core/Backoff';
-import type Random from '../src/core/Random';
-import type StoreCalls from './StoreCalls';
+import Backoff from '../core/Backoff';
+import type Random from '../core/Random';
+import type TimerService from '../core/TimerService';
+import type EventLog from '../observe/EventLog';
+import type WatchedStore from '../store/WatchedStore';
 
 interface StoreFollowerOptions {
   readonly timer: TimerService;
   readonly random: Random;
-  readonly store: StoreCalls;
-  readonly log: RunLog;
+  readonly store: WatchedStore;
+  readonly log: EventLog;
   readonly prefix: string;
   /** Told of each key with its value, as it stands at first and as it changes. */
   readonly put: (key: string, value: string) => void;
--- a/src/runs/BackendLifeOptions.ts
+++ b/src/runs/BackendLifeOptions.ts
@@ -1,14 +1,14 @@
 import type TimerService from '../core/TimerService';
 import type BackendReport from './BackendReport';
 import type RunBackend from './RunBackend';
-import type RunLog from './RunLog';
+import type EventLog from '../observe/EventLog';
 
 /** What one life of a backend server is served with. */
 export default interface BackendLifeOptions {
   readonly timer: TimerService;
   readonly report: BackendReport;
   readonly backend: RunBackend;
-  readonly log: RunLog;
+  readonly log: EventLog;
   /** Told when the room, or whether it may be used, has changed. */
   readonly changed: () => void;
   /** Told once, when nothing of this life runs any more and nothing will. */
--- a/src/runs/OwnerLink.ts
+++ b/src/runs/OwnerLink.ts
@@ -16,13 +16,13 @@
 import pulseLimits from '../peering/pulseLimits';
 import Resources from '../room/Resources';
 import type RunHost from './RunHost';
-import type RunLog from './RunLog';
+import type EventLog from '../observe/EventLog';
 
 interface OwnerLinkOptions {
   readonly timer: TimerService;
   readonly host: RunHost;
   readonly link: Link;
-  readonly log: RunLog;
+  readonly log: EventLog;
   /** Counts orders that are over, by outcome. */
   readonly outcomes: Map<string, number>;
 }
--- a/src/runs/RunHost.ts
+++ b/src/runs/RunHost.ts
@@ -3,14 +3,14 @@
 import type BackendRunFailure from './BackendRunFailure';
 import type BackendReport from './BackendReport';
 import type RunBackend from './RunBackend';
-import type RunLog from './RunLog';
+import type EventLog from '../observe/EventLog';
 import type RunRequest from './RunRequest';
 
 interface RunHostOptions {
   readonly timer: TimerService;
   /** Makes the calls to the life of the backend server that sent the report. */
   readonly connect: (report: BackendReport) => RunBackend;
-  readonly log: RunLog;
+  readonly log: EventLog;
   /** Told when room, readiness or the backend server itself has changed. */
   readonly changed: () => void;
 }
--- a/src/runs/RunSidecarOptions.ts
+++ b/src/runs/RunSidecarOptions.ts
@@ -3,14 +3,14 @@
 import type Network from '../link/Network';
 import type BackendReport from './BackendReport';
 import type RunBackend from './RunBackend';
-import type RunLog from './RunLog';
+import type EventLog from '../observe/EventLog';
 
 /** What a sidecar for leased runs is made of. */
 export default interface RunSidecarOptions {
   readonly timer: TimerService;
   readonly random: Random;
   readonly network: Network;
-  readonly log: RunLog;
+  readonly log: EventLog;
   readonly cluster: string;
   readonly instance: string;
   /** Unique for each run of the process. */
--- /dev/null
+++ b/src/store/WatchedStore.ts
@@ -0,0 +1,17 @@
+import type { ResultAsync } from 'neverthrow';
+import type StoreChanges from './StoreChanges';
+import type WatchError from './WatchError';
+
+/** What of the key-value service it takes to follow the keys under a prefix. */
+export default interface WatchedStore {
+  /** All keys with the prefix. */
+  list(prefix: string): ResultAsync<StoreChanges, WatchError>;
+
+  /** Waits for changes under the prefix after a revision; returns without any once the wait is over. */
+  watch(
+    prefix: string,
+    afterRevision: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): ResultAsync<StoreChanges, WatchError>;
+}
--- a/test/usersPlatform/store.test.ts
+++ b/test/usersPlatform/store.test.ts
@@ -1,9 +1,9 @@
 import { expect, test } from 'vitest';
-import PresenceKey from '../../platform/PresenceKey';
 import StoreCalls from '../../platform/StoreCalls';
-import StoreFollower from '../../platform/StoreFollower';
 import Random from '../../src/core/Random';
 import SystemTimer from '../../src/core/SystemTimer';
+import PresenceKey from '../../src/membership/PresenceKey';
+import StoreFollower from '../../src/membership/StoreFollower';
 import HttpStandIn from '../support/HttpStandIn';
 
 const log = { info: () => undefined, warn: () => undefined };
