--- a/src/operators/commonRoutes.ts
+++ b/src/operators/commonRoutes.ts
@@ -1,3 +1,4 @@
+import metricsRoute from './metricsRoute';
 import type OperatorRoute from './OperatorRoute';
 
 /** What every daemon tells its operators. */
@@ -20,11 +21,7 @@
       handle: () =>
         isReady() ? { status: 200, body: 'ready\n' } : { status: 503, body: 'not ready\n' },
     },
-    {
-      method: 'GET',
-      path: /^\/metrics$/,
-      handle: async () => ({ status: 200, body: await metrics() }),
-    },
+    metricsRoute(metrics),
     {
       method: 'POST',
       path: /^\/v1\/drain$/,
