Work out the order of the backlog and a peer's room once, and remove what nothing uses

Waiting batches were sorted three times where no order was needed (the predicted wait, each hopeless batch), and a peer's free room was added up twice for each task that is placed; time and shunned peers were taken anew for each task of one turn. A report said "failing" in thousandths but only ever 0 or 1000: it is a yes or no now.

--- a/src/batches/Batch.ts
+++ b/src/batches/Batch.ts
@@ -70,11 +70,6 @@
     return this.submission.id;
   }
 
-  /** When its caller stops waiting, by the timer service. */
-  get deadline(): number {
-    return this.acceptedAt + this.submission.waitMs;
-  }
-
   get answer(): BatchAnswer | undefined {
     return this.final;
   }
--- a/src/batches/BatchEntry.ts
+++ b/src/batches/BatchEntry.ts
@@ -101,8 +101,7 @@
       hello: (session) => this.hello(session),
       serve: (link) => this.serve(link),
     });
-    const others = seeds.filter((address) => address !== listen);
-    this.addresses = KnownAddresses.create(timer, others, (addresses) =>
+    this.addresses = KnownAddresses.create(timer, seeds, (addresses) =>
       this.keeper.aim([...addresses].filter((address) => address !== listen)),
     );
     this.gaps = GapWatch.start(timer, (gapMs) => this.heldUp(gapMs));
@@ -282,10 +281,10 @@
 
   /** A batch that would wait until its answer is of no use is refused before it waits at all. */
   private refuseIfTooLate(batch: Batch): BatchAnswer | undefined {
-    const { line } = this.scheduler;
-    if (line.length === 0) return undefined;
+    const { backlog } = this.scheduler;
+    if (backlog.length === 0) return undefined;
     const now = this.opts.timer.now();
-    const ahead = line.filter((other) => compareBatches(other, batch, now) <= 0);
+    const ahead = backlog.filter((other) => compareBatches(other, batch, now) <= 0);
     const entries = this.entryCount;
     const waitMs = predictWait(ahead, [...this.sidecars], entries);
     if (!batch.isHopeless(now + waitMs)) return undefined;
@@ -300,7 +299,7 @@
 
   /** The line moved more slowly than predicted: what waits in vain gets its answer now. */
   private refuseWaiting(batch: Batch): void {
-    const waitMs = predictWait(this.scheduler.line, [...this.sidecars], this.entryCount);
+    const waitMs = predictWait(this.scheduler.backlog, [...this.sidecars], this.entryCount);
     const reason = 'it has waited until its answer is of no use';
     this.finish(batch, { kind: 'not-run', reason, retryAfterMs: this.retryAfter(waitMs) });
   }
--- a/src/batches/Scheduler.ts
+++ b/src/batches/Scheduler.ts
@@ -34,11 +34,9 @@
     return [...this.waiting].reduce((sum, { ready }) => sum + ready.length, 0);
   }
 
-  /** Batches with tasks that wait for room, in the order in which they get it. */
-  get line(): readonly Batch[] {
-    const now = this.opts.timer.now();
-    const waiting = [...this.waiting].filter(({ ready }) => ready.length > 0);
-    return waiting.sort((a, b) => compareBatches(a, b, now));
+  /** Batches with tasks that wait for room, in no order. */
+  get backlog(): readonly Batch[] {
+    return [...this.waiting].filter(({ ready }) => ready.length > 0);
   }
 
   /** The batch has tasks that are ready, now or later. */
@@ -63,49 +61,50 @@
   }
 
   private assign(): void {
-    const { line } = this;
+    const now = this.opts.timer.now();
+    const line = this.line(now);
     if (line.length === 0) return;
     const peers = [...this.opts.peers()];
-    const shunned = findShunned(peers);
+    const place = { peers, shunned: findShunned(peers), zone: this.opts.zone, now };
     for (const batch of line) {
-      if (!this.assignBatch(batch, peers, shunned)) break;
+      if (!this.assignBatch(batch, place)) break;
     }
     peers.forEach((peer) => peer.flush());
-    this.dropHopeless();
+    this.dropHopeless(now);
+  }
+
+  /** The backlog in the order in which it gets room. */
+  private line(now: number): readonly Batch[] {
+    return [...this.backlog].sort((a, b) => compareBatches(a, b, now));
   }
 
   /** What got no room now and can no longer be of use is not kept waiting. */
-  private dropHopeless(): void {
-    const now = this.opts.timer.now();
-    const hopeless = [...this.waiting].filter(
-      (batch) => batch.startsSent === 0 && batch.ready.length > 0 && batch.isHopeless(now),
-    );
-    hopeless.forEach((batch) => this.opts.hopeless(batch));
+  private dropHopeless(now: number): void {
+    this.backlog
+      .filter((batch) => batch.startsSent === 0 && batch.isHopeless(now))
+      .forEach((batch) => this.opts.hopeless(batch));
   }
 
   /** Starts what can be started of a batch; false when room is short, so that nobody behind it goes first. */
-  private assignBatch(
-    batch: Batch,
-    peers: readonly SidecarPeer[],
-    shunned: ReadonlySet<SidecarPeer>,
-  ): boolean {
+  private assignBatch(batch: Batch, place: Place): boolean {
     for (const task of [...batch.ready]) {
-      const peer = choosePeer({ batch, task, peers, shunned, ...this.place });
+      const peer = choosePeer({ batch, task, ...place });
       const isPicky = task.step.label !== '' || task.step.mostTogether > 0;
       if (!peer && !isPicky) return false;
-      if (peer) this.order(batch, task, peer, shunned.has(peer));
+      if (peer) this.order(batch, task, peer, place);
     }
     return true;
   }
 
-  private order(batch: Batch, task: BatchTask, peer: SidecarPeer, isTrial: boolean): void {
-    if (isTrial) peer.triedAt = this.opts.timer.now();
+  private order(batch: Batch, task: BatchTask, peer: SidecarPeer, { shunned, now }: Place): void {
+    if (shunned.has(peer)) peer.triedAt = now;
     peer.order(batch, task);
     batch.starting(task);
     this.opts.ordered(batch, task, peer);
   }
-
-  private get place(): { readonly zone: string; readonly now: number } {
-    return { zone: this.opts.zone, now: this.opts.timer.now() };
-  }
 }
+
+/** Where tasks may go, the same for all that are assigned in one turn. */
+type Place = Omit<Parameters<typeof choosePeer>[0], 'batch' | 'task'> & {
+  readonly peers: readonly SidecarPeer[];
+};
--- a/src/batches/SidecarPeer.ts
+++ b/src/batches/SidecarPeer.ts
@@ -90,7 +90,7 @@
 
   /** Whether most of what ended there lately has failed. */
   get isFailing(): boolean {
-    return this.room.failing > 0;
+    return this.room.failing;
   }
 
   /** Whether its backend server takes tasks, as far as it has told. */
--- a/src/batches/choosePeer.ts
+++ b/src/batches/choosePeer.ts
@@ -1,3 +1,4 @@
+import type Resources from '../room/Resources';
 import type Batch from './Batch';
 import type BatchTask from './BatchTask';
 import type SidecarPeer from './SidecarPeer';
@@ -25,8 +26,9 @@
   let best: SidecarPeer | undefined;
   let bestScore = -Infinity;
   [...choice.peers].forEach((peer) => {
-    if (!canTake(peer, choice)) return;
-    const score = scoreOf(peer, choice);
+    const { free } = peer;
+    if (!canTake(peer, free, choice)) return;
+    const score = scoreOf(peer, free, choice);
     if (score <= bestScore) return;
     best = peer;
     bestScore = score;
@@ -34,18 +36,22 @@
   return best;
 }
 
-function canTake(peer: SidecarPeer, { batch, task, shunned, now }: Choice): boolean {
+function canTake(
+  peer: SidecarPeer,
+  free: Resources,
+  { batch, task, shunned, now }: Choice,
+): boolean {
   const { step, stepNumber } = task;
   if (!peer.isUsable || peer.service !== batch.submission.queue.service) return false;
   if (step.label !== '' && !peer.labels.includes(step.label)) return false;
-  if (!peer.free.holds(step.needs)) return false;
+  if (!free.holds(step.needs)) return false;
   if (shunned.has(peer) && (peer.runs.size > 0 || now - peer.triedAt < TRIAL_MS)) return false;
   return step.mostTogether === 0 || peer.together(batch, stepNumber) < step.mostTogether;
 }
 
-function scoreOf(peer: SidecarPeer, { task, zone }: Choice): number {
+function scoreOf(peer: SidecarPeer, free: Resources, { task, zone }: Choice): number {
   const { step, failedAt } = task;
-  const freeShare = peer.free.cpuMilli / Math.max(1, peer.capacity.cpuMilli);
+  const freeShare = free.cpuMilli / Math.max(1, peer.capacity.cpuMilli);
   const isPreferred = step.preferredLabel !== '' && peer.labels.includes(step.preferredLabel);
   return (
     freeShare +
--- a/src/runs/BackendLife.ts
+++ b/src/runs/BackendLife.ts
@@ -152,11 +152,11 @@
     [...this.followers].forEach(([key, request]) => {
       if (request.owner !== owner || !matches(request)) return;
       this.followers.delete(key);
-      this.refuse(request, 'it was stopped before it was started');
+      this.refuse(request, STOPPED_FIRST);
     });
     this.waiting
       .filter((request) => request.owner === owner && matches(request))
-      .forEach((request) => this.giveUp(request, 'it was stopped before it was started'));
+      .forEach((request) => this.giveUp(request, STOPPED_FIRST));
     [...this.runs.values()].forEach((run) => {
       if (run.request.owner === owner && matches(run.request)) this.stopRun(run);
     });
@@ -528,6 +528,7 @@
 }
 
 const NO_ROOM = 'there is no room';
+const STOPPED_FIRST = 'it was stopped before it was started';
 
 /** Connections refused in a row by which nothing listens there any more: one could be a restart's gap. */
 const CLOSED_IS_GONE = 2;
--- a/src/runs/RoomReports.ts
+++ b/src/runs/RoomReports.ts
@@ -95,7 +95,7 @@
       labels: [...labels],
       accepting: this.host.isAccepting,
       slowness: Math.round(stepped(life.health.slowness ?? 0) * THOUSAND),
-      failing: life.health.failing >= FAILING ? THOUSAND : 0,
+      failing: life.health.failing >= FAILING,
     });
   }
 }
--- a/test/batches/decisions.test.ts
+++ b/test/batches/decisions.test.ts
@@ -37,7 +37,7 @@
       total: create(AmountSchema, { cpuMilli: 64_000 }),
       free: create(AmountSchema, { cpuMilli: freeMilli }),
       slowness: Math.round((health.slowness ?? 1) * 1_000),
-      failing: health.failing ? 1_000 : 0,
+      failing: health.failing ?? false,
     }),
   );
   return peer;
--- a/test/support/BatchCase.ts
+++ b/test/support/BatchCase.ts
@@ -33,9 +33,6 @@
   /** Addresses of entries that sidecars find when they look them up. */
   lookUp: readonly string[] = [];
 
-  /** What was logged, without the fields. */
-  readonly lines: string[] = [];
-
   private constructor(private readonly work: Work) {}
 
   /** Starts everything and waits until all are linked. Each backend server has room for four tasks. */
@@ -109,15 +106,12 @@
 
   private partsOf(instance: string) {
     const { timer } = this;
-    const note = (message: string): void => {
-      this.lines.push(`${instance}: ${message}`);
-    };
     return {
       ...{ timer, instance, cluster: 'c', zone: 'z' },
       random: Random.fromSeed(1),
       incarnation: `${instance}.${this.timer.now()}`,
       network: this.network.endpoint(instance),
-      log: { info: note, warn: note },
+      log: { info: () => undefined, warn: () => undefined },
     };
   }
 }
--- a/test/support/RunCase.ts
+++ b/test/support/RunCase.ts
@@ -11,8 +11,6 @@
   /** What became of each order: "task outcome". */
   readonly ends: string[] = [];
 
-  readonly warnings: string[] = [];
-
   readonly owner = {};
 
   readonly host: RunHost;
@@ -25,7 +23,7 @@
     this.host = RunHost.create({
       timer: this.timer,
       connect: ({ id }): RunBackend => this.lives.get(id)!,
-      log: { info: () => undefined, warn: (message) => this.warnings.push(message) },
+      log: { info: () => undefined, warn: () => undefined },
       changed: () => undefined,
     });
   }
--- a/test/usersPlatform/store.test.ts
+++ b/test/usersPlatform/store.test.ts
@@ -79,10 +79,10 @@
     return { status: 200, body: path.includes('kv-lease') ? { lease_id: paths.length } : {} };
   });
   const calls = StoreCalls.to(timer, store.address);
-  const quick = { ...timer, now: () => timer.now(), wall: () => timer.wall() };
   const key = PresenceKey.of({
     timer: {
-      ...quick,
+      now: () => timer.now(),
+      wall: () => timer.wall(),
       after: (delayMs, handler) => timer.after(delayMs, handler),
       every: (delayMs, handler) => timer.every(delayMs, handler),
       sleep: (_delayMs, signal) => timer.sleep(1, signal),
