Split the life of a backend server into its lease, its orders, its looks and the runs it holds

Each is a class of its own now, with the state that only it changes: BackendLease (clock, lease, fencing token), BackendPresence (what calls have shown of the backend server), HeldRuns (runs and proofs), RunOrders (starts and stops), BackendLooks (the loop). What is decided is the same; no test was changed.

--- /dev/null
+++ b/src/runs/BackendLooks.ts
@@ -0,0 +1,173 @@
+import type TimerService from '../core/TimerService';
+import Wakeup from '../core/Wakeup';
+import { RunOutcome } from '../gen/magnoliakeel/v1/peer_pb';
+import type EventLog from '../observe/EventLog';
+import type BackendHealth from './BackendHealth';
+import type BackendHold from './BackendHold';
+import type BackendLease from './BackendLease';
+import type BackendPresence from './BackendPresence';
+import type BackendRunFailure from './BackendRunFailure';
+import type HeldRuns from './HeldRuns';
+import type RunBackend from './RunBackend';
+import runLimits from './runLimits';
+import type RunOrders from './RunOrders';
+import taskKey from './taskKey';
+
+interface BackendLooksOptions {
+  readonly timer: TimerService;
+  readonly backend: RunBackend;
+  readonly lease: BackendLease;
+  readonly presence: BackendPresence;
+  readonly health: BackendHealth;
+  readonly held: HeldRuns;
+  readonly orders: RunOrders;
+  readonly log: EventLog;
+  /** The backend server's id, for logs. */
+  readonly id: string;
+  /** Told when room, or whether it may be used, has changed. */
+  readonly changed: () => void;
+}
+
+/**
+ * Looks at what runs on a backend server and what has ended, again and again. Each look renews the
+ * lease and waits there for the next end, so that an end is heard at once.
+ */
+export default class BackendLooks {
+  private readonly work = Wakeup.create();
+
+  /** Ends are heard up to this number. */
+  private seenEnd = 0;
+
+  private acknowledgedEnd = 0;
+
+  private unanswered = 0;
+
+  private constructor(private readonly opts: BackendLooksOptions) {}
+
+  /** Creates the looks at one life of a backend server; nothing is sent before `run`. */
+  static create(opts: BackendLooksOptions): BackendLooks {
+    return new BackendLooks(opts);
+  }
+
+  /** There is something to look at. */
+  soon(): void {
+    this.work.wake();
+  }
+
+  /** Ends what an earlier sidecar left running, then looks until the life is over. */
+  async run(): Promise<void> {
+    const { held, presence } = this.opts;
+    await this.clear();
+    while (!presence.isOver) {
+      const isIdle = held.size === 0 && this.acknowledgedEnd === this.seenEnd;
+      if (isIdle && presence.state === 'open') await this.work.wait();
+      else await this.look();
+    }
+  }
+
+  private async clear(): Promise<void> {
+    const { backend, lease, log, presence, timer } = this.opts;
+    while (presence.state === 'clearing') {
+      const res = await backend.hold(this.seenEnd, lease.token, 0);
+      if (res.isOk()) {
+        this.hearEnds(res.value);
+        const { running } = res.value;
+        if (running.length === 0) {
+          this.open();
+          return;
+        }
+        log.info('stopping what an earlier process left running', { running: running.length });
+        await Promise.all(running.map(({ run }) => backend.stop(run, lease.token)));
+      } else {
+        if (presence.isEndedBy(res.error)) return;
+        if (res.error.kind === 'refused') lease.raiseToken();
+      }
+      await timer.sleep(runLimits.stopCheckMs);
+    }
+  }
+
+  private open(): void {
+    const { changed, id, lease, log, presence } = this.opts;
+    presence.state = 'open';
+    log.info('the backend server takes tasks', { backend: id, token: lease.token });
+    changed();
+  }
+
+  private async look(): Promise<void> {
+    const { backend, changed, health, held, lease, orders, presence, timer } = this.opts;
+    const look = held.beginLook();
+    const seen = this.seenEnd;
+    const isSilent = presence.state === 'silent';
+    const waitMs = isSilent || this.unanswered > 0 || held.awaitsProof ? 0 : runLimits.holdWaitMs;
+    const until = isSilent ? undefined : lease.renew();
+    const res = await backend.hold(seen, lease.token, waitMs, until);
+    if (presence.isOver) return;
+    if (res.isErr()) {
+      await this.missed(res.error);
+      return;
+    }
+    this.unanswered = 0;
+    presence.answered();
+    this.acknowledgedEnd = Math.max(this.acknowledgedEnd, seen);
+    if (isSilent) this.speakAgain();
+    health.look(held.all);
+    this.hearEnds(res.value);
+    held.compare(res.value, look).forEach((run) => orders.stopStranger(run));
+    changed();
+    if (held.awaitsProof) await timer.sleep(runLimits.stopCheckMs);
+  }
+
+  private hearEnds({ ended }: BackendHold): void {
+    const { health, held } = this.opts;
+    ended.forEach(({ number, run, how, reason }) => {
+      if (number <= this.seenEnd) return;
+      this.seenEnd = number;
+      const state = held.find(taskKey(run));
+      if (state?.run.attempt !== run.attempt) return;
+      if (how !== 'lost') health.ended(state, how === 'done');
+      held.finish(state, outcomes[how], reason);
+    });
+  }
+
+  private async missed(failure: BackendRunFailure): Promise<void> {
+    const { changed, held, lease, log, presence, timer } = this.opts;
+    if (presence.isEndedBy(failure)) return;
+    const { kind, reason } = failure;
+    if (kind === 'closed') {
+      await timer.sleep(runLimits.retryMs);
+      return;
+    }
+    this.unanswered += 1;
+    log.warn('a renewal was not answered', { kind, reason, unanswered: this.unanswered });
+    if (presence.state === 'open' && this.unanswered >= runLimits.silentAfter) this.fallSilent();
+    if (presence.state !== 'silent') return;
+    if (lease.hasPassed && held.size > 0) {
+      held.loseAll('the lease passed while the backend server was silent');
+      changed();
+    }
+    await timer.sleep(runLimits.silentProbeMs);
+  }
+
+  private fallSilent(): void {
+    const { changed, held, id, log, presence } = this.opts;
+    presence.state = 'silent';
+    log.warn('the backend server is silent: its lease is no longer renewed', {
+      backend: id,
+      running: held.size,
+    });
+    changed();
+  }
+
+  private speakAgain(): void {
+    const { changed, id, log, presence } = this.opts;
+    presence.state = 'open';
+    log.info('the backend server answers again', { backend: id });
+    changed();
+  }
+}
+
+const outcomes = {
+  done: RunOutcome.DONE,
+  failed: RunOutcome.FAILED,
+  lost: RunOutcome.LOST,
+} as const;
--- /dev/null
+++ b/src/runs/HeldRuns.ts
@@ -0,0 +1,149 @@
+import { create } from '@bufbuild/protobuf';
+import { RunEndSchema, RunOutcome } from '../gen/magnoliakeel/v1/peer_pb';
+import Resources from '../room/Resources';
+import type BackendHold from './BackendHold';
+import type RunName from './RunName';
+import type RunRequest from './RunRequest';
+import type RunState from './RunState';
+import taskKey from './taskKey';
+
+interface HeldRunsOptions {
+  /** Told of each run that is over, by its key, after its owner was. */
+  readonly over: (key: string) => void;
+  /** Told how much further a run was seen to have come, in hundredths of its work. */
+  readonly progressed: (state: RunState, percent: number) => void;
+}
+
+/**
+ * The runs that take room at a backend server, from before their start is sent until their end is
+ * certain. A run is over when the backend server lists its end, when it was confirmed and a later look
+ * does not show it, or when its stop was acknowledged and a later look does not show it: a start that
+ * is still on its way is refused after that.
+ */
+export default class HeldRuns {
+  private readonly runs = new Map<string, RunState>();
+
+  /** For each stop that was acknowledged, the first look that proves whether the run is there. */
+  private readonly proofs = new Map<RunState, number>();
+
+  private looks = 0;
+
+  private constructor(private readonly opts: HeldRunsOptions) {}
+
+  /** Creates one without any run. */
+  static create(opts: HeldRunsOptions): HeldRuns {
+    return new HeldRuns(opts);
+  }
+
+  get size(): number {
+    return this.runs.size;
+  }
+
+  /** All of them. */
+  get all(): Iterable<RunState> {
+    return this.runs.values();
+  }
+
+  /** What they take, those that are being stopped included. */
+  get taken(): Resources {
+    return [...this.runs.values()].reduce(
+      (sum, { request }) => sum.plus(request.needs),
+      Resources.none,
+    );
+  }
+
+  /** Whether a stop was acknowledged and the look that proves the end is still to come. */
+  get awaitsProof(): boolean {
+    return this.proofs.size > 0;
+  }
+
+  /** The run of a task, by its key. */
+  find(key: string): RunState | undefined {
+    return this.runs.get(key);
+  }
+
+  /** Whether exactly this run is held. */
+  holds(state: RunState): boolean {
+    return this.runs.get(taskKey(state.run)) === state;
+  }
+
+  /** Runs of the same step. */
+  together({ batch, step }: RunRequest): number {
+    const requests = [...this.runs.values()].map((run) => run.request);
+    return requests.filter((each) => each.batch === batch && each.step === step).length;
+  }
+
+  /** Takes room for a run, in place of an earlier try of the same task. */
+  put(state: RunState): void {
+    this.runs.set(taskKey(state.run), state);
+  }
+
+  /** A look is about to be sent; returns its number. */
+  beginLook(): number {
+    this.looks += 1;
+    return this.looks;
+  }
+
+  /** The backend server has confirmed the run: looks that are sent from now on list it. */
+  confirm(state: RunState): void {
+    if (state.isConfirmed) return;
+    state.isConfirmed = true;
+    state.confirmedAtLook = this.looks;
+  }
+
+  /** The stop of a run was acknowledged. */
+  stopped(state: RunState): void {
+    this.proofs.set(state, this.looks + 1);
+  }
+
+  /** Compares with what a look showed; returns runs that are there and should not be. */
+  compare({ running }: BackendHold, look: number): readonly RunName[] {
+    const seen = new Set<RunState>();
+    const strangers: RunName[] = [];
+    running.forEach(({ run, percent }) => {
+      const state = this.runs.get(taskKey(run));
+      if (state?.run.attempt !== run.attempt) {
+        strangers.push(run);
+        return;
+      }
+      seen.add(state);
+      this.confirm(state);
+      this.opts.progressed(state, percent - state.percent);
+      state.percent = percent;
+    });
+    this.finishProven(look, seen);
+    this.finishVanished(look, seen);
+    return strangers;
+  }
+
+  /** The run is over: its owner is told, and its room is free. */
+  finish(state: RunState, outcome: RunOutcome, reason: string): void {
+    const { request, run } = state;
+    const key = taskKey(run);
+    const { number } = request;
+    this.runs.delete(key);
+    this.proofs.delete(state);
+    request.ended(create(RunEndSchema, { number, outcome, attempt: run.attempt, reason }));
+    this.opts.over(key);
+  }
+
+  /** Nothing runs there any more. */
+  loseAll(reason: string): void {
+    [...this.runs.values()].forEach((state) => this.finish(state, RunOutcome.LOST, reason));
+  }
+
+  private finishProven(look: number, seen: ReadonlySet<RunState>): void {
+    [...this.proofs].forEach(([state, provenBy]) => {
+      if (look < provenBy || seen.has(state)) return;
+      if (this.holds(state)) this.finish(state, RunOutcome.LOST, 'it was stopped and is not there');
+      else this.proofs.delete(state);
+    });
+  }
+
+  private finishVanished(look: number, seen: ReadonlySet<RunState>): void {
+    [...this.runs.values()].forEach((state) => {
+      if (!state.isConfirmed || look <= state.confirmedAtLook || seen.has(state)) return;
+      this.finish(state, RunOutcome.LOST, 'the backend server does not list it any more');
+    });
+  }
+}
--- /dev/null
+++ b/src/runs/RunOrders.ts
@@ -0,0 +1,153 @@
+import type TimerService from '../core/TimerService';
+import { RunOutcome } from '../gen/magnoliakeel/v1/peer_pb';
+import type EventLog from '../observe/EventLog';
+import AttemptNumbers from './AttemptNumbers';
+import type BackendLease from './BackendLease';
+import type BackendPresence from './BackendPresence';
+import type BackendRefusal from './BackendRefusal';
+import type HeldRuns from './HeldRuns';
+import type RunBackend from './RunBackend';
+import runLimits from './runLimits';
+import type RunName from './RunName';
+import type RunRequest from './RunRequest';
+import type RunState from './RunState';
+import taskKey from './taskKey';
+
+interface RunOrdersOptions {
+  readonly timer: TimerService;
+  readonly backend: RunBackend;
+  readonly lease: BackendLease;
+  readonly presence: BackendPresence;
+  readonly held: HeldRuns;
+  readonly log: EventLog;
+  /** Told that a look is wanted soon: something was started or stopped. */
+  readonly lookSoon: () => void;
+  /** Told of an error that nothing here handles. */
+  readonly fail: (error: unknown) => void;
+}
+
+/**
+ * Sends starts and stops to a backend server, each by a task of its own, until it is known what became
+ * of them. A start without an answer may be carried out later, so it is stopped before it counts as over.
+ */
+export default class RunOrders {
+  private readonly attempts = AttemptNumbers.create();
+
+  private constructor(private readonly opts: RunOrdersOptions) {}
+
+  /** Creates the orders to one life of a backend server. */
+  static create(opts: RunOrdersOptions): RunOrders {
+    return new RunOrders(opts);
+  }
+
+  /** Takes room for a run and sends its start. */
+  start(request: RunRequest): void {
+    const { held, lookSoon, fail, timer } = this.opts;
+    const { batch, step, index } = request;
+    const attempt = this.attempts.take(taskKey(request), request.attempt);
+    const state: RunState = {
+      request,
+      run: { batch, step, index, attempt },
+      startedAt: timer.now(),
+      isConfirmed: false,
+      confirmedAtLook: 0,
+      isStopping: false,
+      percent: 0,
+    };
+    held.put(state);
+    lookSoon();
+    this.send(state).catch(fail);
+  }
+
+  /** Stops a run; it is over once a look proves that. */
+  stop(state: RunState): void {
+    if (state.isStopping) return;
+    state.isStopping = true;
+    this.sendStop(state).catch(this.opts.fail);
+  }
+
+  /** Something runs there that is not held; whatever started it, it must end. */
+  stopStranger(run: RunName): void {
+    const { log, backend, lease } = this.opts;
+    log.warn('an unknown run is stopped', { ...run });
+    backend.stop(run, lease.token).match(
+      () => undefined,
+      // It is seen again with the next look, and stopped again.
+      () => undefined,
+    );
+  }
+
+  private async send(first: RunState): Promise<void> {
+    const { backend, held, lease, log, presence, timer } = this.opts;
+    let state = first;
+    let isDoubtful = false;
+    for (let tries = 0; tries < runLimits.startTries; tries += 1) {
+      const res = await backend.start(state.run, state.request.spec, lease.renew(), lease.token);
+      if (!held.holds(state)) return;
+      if (res.isErr()) {
+        if (presence.isEndedBy(res.error)) return;
+        log.warn('a start was not answered', { ...logged(state), reason: res.error.reason });
+        if (state.isStopping) return;
+        if (res.error.kind === 'unanswered') isDoubtful = true;
+        await timer.sleep(runLimits.retryMs);
+        continue;
+      }
+      const answer = res.value;
+      presence.answered();
+      if (answer === 'started') {
+        held.confirm(state);
+        return;
+      }
+      log.warn('the backend server refused a start', { ...logged(state), answer });
+      // The stop under way will show how it ends: an earlier start may have been carried out.
+      if (state.isStopping) return;
+      if (tries > 0 && answer === 'spent') break;
+      if (!refusalsToTryAgain[answer]) {
+        // An earlier start may still be on its way, so this refusal does not prove that none will run.
+        if (isDoubtful) break;
+        held.finish(state, RunOutcome.REFUSED, answer);
+        return;
+      }
+      if (answer === 'fenced') lease.raiseToken();
+      if (answer === 'spent') state = this.renumber(state);
+    }
+    if (held.holds(state)) this.stop(state);
+  }
+
+  /** The same start with the next attempt number. */
+  private renumber(state: RunState): RunState {
+    const { request, run } = state;
+    const attempt = this.attempts.take(taskKey(request), request.attempt);
+    const next = { ...state, run: { ...run, attempt } };
+    this.opts.held.put(next);
+    return next;
+  }
+
+  private async sendStop(state: RunState): Promise<void> {
+    const { backend, held, lease, log, lookSoon, presence, timer } = this.opts;
+    while (held.holds(state)) {
+      const res = await backend.stop(state.run, lease.token);
+      if (res.isOk()) {
+        held.stopped(state);
+        lookSoon();
+        return;
+      }
+      if (presence.isEndedBy(res.error)) return;
+      log.warn('a stop was not answered', { ...logged(state), reason: res.error.reason });
+      await timer.sleep(runLimits.retryMs);
+    }
+  }
+}
+
+/** Refusals that a second start, with a new number, token or lease, may not meet. */
+const refusalsToTryAgain: Readonly<Record<BackendRefusal, boolean>> = {
+  fenced: true,
+  spent: true,
+  late: true,
+  full: false,
+  unfit: false,
+};
+
+function logged({ run, isStopping }: RunState): Readonly<Record<string, unknown>> {
+  return { ...run, isStopping };
+}
