--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -10,7 +10,6 @@
   outExtension: { '.js': '.cjs' },
   bundle: true,
   minify: true,
-  keepNames: true,
   format: 'cjs',
   platform: 'node',
   target: 'node20',
--- a/src/batches/Admission.ts
+++ b/src/batches/Admission.ts
@@ -1,11 +1,12 @@
 import type Random from '../core/Random';
 import type TimerService from '../core/TimerService';
 import type EventLog from '../observe/EventLog';
+import ENTRIES_PER_SIDECAR from '../peering/ENTRIES_PER_SIDECAR';
 import type Batch from './Batch';
 import type BatchAnswer from './BatchAnswer';
+import type BatchPolicy from './BatchPolicy';
 import type BatchSubmission from './BatchSubmission';
-import compareBatches from './compareBatches';
-import predictWait from './predictWait';
+import compareUrgencies from './compareUrgencies';
 import refusalTimes from './refusalTimes';
 import type SidecarPeer from './SidecarPeer';
 
@@ -13,6 +14,7 @@
   readonly timer: TimerService;
   readonly random: Random;
   readonly log: EventLog;
+  readonly policy: BatchPolicy;
   /** Sidecars linked now. */
   readonly peers: () => Iterable<SidecarPeer>;
   /** Batches with tasks that wait for room, in no order. */
@@ -48,7 +50,9 @@
     const backlog = this.opts.backlog();
     if (backlog.length === 0) return undefined;
     const now = this.opts.timer.now();
-    const ahead = backlog.filter((other) => compareBatches(other, batch, now) <= 0);
+    const { urgency } = this.opts.policy;
+    const own = urgency(batch, now);
+    const ahead = backlog.filter((other) => compareUrgencies(urgency(other, now), own) <= 0);
     const waitMs = this.waitBehind(ahead);
     if (!batch.isHopeless(now + waitMs)) return undefined;
     const reason = 'it would wait longer than its answer is of use';
@@ -69,7 +73,8 @@
   }
 
   private waitBehind(ahead: readonly Batch[]): number {
-    return predictWait(ahead, [...this.opts.peers()], this.opts.entryCount());
+    const sharing = Math.min(this.opts.entryCount(), ENTRIES_PER_SIDECAR);
+    return this.opts.policy.predict(ahead, [...this.opts.peers()], sharing);
   }
 
   /** The predicted wait, spread so that callers do not come back together. */
--- a/src/batches/BatchEntry.ts
+++ b/src/batches/BatchEntry.ts
@@ -6,18 +6,18 @@
 import Admission from './Admission';
 import Batch from './Batch';
 import type BatchAnswer from './BatchAnswer';
+import type BatchPolicy from './BatchPolicy';
 import type BatchEntryOptions from './BatchEntryOptions';
 import type BatchSubmission from './BatchSubmission';
-import type BatchTask from './BatchTask';
 import EntryPeers from './EntryPeers';
-import findShunned from './findShunned';
 import LostSidecars from './LostSidecars';
 import OpenBatches from './OpenBatches';
 import type OrderedRun from './OrderedRun';
+import type OrderedStart from './OrderedStart';
 import QueueTable from './QueueTable';
 import Scheduler from './Scheduler';
 import type SidecarPeer from './SidecarPeer';
-import worthMoving from './worthMoving';
+import standardPolicy from './standardPolicy';
 
 /**
  * The process that takes batches from callers, has their tasks run at sidecars and answers when they
@@ -27,6 +27,8 @@
 export default class BatchEntry {
   private readonly tables = Versioned.of(QueueTable.none, ({ version }) => BigInt(version));
 
+  private readonly policy: BatchPolicy;
+
   private readonly batches: OpenBatches;
 
   private readonly peers: EntryPeers;
@@ -44,7 +46,8 @@
   private isLeaving = false;
 
   private constructor(private readonly opts: BatchEntryOptions) {
-    const { timer, random, log, metrics, zone } = opts;
+    const { timer, random, log, metrics, zone, policy = standardPolicy } = opts;
+    this.policy = policy;
     this.peers = EntryPeers.create({
       ...opts,
       table: () => this.table,
@@ -57,12 +60,12 @@
     });
     const sidecars = (): ReadonlySet<SidecarPeer> => this.peers.sidecars;
     this.scheduler = Scheduler.create({
-      ...{ timer, zone, peers: sidecars },
+      ...{ timer, zone, policy, peers: sidecars },
       hopeless: (batch) => this.batches.finish(batch, this.admission.refuseWaiting()),
-      ordered: (batch, task, peer) => this.ordered(batch, task, peer),
+      ordered: (batch, starts) => this.ordered(batch, starts),
     });
     this.admission = Admission.create({
-      ...{ timer, random, log, peers: sidecars },
+      ...{ timer, random, log, policy, peers: sidecars },
       backlog: () => this.scheduler.backlog,
       entryCount: () => this.peers.entryCount,
     });
@@ -211,18 +214,21 @@
     });
   }
 
-  private ordered(batch: Batch, task: BatchTask, peer: SidecarPeer): void {
+  private ordered(batch: Batch, starts: readonly OrderedStart[]): void {
     const { timer, log, metrics } = this.opts;
-    const waitedMs = timer.now() - (task.readyAt ?? 0);
+    const now = timer.now();
     const { name } = batch.submission.queue;
-    metrics?.add('runs_ordered_total', 1, name);
-    metrics?.record('batch_wait_seconds', waitedMs / SECOND_MS, name);
-    log.info('a start is ordered', {
+    metrics?.add('runs_ordered_total', starts.length, name);
+    starts.forEach(({ task }) => {
+      metrics?.record('batch_wait_seconds', (now - (task.readyAt ?? now)) / SECOND_MS, name);
+    });
+    log.info('starts are ordered', {
       request: batch.id,
-      ...{ step: task.stepNumber, index: task.index, attempt: task.attempt },
-      ...{ sidecar: peer.instance, freeCpuMilli: peer.free.cpuMilli },
-      reportAgeMs: Math.round(peer.silentMs),
-      waitedMs: Math.round(waitedMs),
+      waitedMs: Math.round(now - (starts[0]?.task.readyAt ?? now)),
+      starts: starts.map(({ task, peer, freeMilli }) => ({
+        ...{ step: task.stepNumber, index: task.index, attempt: task.attempt },
+        ...{ sidecar: peer.instance, freeMilli, reportAgeMs: Math.round(peer.reportAgeMs) },
+      })),
     });
   }
 
@@ -235,8 +241,8 @@
   /** Stops runs that crawl at a shunned backend server; they are started elsewhere once they are over. */
   private moveRuns(): void {
     const now = this.opts.timer.now();
-    findShunned(this.peers.sidecars).forEach((peer) => {
-      const runs = [...peer.runs.values()].filter((run) => worthMoving(run, peer, now));
+    this.policy.shun(this.peers.sidecars).forEach((peer) => {
+      const runs = [...peer.runs.values()].filter((run) => this.policy.move(run, peer, now));
       if (runs.length === 0) return;
       runs.forEach(({ task }) => {
         task.moves += 1;
--- a/src/batches/BatchEntryOptions.ts
+++ b/src/batches/BatchEntryOptions.ts
@@ -3,6 +3,7 @@
 import type Network from '../link/Network';
 import type Metrics from '../observe/Metrics';
 import type EventLog from '../observe/EventLog';
+import type BatchPolicy from './BatchPolicy';
 
 /** What an entry for batches is made of. */
 export default interface BatchEntryOptions {
@@ -20,4 +21,6 @@
   readonly listen: string;
   /** Addresses of entries to begin with. */
   readonly seeds: readonly string[];
+  /** Its decisions under load; the standard ones unless others are tried. */
+  readonly policy?: BatchPolicy;
 }
--- /dev/null
+++ b/src/batches/BatchPolicy.ts
@@ -0,0 +1,22 @@
+import type choosePeer from './choosePeer';
+import type findShunned from './findShunned';
+import type predictWait from './predictWait';
+import type urgencyOf from './urgencyOf';
+import type worthMoving from './worthMoving';
+
+/**
+ * The decisions of an entry for batches under load, apart from its input and output. Each is a
+ * function of what the entry knows at that moment, so that others can be tried in its place.
+ */
+export default interface BatchPolicy {
+  /** How urgently a batch waits, and so the order in which batches get room. */
+  readonly urgency: typeof urgencyOf;
+  /** Where a task starts, if anywhere now. */
+  readonly choose: typeof choosePeer;
+  /** Backend servers that get no work but trials. */
+  readonly shun: typeof findShunned;
+  /** How long a new batch would wait for room. */
+  readonly predict: typeof predictWait;
+  /** Whether a run at a shunned backend server is stopped and started elsewhere. */
+  readonly move: typeof worthMoving;
+}
--- /dev/null
+++ b/src/batches/OrderedStart.ts
@@ -0,0 +1,10 @@
+import type BatchTask from './BatchTask';
+import type SidecarPeer from './SidecarPeer';
+
+/** A start that was decided, with the room that was believed to be there. */
+export default interface OrderedStart {
+  readonly task: BatchTask;
+  readonly peer: SidecarPeer;
+  /** Free before this start, in thousandths of a core. */
+  readonly freeMilli: number;
+}
--- a/src/batches/Scheduler.ts
+++ b/src/batches/Scheduler.ts
@@ -1,22 +1,28 @@
 import type TimerService from '../core/TimerService';
 import type Batch from './Batch';
+import type BatchPolicy from './BatchPolicy';
 import type BatchTask from './BatchTask';
-import choosePeer from './choosePeer';
-import compareBatches from './compareBatches';
-import findShunned from './findShunned';
+import compareUrgencies from './compareUrgencies';
+import type OrderedStart from './OrderedStart';
 import type SidecarPeer from './SidecarPeer';
+import type Urgency from './Urgency';
+import type WaitingHead from './WaitingHead';
 
 interface SchedulerOptions {
   readonly timer: TimerService;
   readonly zone: string;
+  readonly policy: BatchPolicy;
   readonly peers: () => Iterable<SidecarPeer>;
   /** Told of a batch that was never started and cannot be answered in time any more. */
   readonly hopeless: (batch: Batch) => void;
-  /** Told of each start that is ordered. */
-  readonly ordered: (batch: Batch, task: BatchTask, peer: SidecarPeer) => void;
+  /** Told of the starts of a batch that are ordered in one turn. */
+  readonly ordered: (batch: Batch, starts: readonly OrderedStart[]) => void;
 }
 
-/** Gives free room to the tasks that wait at this entry. */
+/**
+ * Gives free room to the tasks that wait at this entry, and tells the sidecars how urgently it waits
+ * for more, so that they can offer what room there is to the entry that needs it most.
+ */
 export default class Scheduler {
   private readonly waiting = new Set<Batch>();
 
@@ -48,6 +54,7 @@
   /** The batch has its answer: nothing of it is started any more. */
   remove(batch: Batch): void {
     this.waiting.delete(batch);
+    this.wake();
   }
 
   /** Something has changed: room is given out after this turn's messages were read. */
@@ -61,21 +68,30 @@
   }
 
   private assign(): void {
-    const now = this.opts.timer.now();
-    const line = this.line(now);
-    if (line.length === 0) return;
-    const peers = [...this.opts.peers()];
-    const place = { peers, shunned: findShunned(peers), zone: this.opts.zone, now };
-    for (const batch of line) {
-      if (!this.assignBatch(batch, place)) break;
-    }
-    peers.forEach((peer) => peer.flush());
+    const { timer, policy, zone, peers: allPeers } = this.opts;
+    const now = timer.now();
+    const peers = [...allPeers()];
+    const place = { peers, shunned: policy.shun(peers), zone, now };
+    const heads = new Map<string, WaitingHead>();
+    this.line(now).forEach(({ batch, urgency }) => {
+      const { service } = batch.submission.queue;
+      // Room of the service is short, and nobody behind the first in line goes before it.
+      if (heads.has(service)) return;
+      const left = this.assignBatch(batch, place);
+      if (left) heads.set(service, { urgency, needs: left.step.needs });
+    });
+    peers.forEach((peer) => {
+      peer.tellHead(heads.get(peer.service));
+      peer.flush();
+    });
     this.dropHopeless(now);
   }
 
   /** The backlog in the order in which it gets room. */
-  private line(now: number): readonly Batch[] {
-    return [...this.backlog].sort((a, b) => compareBatches(a, b, now));
+  private line(now: number): readonly { readonly batch: Batch; readonly urgency: Urgency }[] {
+    const { policy } = this.opts;
+    const line = this.backlog.map((batch) => ({ batch, urgency: policy.urgency(batch, now) }));
+    return line.sort((a, b) => compareUrgencies(a.urgency, b.urgency));
   }
 
   /** What got no room now and can no longer be of use is not kept waiting. */
@@ -85,26 +101,34 @@
       .forEach((batch) => this.opts.hopeless(batch));
   }
 
-  /** Starts what can be started of a batch; false when room is short, so that nobody behind it goes first. */
-  private assignBatch(batch: Batch, place: Place): boolean {
-    for (const task of [...batch.ready]) {
-      const peer = choosePeer({ batch, task, ...place });
+  /** Starts what can be started of a batch; returns the first task for which room is short. */
+  private assignBatch(batch: Batch, place: Place): BatchTask | undefined {
+    const starts: OrderedStart[] = [];
+    const left = [...batch.ready].find((task) => {
+      const peer = this.opts.policy.choose({ batch, task, ...place });
+      if (peer) starts.push(this.order(batch, task, peer, place));
       const isPicky = task.step.label !== '' || task.step.mostTogether > 0;
-      if (!peer && !isPicky) return false;
-      if (peer) this.order(batch, task, peer, place);
-    }
-    return true;
+      return !peer && !isPicky;
+    });
+    if (starts.length > 0) this.opts.ordered(batch, starts);
+    return left;
   }
 
-  private order(batch: Batch, task: BatchTask, peer: SidecarPeer, { shunned, now }: Place): void {
+  private order(
+    batch: Batch,
+    task: BatchTask,
+    peer: SidecarPeer,
+    { shunned, now }: Place,
+  ): OrderedStart {
+    const freeMilli = peer.free.cpuMilli;
     if (shunned.has(peer)) peer.triedAt = now;
     peer.order(batch, task);
     batch.starting(task);
-    this.opts.ordered(batch, task, peer);
+    return { task, peer, freeMilli };
   }
 }
 
 /** Where tasks may go, the same for all that are assigned in one turn. */
-type Place = Omit<Parameters<typeof choosePeer>[0], 'batch' | 'task'> & {
+type Place = Omit<Parameters<BatchPolicy['choose']>[0], 'batch' | 'task'> & {
   readonly peers: readonly SidecarPeer[];
 };
--- a/src/batches/SidecarPeer.ts
+++ b/src/batches/SidecarPeer.ts
@@ -2,6 +2,8 @@
 import type TimerService from '../core/TimerService';
 import {
   AmountSchema,
+  type Demand,
+  DemandSchema,
   type Pulse,
   PulseSchema,
   type Room,
@@ -18,6 +20,7 @@
 import type Batch from './Batch';
 import type BatchTask from './BatchTask';
 import type OrderedRun from './OrderedRun';
+import type WaitingHead from './WaitingHead';
 
 /**
  * A sidecar as an entry sees it over one link: what room it has, and which runs were ordered there.
@@ -35,6 +38,8 @@
 
   private reported = Resources.none;
 
+  private reportedAt = 0;
+
   private heardAt: number;
 
   private lastNumber = 0;
@@ -45,6 +50,13 @@
   /** No orders before this time: the sidecar has refused one and its next report is awaited. */
   private pausedUntil = 0;
 
+  /** What waits here for the service's room, and what of that the sidecar was told, and when. */
+  private head: WaitingHead | undefined;
+
+  private toldHead: WaitingHead | undefined;
+
+  private toldAt = -Infinity;
+
   /** Orders of this turn, for one message a batch. */
   private readonly outbox = new Map<Batch, RunOrder[]>();
 
@@ -114,6 +126,11 @@
     return this.timer.now() - this.heardAt;
   }
 
+  /** How old its newest report of room is, ms. */
+  get reportAgeMs(): number {
+    return this.timer.now() - this.reportedAt;
+  }
+
   /** Room that is left, as far as is known here. */
   get free(): Resources {
     const { newestOrder } = this.room;
@@ -135,6 +152,7 @@
     this.room = room;
     this.total = Resources.of(room.total ?? {});
     this.reported = Resources.of(room.free ?? {});
+    this.reportedAt = this.timer.now();
     this.pausedUntil = 0;
   }
 
@@ -155,25 +173,53 @@
     const run: OrderedRun = { number, batch, task, orderedAt, isStopping: false };
     this.runs.set(number, run);
     const { needs, estimateMs, mostTogether, label } = step;
-    const { cpuMilli, memoryMb, accelerators } = needs;
     const order = create(RunOrderSchema, {
       ...{ number, index, attempt, estimateMs, mostTogether, label },
       step: stepNumber,
-      needs: create(AmountSchema, { cpuMilli, memoryMb, accelerators }),
+      needs: amountOf(needs),
     });
     this.outbox.set(batch, [...(this.outbox.get(batch) ?? []), order]);
     return run;
   }
 
-  /** Sends the orders of this turn. */
+  /** Notes what is first in line for the service's room; it is sent with `flush`. */
+  tellHead(head: WaitingHead | undefined): void {
+    this.head = head;
+  }
+
+  /** Sends the orders of this turn, and what waits when that has changed. */
   flush(): void {
+    const isOrdering = this.outbox.size > 0;
+    const demand = isOrdering || this.isHeadNews ? this.takeDemand() : undefined;
     this.outbox.forEach((runs, { id, submission }) => {
       const { queue, spec } = submission;
       const { service } = queue;
-      const value = create(StartRunsSchema, { batch: id, service, spec, runs });
+      const value = create(StartRunsSchema, { batch: id, service, spec, runs, demand });
       this.link.send({ case: 'startRuns', value });
     });
     this.outbox.clear();
+    if (demand && !isOrdering) this.link.send({ case: 'demand', value: demand });
+  }
+
+  /** Whether the sidecar should hear of what waits now, at the price of a message. */
+  private get isHeadNews(): boolean {
+    const { head, toldHead } = this;
+    if (!head || !toldHead) return head !== toldHead;
+    const now = this.timer.now();
+    const expectedMs = toldHead.urgency.slackMs - (now - this.toldAt);
+    const isOther =
+      head.urgency.rank !== toldHead.urgency.rank ||
+      Math.abs(head.urgency.slackMs - expectedMs) > SAME_SLACK_MS;
+    return isOther && now - this.toldAt >= HEAD_INTERVAL_MS;
+  }
+
+  private takeDemand(): Demand {
+    const { head } = this;
+    this.toldHead = head;
+    this.toldAt = this.timer.now();
+    if (!head) return create(DemandSchema);
+    const { needs, urgency } = head;
+    return create(DemandSchema, { waiting: true, ...urgency, needs: amountOf(needs) });
   }
 
   /** Asks to stop the runs of a batch; each is reported once it is over. */
@@ -208,7 +254,17 @@
   }
 }
 
+function amountOf({ cpuMilli, memoryMb, accelerators }: Resources) {
+  return create(AmountSchema, { cpuMilli, memoryMb, accelerators });
+}
+
 const THOUSAND = 1000;
 
+/** A head whose time to start differs by less is told only with the next order, ms. */
+const SAME_SLACK_MS = 10;
+
+/** Shortest time between two messages about what waits, ms; that nothing waits is told at once. */
+const HEAD_INTERVAL_MS = 10;
+
 /** Its next report of room is on the way when it refuses an order; this bounds the wait for it, ms. */
 const REFUSED_PAUSE_MS = 20;
--- a/src/batches/compareBatches.ts
+++ b/src/batches/urgencyOf.ts
@@ -1,4 +1,5 @@
 import type Batch from './Batch';
+import type Urgency from './Urgency';
 
 /**
  * The order in which waiting batches get room, for the load in which more is asked than there is
@@ -9,23 +10,22 @@
  * ends late as often as not. Among those in time, one that has begun is finished before another is
  * begun, and then whoever has to start soonest goes first.
  */
-export default function compareBatches(a: Batch, b: Batch, now: number): number {
-  const byPriority = a.submission.queue.priority - b.submission.queue.priority;
-  if (byPriority !== 0) return byPriority;
-  const byLateness = rankOf(a, now) - rankOf(b, now);
-  return byLateness || a.slackMs(now) - b.slackMs(now);
+export default function urgencyOf(batch: Batch, now: number): Urgency {
+  const slackMs = batch.slackMs(now);
+  return { rank: batch.submission.queue.priority * STAGES + stageOf(batch, slackMs), slackMs };
 }
 
 /** Begun and in time, waiting and in time, or late. */
-function rankOf(batch: Batch, now: number): number {
+function stageOf(batch: Batch, slackMs: number): number {
   const { aimMs, chainMs } = batch.objective;
-  if (batch.slackMs(now) < (aimMs - chainMs) * NEARLY_LATE) return LATE;
+  if (slackMs < (aimMs - chainMs) * NEARLY_LATE) return LATE;
   return batch.startsSent > 0 ? BEGUN : WAITING;
 }
 
 const BEGUN = 0;
 const WAITING = 1;
 const LATE = 2;
+const STAGES = 3;
 
 /** Share of a batch's first slack below which it counts as late. */
 const NEARLY_LATE = 0.25;
--- a/src/runs/BackendLife.ts
+++ b/src/runs/BackendLife.ts
@@ -87,6 +87,11 @@
     return this.newest.capacity.minus(this.held.taken);
   }
 
+  /** What the owner's runs take. */
+  heldBy(owner: object): Resources {
+    return this.held.takenBy(owner);
+  }
+
   /** Runs that are not certainly over. */
   get size(): number {
     return this.held.size + this.followers.size + this.waiting.length;
--- a/src/runs/HeldRuns.ts
+++ b/src/runs/HeldRuns.ts
@@ -46,10 +46,12 @@
 
   /** What they take, those that are being stopped included. */
   get taken(): Resources {
-    return [...this.runs.values()].reduce(
-      (sum, { request }) => sum.plus(request.needs),
-      Resources.none,
-    );
+    return sumOf([...this.runs.values()]);
+  }
+
+  /** What an owner's runs take of that. */
+  takenBy(owner: object): Resources {
+    return sumOf([...this.runs.values()].filter(({ request }) => request.owner === owner));
   }
 
   /** Whether a stop was acknowledged and the look that proves the end is still to come. */
@@ -147,3 +149,7 @@
     });
   }
 }
+
+function sumOf(runs: readonly RunState[]): Resources {
+  return runs.reduce((sum, { request }) => sum.plus(request.needs), Resources.none);
+}
--- a/src/runs/RoomReports.ts
+++ b/src/runs/RoomReports.ts
@@ -2,20 +2,31 @@
 import type Subscription from '../core/Subscription';
 import type TimerService from '../core/TimerService';
 import { AmountSchema, type Room, RoomSchema } from '../gen/magnoliakeel/v1/peer_pb';
-import type Resources from '../room/Resources';
+import Resources from '../room/Resources';
 import type OwnerLink from './OwnerLink';
+import type RoomTurns from './RoomTurns';
 import type RunHost from './RunHost';
 
+/** What an entry was told last, and what it had here then. */
+interface Told {
+  readonly room: Room;
+  readonly heldMilli: number;
+}
+
 /**
  * Tells the entries what room there is. An entry knows what its own orders take and give back, so a
- * report is only about what the others do. While there is plenty, a report may be late; when room
- * is short, tasks are waiting for it somewhere, and it is told with the same turn of the event loop.
+ * report is only about what the others do: one is sent when what an entry believes is wrong by more
+ * than matters. While there is plenty that is a good part of the whole, and a report may be late; when
+ * room is short, tasks are waiting for it somewhere, and it is told with the same turn of the event
+ * loop. So reports cost little at a calm backend server, however many entries are linked.
  */
 export default class RoomReports {
-  private readonly told = new Map<OwnerLink, Room>();
+  private readonly told = new Map<OwnerLink, Told>();
 
   private later: Subscription | undefined;
 
+  private offer: Subscription | undefined;
+
   private isDue = false;
 
   private wasAccepting = false;
@@ -23,6 +34,7 @@
   private constructor(
     private readonly timer: TimerService,
     private readonly host: RunHost,
+    private readonly turns: RoomTurns,
     private readonly owners: () => Iterable<OwnerLink>,
   ) {}
 
@@ -30,9 +42,10 @@
   static create(
     timer: TimerService,
     host: RunHost,
+    turns: RoomTurns,
     owners: () => Iterable<OwnerLink>,
   ): RoomReports {
-    return new RoomReports(timer, host, owners);
+    return new RoomReports(timer, host, turns, owners);
   }
 
   /** Something has changed: reports when it matters. */
@@ -59,6 +72,7 @@
   /** Forgets an owner whose link has ended. */
   forget(owner: OwnerLink): void {
     this.told.delete(owner);
+    this.turns.forget(owner);
   }
 
   private get isShort(): boolean {
@@ -72,14 +86,27 @@
     this.later?.cancel();
     this.later = undefined;
     const room = this.describe();
-    [...this.owners()].forEach((owner) => this.tellOwner(owner, room));
+    const turn = this.turns.next(Resources.of(room.free ?? {}));
+    const withoutRoom = { ...room, free: create(AmountSchema) };
+    [...this.owners()].forEach((owner) => {
+      const mayUse = turn === 'anybody' || turn === owner;
+      this.tellOwner(owner, mayUse ? room : withoutRoom);
+    });
+    if (this.turns.offeredUntil !== undefined) this.awaitOffer(this.turns.offeredUntil);
+  }
+
+  /** Looks again when an offer passes on. */
+  private awaitOffer(untilMs: number): void {
+    this.offer?.cancel();
+    this.offer = this.timer.after(untilMs - this.timer.now(), () => this.now());
   }
 
   private tellOwner(owner: OwnerLink, room: Room): void {
-    const value = create(RoomSchema, { ...room, newestOrder: owner.newestOrder });
+    const heldMilli = this.host.heldBy(owner).cpuMilli;
     const before = this.told.get(owner);
-    if (before && equals(RoomSchema, before, value)) return;
-    this.told.set(owner, value);
+    if (before && !isNews(room, heldMilli, before)) return;
+    const value = create(RoomSchema, { ...room, newestOrder: owner.newestOrder });
+    this.told.set(owner, { room: value, heldMilli });
     owner.link.send({ case: 'room', value });
   }
 
@@ -100,13 +127,33 @@
   }
 }
 
+/** Whether an entry that was told `before` should hear of the room as it is now. */
+function isNews(
+  room: Room,
+  heldMilli: number,
+  { room: before, heldMilli: heldThen }: Told,
+): boolean {
+  const { newestOrder } = before;
+  const isLike = equals(RoomSchema, { ...room, newestOrder, free: before.free }, before);
+  if (!isLike) return true;
+  const believed = (before.free?.cpuMilli ?? 0) + heldThen - heldMilli;
+  const actual = room.free?.cpuMilli ?? 0;
+  const total = room.total?.cpuMilli ?? 0;
+  const isPlenty = Math.min(believed, actual) >= total * SHORT_SHARE;
+  return Math.abs(actual - believed) > (isPlenty ? total * PLENTY_DRIFT : 0);
+}
+
 function amountOf({ cpuMilli, memoryMb, accelerators }: Resources) {
   return create(AmountSchema, { cpuMilli, memoryMb, accelerators });
 }
 
-/** Coarse steps, so that small changes make no message: powers of the square root of two. */
+/**
+ * Coarse steps, so that small changes make no message: powers of the square root of two from twice
+ * the estimates on. Less than that is the error of the estimates, and decides nothing.
+ */
 function stepped(slowness: number): number {
   if (slowness <= 0) return 0;
+  if (slowness < 2) return 1;
   return 2 ** (Math.round(2 * Math.log2(slowness)) / 2);
 }
 
@@ -118,6 +165,9 @@
 /** Room is short below this share of the whole: about three tasks of ten. */
 const SHORT_SHARE = 0.3;
 
+/** While there is plenty, an entry's belief may be wrong by this share of the whole: one or two tasks. */
+const PLENTY_DRIFT = 0.15;
+
 /** How late a report may be while room is short and was only taken, ms: a few starts share one. */
 const SHORT_MS = 5;
 
--- /dev/null
+++ b/src/runs/RoomTurns.ts
@@ -0,0 +1,94 @@
+import type TimerService from '../core/TimerService';
+import type { Demand } from '../gen/magnoliakeel/v1/peer_pb';
+import Resources from '../room/Resources';
+import type OwnerLink from './OwnerLink';
+
+/** What one entry waits for here. */
+interface Wish {
+  readonly rank: number;
+  /** By when its first task has to start, by this process's clock. */
+  readonly dueAt: number;
+  readonly needs: Resources;
+  /** It has let an offer pass, and others are asked first until this time. */
+  readonly passedUntil: number;
+}
+
+/**
+ * Whose turn it is to use the room that is left. It answers the load in which several entries wait:
+ * told of the same room at the same moment, all of them would order it, all but one in vain, and the
+ * most urgent batch would win by chance only. So room is offered to one entry after the other, the
+ * most urgent first; who does not use an offer within a round trip lets it pass.
+ */
+export default class RoomTurns {
+  private readonly wishes = new Map<OwnerLink, Wish>();
+
+  private offer: { readonly owner: OwnerLink; readonly untilMs: number } | undefined;
+
+  private constructor(private readonly timer: TimerService) {}
+
+  /** Creates turns for which nobody waits. */
+  static create(timer: TimerService): RoomTurns {
+    return new RoomTurns(timer);
+  }
+
+  /** When the offer that is open now passes on, by the timer service. */
+  get offeredUntil(): number | undefined {
+    return this.offer?.untilMs;
+  }
+
+  /** Takes what an entry says of its line. */
+  hear(owner: OwnerLink, { waiting, rank, slackMs, needs }: Demand): void {
+    if (!waiting) {
+      this.forget(owner);
+      return;
+    }
+    const passedUntil = this.wishes.get(owner)?.passedUntil ?? 0;
+    const dueAt = this.timer.now() + slackMs;
+    this.wishes.set(owner, { rank, dueAt, needs: Resources.of(needs ?? {}), passedUntil });
+  }
+
+  /** An entry has ordered something: if it was its turn, that is over. */
+  used(owner: OwnerLink): void {
+    if (this.offer?.owner === owner) this.offer = undefined;
+  }
+
+  /** An entry waits for nothing, or its link has ended. */
+  forget(owner: OwnerLink): void {
+    this.wishes.delete(owner);
+    this.used(owner);
+  }
+
+  /** Who may use this much room now: it is too little for all that wait when nobody may. */
+  next(free: Resources): OwnerLink | 'anybody' | 'nobody' {
+    const now = this.timer.now();
+    this.passOn(now);
+    if (this.offer) return this.offer.owner;
+    if (this.wishes.size === 0) return 'anybody';
+    const able = [...this.wishes].filter(([, { needs }]) => free.holds(needs));
+    able.sort(([, a], [, b]) => compareWishes(a, b, now));
+    const [first] = able;
+    if (!first) return 'nobody';
+    const [owner] = first;
+    this.offer = { owner, untilMs: now + OFFER_MS };
+    return owner;
+  }
+
+  private passOn(now: number): void {
+    if (!this.offer || now < this.offer.untilMs) return;
+    const { owner } = this.offer;
+    const wish = this.wishes.get(owner);
+    if (wish) this.wishes.set(owner, { ...wish, passedUntil: now + PASSED_MS });
+    this.offer = undefined;
+  }
+}
+
+function compareWishes(a: Wish, b: Wish, now: number): number {
+  const byPassing = Number(a.passedUntil > now) - Number(b.passedUntil > now);
+  return byPassing || a.rank - b.rank || a.dueAt - b.dueAt;
+}
+
+/** How long an offer is open, ms: a round trip to another zone and a turn of a busy process. */
+const OFFER_MS = 8;
+
+/** How long others go first after an offer was let pass, ms: the entry has found room elsewhere. */
+const PASSED_MS = 10;
--- a/src/runs/RunHost.ts
+++ b/src/runs/RunHost.ts
@@ -1,4 +1,5 @@
 import type TimerService from '../core/TimerService';
+import Resources from '../room/Resources';
 import BackendLife from './BackendLife';
 import type BackendRunFailure from './BackendRunFailure';
 import type BackendReport from './BackendReport';
@@ -91,6 +92,11 @@
     return this.life?.hasRunsOf(owner) === true;
   }
 
+  /** What the owner's runs take, those that are being stopped included. */
+  heldBy(owner: object): Resources {
+    return this.life?.heldBy(owner) ?? Resources.none;
+  }
+
   /** Takes no more tasks; what runs goes on. */
   leave(): void {
     this.isLeaving = true;
--- a/src/runs/RunSidecar.ts
+++ b/src/runs/RunSidecar.ts
@@ -8,11 +8,13 @@
 import GapWatch from '../peering/GapWatch';
 import KnownAddresses from '../peering/KnownAddresses';
 import linkDelays from '../peering/linkDelays';
+import LinkChoice from '../peering/LinkChoice';
 import LinkKeeper from '../peering/LinkKeeper';
 import readLink from '../peering/readLink';
 import type BackendReport from './BackendReport';
 import OwnerLink from './OwnerLink';
 import RoomReports from './RoomReports';
+import RoomTurns from './RoomTurns';
 import RunHost from './RunHost';
 import type RunSidecarOptions from './RunSidecarOptions';
 
@@ -33,8 +35,12 @@
 
   private readonly uncleared = new Set<OwnerLink>();
 
+  private readonly turns: RoomTurns;
+
   private readonly reports: RoomReports;
 
+  private readonly choice: LinkChoice;
+
   private readonly keeper: LinkKeeper;
 
   private readonly addresses: KnownAddresses;
@@ -44,15 +50,20 @@
   private readonly search: Subscription;
 
   private constructor(private readonly opts: RunSidecarOptions) {
-    const { timer, random, network, connect, log, seeds } = opts;
+    const { timer, random, network, connect, log, seeds, instance } = opts;
     this.host = RunHost.create({ timer, connect, log, changed: () => this.changed() });
-    this.reports = RoomReports.create(timer, this.host, () => this.owners);
+    this.turns = RoomTurns.create(timer);
+    this.reports = RoomReports.create(timer, this.host, this.turns, () => this.owners);
+    this.choice = LinkChoice.of(instance);
     this.keeper = LinkKeeper.create({
       ...{ timer, random, network, delays: linkDelays },
       hello: (session) => this.hello(session),
       serve: (link) => this.serve(link),
+      dialled: (address, failure) => {
+        if (this.choice.dialled(address, failure === undefined)) this.aim();
+      },
     });
-    this.addresses = KnownAddresses.create(timer, seeds, (addresses) => this.keeper.aim(addresses));
+    this.addresses = KnownAddresses.create(timer, seeds, () => this.aim());
     this.gaps = GapWatch.start(timer, (gapMs) => this.doubt(gapMs));
     this.search = timer.every(SEARCH_MS, () => {
       if (this.owners.size === 0) this.findEntries();
@@ -154,6 +165,13 @@
     return true;
   }
 
+  /** Dials the entries chosen. A link over which something was ordered is kept, since its end stops that. */
+  private aim(): void {
+    const inUse = [...this.owners].filter(({ newestOrder }) => newestOrder > 0);
+    const chosen = this.choice.from(this.addresses.all);
+    this.keeper.aim([...chosen, ...inUse.map(({ link }) => link.peer.address)]);
+  }
+
   /** No entry that this sidecar knows of answers: all of them may have been replaced. */
   private findEntries(): void {
     this.opts.findEntries().then(
@@ -197,8 +215,14 @@
     pulse: ({ owner }, pulse) => owner.hear(pulse),
     startRuns: ({ sidecar, owner }, orders) => {
       owner.start(orders);
+      sidecar.turns.used(owner);
+      if (orders.demand) sidecar.turns.hear(owner, orders.demand);
       sidecar.reports.soon();
     },
+    demand: ({ sidecar, owner }, demand) => {
+      sidecar.turns.hear(owner, demand);
+      sidecar.reports.changed();
+    },
     stopRuns: ({ owner }, stops) => owner.stop(stops),
     knownEntries: ({ sidecar }, { entries }) =>
       sidecar.addresses.learn(entries.map(({ address }) => address)),
--- a/src/runs/runLimits.ts
+++ b/src/runs/runLimits.ts
@@ -24,7 +24,7 @@
    * How long an order waits for room before it is refused, so that two entries that chose the same
    * room do not both start over. Longer, work would wait here while there is room elsewhere.
    */
-  orderWaitMs: 25,
+  orderWaitMs: 5,
   /** Orders that may wait so. */
   waitingOrders: 8,
   /** Attempt numbers that are remembered for tasks that are over; older ones are forgotten first. */
--- /dev/null
+++ b/tools/replay/Recording.ts
@@ -0,0 +1,49 @@
+/** A kind of request in a recording: what its queue promises, and what its answers are worth. */
+interface RecordedQueue {
+  readonly name: string;
+  readonly priority: number;
+  readonly maxAttempts: number;
+  readonly stretch: number;
+  readonly targetLatencyMs: number;
+  /** Worth of an answer in its aim, for a batch of mean work. */
+  readonly worth: number;
+  /** The same for an answer up to three times as late. */
+  readonly lateWorth: number;
+  /** Mean work of its batches, in thousandths of a core times ms. */
+  readonly meanWork: number;
+}
+
+/** A time during which a backend server does not work as it should. */
+interface RecordedTrouble {
+  readonly backend: number;
+  readonly fromMs: number;
+  readonly untilMs: number;
+  /** `slow`: what starts takes `times` as long. `hang`: it ends only afterwards. `fail`: it fails. `crash`: the process is gone. */
+  readonly how: 'slow' | 'hang' | 'fail' | 'crash';
+  readonly times: number;
+}
+
+/** One batch as it arrived, with how long its tasks take on a sound backend server. */
+interface RecordedBatch {
+  readonly atMs: number;
+  /** The entry that its caller is connected to. */
+  readonly entry: number;
+  readonly queue: number;
+  readonly cpuMilli: number;
+  readonly estimateMs: number;
+  readonly tasksMs: readonly number[];
+}
+
+/** A stretch of load with everything that decides what can be served of it. */
+export default interface Recording {
+  /** Where it comes from. */
+  readonly source: string;
+  readonly entries: number;
+  readonly zones: number;
+  /** One way between zones, ms. */
+  readonly zoneMs: number;
+  readonly backends: readonly { readonly zone: number; readonly cpuMilli: number }[];
+  readonly queues: readonly RecordedQueue[];
+  readonly troubles: readonly RecordedTrouble[];
+  readonly batches: readonly RecordedBatch[];
+}
--- /dev/null
+++ b/tools/replay/Replay.ts
@@ -0,0 +1,267 @@
+import BatchEntry from '../../src/batches/BatchEntry';
+import type BatchPolicy from '../../src/batches/BatchPolicy';
+import type Queue from '../../src/batches/Queue';
+import QueueTable from '../../src/batches/QueueTable';
+import Random from '../../src/core/Random';
+import Resources from '../../src/room/Resources';
+import type BackendReport from '../../src/runs/BackendReport';
+import RunSidecar from '../../src/runs/RunSidecar';
+import ManualTimer from '../../test/support/ManualTimer';
+import MemoryNetwork from '../../test/support/MemoryNetwork';
+import LeasedBackend from '../leasedBackend/LeasedBackend';
+import type Outcome from './Outcome';
+import type Recording from './Recording';
+import Tally from './Tally';
+
+/** What a replay came to. */
+interface ReplayResult {
+  readonly outcomes: readonly Outcome[];
+  /** Core-seconds of starts that gave no result. */
+  readonly wastedCoreSeconds: number;
+  readonly servedCoreSeconds: number;
+  /** Messages between entries and sidecars for each task that was started. */
+  readonly messagesATask: number;
+}
+
+/**
+ * Replays a recording through the real entries and sidecars over a network in memory, with stand-ins
+ * for the backend servers and a clock that is moved by hand: the same recording and policy give the
+ * same result. Processor time is not modelled, so differences are those of the decisions.
+ */
+export default class Replay {
+  private readonly timer = ManualTimer.create(2);
+
+  private readonly network = MemoryNetwork.create(this.timer);
+
+  private readonly entries: BatchEntry[] = [];
+
+  private readonly sidecars: RunSidecar[] = [];
+
+  private readonly backends: LeasedBackend[] = [];
+
+  private readonly tally: Tally;
+
+  private readonly queues: readonly Queue[];
+
+  private open = 0;
+
+  private starts = 0;
+
+  private startedWork = 0;
+
+  private doneWork = 0;
+
+  private constructor(
+    private readonly recording: Recording,
+    private readonly policy: BatchPolicy,
+  ) {
+    this.tally = Tally.of(recording);
+    this.queues = recording.queues.map((queue) => ({
+      ...{ name: queue.name, host: 'h', prefix: `/${queue.name}/`, service: SERVICE, timeoutMs: 0 },
+      ...{ priority: queue.priority, maxAttempts: queue.maxAttempts },
+      ...{ stretch: queue.stretch, targetLatencyMs: queue.targetLatencyMs },
+    }));
+  }
+
+  /** Plays a recording to its end with the decisions of a policy. */
+  static async run(recording: Recording, policy: BatchPolicy): Promise<ReplayResult> {
+    const replay = new Replay(recording, policy);
+    await replay.begin();
+    await replay.play();
+    return replay.result();
+  }
+
+  private async begin(): Promise<void> {
+    const { recording, timer } = this;
+    for (let number = 0; number < recording.entries; number += 1) await this.addEntry(number);
+    recording.backends.forEach((_, number) => this.addSidecar(number));
+    this.setDelays();
+    await timer.advance(LINK_MS);
+    this.entries[0]!.configure(this.table(), 'the recording');
+    await timer.advance(LINK_MS);
+    this.network.resetCounts();
+  }
+
+  private async play(): Promise<void> {
+    const { timer, recording } = this;
+    const startedAt = timer.now();
+    recording.troubles
+      .filter(({ how }) => how === 'crash')
+      .forEach(({ backend, fromMs, untilMs }) => {
+        timer.after(fromMs, () => this.backends[backend]!.crash());
+        timer.after(untilMs, () => this.renewBackend(backend, untilMs));
+      });
+    this.sidecars.forEach((_, number) => timer.every(HEARTBEAT_MS, () => this.announce(number)));
+    recording.batches.forEach((batch, number) =>
+      timer.after(batch.atMs, () => this.submit(batch, number)),
+    );
+    this.open = recording.batches.length;
+    while (this.open > 0 && timer.now() - startedAt < LONGEST_MS) await timer.advance(STEP_MS);
+  }
+
+  private result(): ReplayResult {
+    const sent = Object.values(this.network.counts()).reduce((sum, count) => sum + count, 0);
+    return {
+      outcomes: this.tally.outcomes,
+      servedCoreSeconds: this.doneWork / CORE_SECOND,
+      wastedCoreSeconds: (this.startedWork - this.doneWork) / CORE_SECOND,
+      messagesATask: sent / Math.max(1, this.starts),
+    };
+  }
+
+  private submit(batch: Recording['batches'][number], number: number): void {
+    const { timer, recording } = this;
+    const queue = this.queues[batch.queue]!;
+    const arrivedAt = timer.now();
+    const { cpuMilli, estimateMs, tasksMs } = batch;
+    const step = {
+      ...{ count: tasksMs.length, estimateMs, after: [], label: '' },
+      ...{ preferredLabel: '', mostTogether: 0 },
+      needs: Resources.of({ cpuMilli, memoryMb: 64 }),
+    };
+    const waitMs = WAIT_MS;
+    const id = String(number);
+    const submission = { id, queue, spec: '', waitMs, steps: [step] };
+    const entry = this.entries[batch.entry % recording.entries]!;
+    entry.submit(submission, new AbortController().signal).then(({ kind }) => {
+      this.open -= 1;
+      const ending = endings[kind] ?? 'other';
+      this.tally.add(batch, ending, timer.now() - arrivedAt);
+      if (ending === 'completed') {
+        this.doneWork += tasksMs.reduce((sum, ms) => sum + ms, 0) * cpuMilli;
+      }
+    });
+  }
+
+  private async addEntry(number: number): Promise<void> {
+    const instance = `e${number}`;
+    const zone = `z${number % this.recording.zones}`;
+    const entry = BatchEntry.create({
+      ...this.partsOf(instance, zone),
+      listen: `${instance}:1`,
+      seeds: this.entryAddresses(),
+      policy: this.policy,
+    });
+    this.entries[number] = entry;
+    await entry.start();
+  }
+
+  private addSidecar(number: number): void {
+    const { zone } = this.recording.backends[number]!;
+    const sidecar = RunSidecar.start({
+      ...this.partsOf(`s${number}`, `z${zone}`),
+      seeds: this.entryAddresses(),
+      findEntries: async () => [],
+      connect: () => this.backends[number]!,
+    });
+    this.sidecars[number] = sidecar;
+    this.renewBackend(number, 0);
+  }
+
+  private renewBackend(number: number, sinceMs: number): void {
+    const { timer } = this;
+    const id = `b${number}-${sinceMs}`;
+    this.backends[number] = LeasedBackend.create({
+      ...{ timer, id, service: SERVICE },
+      work: ({ batch, index }) => this.workOf(number, Number(batch), index),
+    });
+    this.announce(number);
+  }
+
+  private announce(number: number): void {
+    const { cpuMilli } = this.recording.backends[number]!;
+    const isDown = this.troubleOf(number)?.how === 'crash';
+    if (isDown) return;
+    const capacity = Resources.of({ cpuMilli, memoryMb: 100_000 });
+    const report: BackendReport = this.backends[number]!.report({ capacity });
+    this.sidecars[number]!.hear(report);
+  }
+
+  private workOf(backend: number, batch: number, index: number): { ms: number; fails: boolean } {
+    const { tasksMs, cpuMilli } = this.recording.batches[batch]!;
+    const ms = tasksMs[index] ?? 0;
+    this.starts += 1;
+    this.startedWork += ms * cpuMilli;
+    const trouble = this.troubleOf(backend);
+    if (!trouble) return { ms, fails: false };
+    const now = this.timer.now() - 2 * LINK_MS;
+    return spoilt[trouble.how](ms, trouble, now);
+  }
+
+  private troubleOf(backend: number): Recording['troubles'][number] | undefined {
+    const now = this.timer.now() - 2 * LINK_MS;
+    return this.recording.troubles.find(
+      (trouble) => trouble.backend === backend && now >= trouble.fromMs && now < trouble.untilMs,
+    );
+  }
+
+  private setDelays(): void {
+    const { entries, backends, zones, zoneMs } = this.recording;
+    for (let entry = 0; entry < entries; entry += 1) {
+      backends.forEach(({ zone }, sidecar) => {
+        const isNear = entry % zones === zone;
+        this.network.delay(`e${entry}`, `s${sidecar}`, isNear ? IN_ZONE_MS : zoneMs);
+      });
+    }
+  }
+
+  private table(): QueueTable {
+    return QueueTable.of({
+      version: 1,
+      queues: this.queues,
+      limits: QueueTable.none.limits,
+    });
+  }
+
+  private entryAddresses(): readonly string[] {
+    return Array.from({ length: this.recording.entries }, (_, number) => `e${number}:1`);
+  }
+
+  private partsOf(instance: string, zone: string) {
+    const { timer } = this;
+    return {
+      ...{ timer, instance, zone, cluster: 'c', incarnation: `${instance}.1` },
+      random: Random.fromSeed(1),
+      network: this.network.endpoint(instance),
+      log: { info: () => undefined, warn: () => undefined },
+    };
+  }
+}
+
+const SERVICE = 'booking';
+
+/** Time for links to open before the load begins, ms; twice. */
+const LINK_MS = 500;
+
+/** How far the clock is moved between two looks whether all is answered, ms. */
+const STEP_MS = 250;
+
+/** Nothing of a recording takes longer, ms. */
+const LONGEST_MS = 120_000;
+
+/** How long callers wait, ms. */
+const WAIT_MS = 30_000;
+
+const HEARTBEAT_MS = 1_500;
+const IN_ZONE_MS = 0.2;
+const CORE_SECOND = 1_000_000;
+
+const endings: Readonly<Record<string, 'completed' | 'refused'>> = {
+  completed: 'completed',
+  'not-run': 'refused',
+};
+
+type Trouble = Recording['troubles'][number];
+
+/** What trouble does to a task that starts during it. */
+const spoilt: Readonly<
+  Record<
+    Trouble['how'],
+    (ms: number, trouble: Trouble, now: number) => { ms: number; fails: boolean }
+  >
+> = {
+  slow: (ms, { times }) => ({ ms: ms * times, fails: false }),
+  hang: (ms, { untilMs }, now) => ({ ms: untilMs - now + ms, fails: false }),
+  fail: () => ({ ms: 5, fails: true }),
+  crash: (ms) => ({ ms, fails: true }),
+};
--- /dev/null
+++ b/tools/replay/draws.ts
@@ -0,0 +1,39 @@
+import type { Draw } from './drawRecording';
+
+const base = { seed: 7, seconds: 10, entries: 3, backends: 11, troubles: [], bursts: [1, 1, 1] };
+
+/** Load patterns that can be drawn, by name. */
+const draws: Readonly<Record<string, Draw>> = {
+  /** Less than there is room for. */
+  calm: { ...base, load: 0.8 },
+  /** Somewhat more than there is room for, all the time. */
+  heavy: { ...base, load: 1.6 },
+  /** One kind of request comes at twice its rate for four seconds. */
+  burst: { ...base, load: 1.45, bursts: [1, 2, 1] },
+  /** Backend servers turn slow, hang, fail and crash at once, under the usual load. */
+  trouble: {
+    ...base,
+    load: 1.1,
+    troubles: [
+      { backend: 0, fromMs: 2_000, untilMs: 7_000, how: 'slow', times: 8 },
+      { backend: 1, fromMs: 2_500, untilMs: 7_000, how: 'slow', times: 8 },
+      { backend: 2, fromMs: 3_000, untilMs: 7_500, how: 'hang', times: 1 },
+      { backend: 3, fromMs: 4_000, untilMs: 8_000, how: 'fail', times: 1 },
+      { backend: 4, fromMs: 4_500, untilMs: 8_000, how: 'crash', times: 1 },
+    ],
+  },
+  /** The same trouble at the load of the heaviest days. */
+  worst: {
+    ...base,
+    load: 1.45,
+    troubles: [
+      { backend: 0, fromMs: 2_000, untilMs: 7_000, how: 'slow', times: 8 },
+      { backend: 1, fromMs: 2_500, untilMs: 7_000, how: 'slow', times: 8 },
+      { backend: 3, fromMs: 4_000, untilMs: 8_000, how: 'hang', times: 1 },
+    ],
+  },
+  /** The calm load on as many processes as the larger deployments have. */
+  wide: { ...base, seconds: 4, load: 5, entries: 12, backends: 66 },
+};
+
+export default draws;
--- /dev/null
+++ b/tools/replay/policies.ts
@@ -0,0 +1,33 @@
+import type Batch from '../../src/batches/Batch';
+import type BatchPolicy from '../../src/batches/BatchPolicy';
+import standardPolicy from '../../src/batches/standardPolicy';
+import type Urgency from '../../src/batches/Urgency';
+
+const nobody: ReadonlySet<never> = new Set();
+
+/** Policies by name: the standard one, and others that show what each of its parts is worth. */
+const policies: Readonly<Record<string, BatchPolicy>> = {
+  standard: standardPolicy,
+  /** First come, first served; nothing is refused, shunned or moved. */
+  plain: {
+    ...standardPolicy,
+    urgency: ({ acceptedAt }, now) => ({ rank: 0, slackMs: acceptedAt - now }),
+    shun: () => nobody,
+    predict: () => 0,
+    move: () => false,
+  },
+  /** The queue's priority, then first come, first served. */
+  priority: { ...standardPolicy, urgency: byPriority },
+  /** Whoever has to start soonest, whatever its priority. */
+  slack: { ...standardPolicy, urgency: (batch, now) => ({ rank: 0, slackMs: batch.slackMs(now) }) },
+  /** Slow and failing backend servers get as much as the others. */
+  blind: { ...standardPolicy, shun: () => nobody },
+  /** Everything is taken, however long it would wait. */
+  patient: { ...standardPolicy, predict: () => 0 },
+};
+
+function byPriority({ submission, acceptedAt }: Batch, now: number): Urgency {
+  return { rank: submission.queue.priority, slackMs: acceptedAt - now };
+}
+
+export default policies;
--- /dev/null
+++ b/tools/replay/readRecording.ts
@@ -0,0 +1,31 @@
+import { err, ok, type Result } from 'neverthrow';
+import type Recording from './Recording';
+
+type Row = readonly [number, number, number, number, number, readonly number[]];
+
+/** Reads a recording from text; the error names the line that is wrong. */
+export default function readRecording(text: string): Result<Recording, string> {
+  const [head = '', ...lines] = text.split('\n').filter((line) => line !== '');
+  const batches: Recording['batches'][number][] = [];
+  try {
+    const rest = JSON.parse(head) as Omit<Recording, 'batches'>;
+    if (!Array.isArray(rest.queues)) return err('line 1: has no queues');
+    for (const [at, line] of lines.entries()) {
+      const place = `line ${at + 2}`;
+      const row: unknown = JSON.parse(line);
+      if (!isRow(row)) return err(`${place}: is no batch`);
+      const [atMs, entry, queue, cpuMilli, estimateMs, tasksMs] = row;
+      if (!rest.queues[queue]) return err(`${place}: names queue ${queue}, which there is not`);
+      batches.push({ atMs, entry, queue, cpuMilli, estimateMs, tasksMs });
+    }
+    return ok({ ...rest, batches });
+  } catch (error) {
+    return err(`line ${batches.length + 1} or the next is no JSON: ${String(error)}`);
+  }
+}
+
+function isRow(row: unknown): row is Row {
+  if (!Array.isArray(row)) return false;
+  const [tasks] = row.slice(-1) as unknown[];
+  return row.length === 6 && Array.isArray(tasks) && row.slice(0, 5).every(Number.isFinite);
+}
--- /dev/null
+++ b/tools/replay/replayIdeal.ts
@@ -0,0 +1,99 @@
+import type Outcome from './Outcome';
+import type Recording from './Recording';
+import Tally from './Tally';
+
+type Recorded = Recording['batches'][number];
+
+interface Waiting {
+  readonly batch: Recorded;
+  readonly aimMs: number;
+  /** Longest task, ms: what has to fit before its aim. */
+  readonly longestMs: number;
+  readonly density: number;
+}
+
+/**
+ * What the same load would come to with perfect knowledge: one room of all sound backend servers'
+ * cores, durations known, nothing lost on messages. A batch is begun whole or not at all, as soon as
+ * there is room, and only if it can still be in its aim. Of several orders the best is taken: this is
+ * a reference to hold policies against, no proven optimum.
+ */
+export default function replayIdeal(recording: Recording): readonly Outcome[] {
+  const results = orders.map((order) => playWith(recording, order));
+  return results.reduce((best, next) => (worthOf(next) > worthOf(best) ? next : best));
+}
+
+type Order = (a: Waiting, b: Waiting) => number;
+
+const orders: readonly Order[] = [
+  (a, b) => b.density - a.density,
+  (a, b) => startBy(a) - startBy(b),
+  (a, b) => b.density / b.longestMs - a.density / a.longestMs,
+];
+
+function playWith(recording: Recording, order: Order): readonly Outcome[] {
+  const tally = Tally.of(recording);
+  const ends: { atMs: number; cpuMilli: number }[] = [];
+  let waiting: Waiting[] = [];
+  let used = 0;
+
+  const begin = (nowMs: number): void => {
+    const room = roomAt(recording, nowMs);
+    const tooLate = waiting.filter((each) => startBy(each) < nowMs);
+    tooLate.forEach(({ batch }) => tally.add(batch, 'refused', nowMs - batch.atMs));
+    waiting = waiting.filter((each) => startBy(each) >= nowMs).sort(order);
+    waiting = waiting.filter(({ batch, longestMs }) => {
+      const needed = batch.cpuMilli * batch.tasksMs.length;
+      if (used + needed > room) return true;
+      used += needed;
+      batch.tasksMs.forEach((ms) => ends.push({ atMs: nowMs + ms, cpuMilli: batch.cpuMilli }));
+      tally.add(batch, 'completed', nowMs + longestMs - batch.atMs);
+      return false;
+    });
+  };
+
+  const finishUntil = (atMs: number): void => {
+    ends.sort((a, b) => a.atMs - b.atMs);
+    while (ends.length > 0 && ends[0]!.atMs <= atMs) {
+      const end = ends.shift()!;
+      used -= end.cpuMilli;
+      begin(end.atMs);
+      ends.sort((a, b) => a.atMs - b.atMs);
+    }
+  };
+
+  recording.batches.forEach((batch) => {
+    finishUntil(batch.atMs);
+    waiting.push(waitingOf(recording, batch));
+    begin(batch.atMs);
+  });
+  finishUntil(Infinity);
+  waiting.forEach(({ batch }) => tally.add(batch, 'refused', 0));
+  return tally.outcomes;
+}
+
+function waitingOf(recording: Recording, batch: Recorded): Waiting {
+  const queue = recording.queues[batch.queue]!;
+  const work = batch.tasksMs.reduce((sum, ms) => sum + ms, 0) * batch.cpuMilli;
+  return {
+    batch,
+    aimMs: Tally.aimOf(batch, queue),
+    longestMs: Math.max(...batch.tasksMs),
+    density: (Tally.sizeOf(batch, queue) * queue.worth) / Math.max(1, work),
+  };
+}
+
+/** The last moment at which a batch can begin and be in its aim, ms. */
+function startBy({ batch, aimMs, longestMs }: Waiting): number {
+  return batch.atMs + aimMs - longestMs;
+}
+
+function roomAt({ backends, troubles }: Recording, atMs: number): number {
+  const isSound = (_: unknown, number: number): boolean =>
+    !troubles.some((t) => t.backend === number && atMs >= t.fromMs && atMs < t.untilMs);
+  return backends.filter(isSound).reduce((sum, { cpuMilli }) => sum + cpuMilli, 0);
+}
+
+function worthOf(outcomes: readonly Outcome[]): number {
+  return outcomes.at(-1)?.worth ?? 0;
+}
