Keep the finding on a slow backend server that is given nothing, try it less often, and explain a request from logs

Cause: slowness faded with time, also while nothing ran, so a slow backend server whose runs were moved seemed unknown, that is sound, after a second, and was filled anew; and each entry tried it twice a second, each time at the cost of a batch. Also: magnoliakeelctl explain, and the id of the request on a sidecar's line about a run that is over.

--- a/src/batches/choosePeer.ts
+++ b/src/batches/choosePeer.ts
@@ -71,4 +71,4 @@
 const FAILED_THERE = 4;
 
 /** Pause between tasks that are tried on a shunned backend server, ms, by each entry. */
-const TRIAL_MS = 500;
+const TRIAL_MS = 1_500;
--- a/src/ctl/commands.ts
+++ b/src/ctl/commands.ts
@@ -1,6 +1,7 @@
 import apply from './apply';
 import type Command from './Command';
 import drain from './drain';
+import explain from './explain';
 import history from './history';
 import jobs from './jobs';
 import plan from './plan';
@@ -20,6 +21,7 @@
   drain,
   jobs,
   trace,
+  explain,
 };
 
 export default commands;
--- /dev/null
+++ b/src/ctl/explain.ts
@@ -0,0 +1,71 @@
+import path from 'node:path';
+import { ResultAsync } from 'neverthrow';
+import type ExitCode from '../core/ExitCode';
+import exitCodes from '../core/exitCodes';
+import type Terminal from '../core/Terminal';
+import formatFinding from '../settings/formatFinding';
+import readText from '../settings/readText';
+import type Command from './Command';
+import type CommandInput from './CommandInput';
+import type LogLine from './LogLine';
+import readLogLines from './readLogLines';
+import storyOf from './storyOf';
+
+/** Tells what became of one request, from the log lines of several processes. */
+const explain: Command = {
+  args: '<id> <...files>',
+  description: 'Tell what became of a request, from log lines in files ("-": standard input)',
+  options: [],
+  run,
+};
+
+export default explain;
+
+async function run({ args, json }: CommandInput, terminal: Terminal): Promise<ExitCode> {
+  const [id = '', ...files] = args;
+  const read = await ResultAsync.combine(files.map(readLines));
+  if (read.isErr()) {
+    read.error.forEach((finding) => terminal.warn(formatFinding(finding)));
+    return exitCodes.badFile;
+  }
+  const story = storyOf(read.value.flat(), id);
+  if (story.length === 0) {
+    terminal.warn(`no line in these files names the request ${id}`);
+    return exitCodes.notFound;
+  }
+  if (json) terminal.print(JSON.stringify({ request: id, lines: story }));
+  else story.forEach((line) => terminal.print(describe(line, story[0]!.timeMs)));
+  return exitCodes.ok;
+}
+
+function readLines(file: string) {
+  const source = file === '-' ? STANDARD_INPUT : file;
+  const name = file === '-' ? '' : path.basename(file, path.extname(file));
+  return readText(source).map((text) => readLogLines(text, name));
+}
+
+/** The path by which standard input is read as a file. */
+const STANDARD_INPUT = '/dev/stdin';
+
+function describe({ process, timeMs, level, message, fields }: LogLine, startMs: number): string {
+  const at = `${((timeMs - startMs) / SECOND_MS).toFixed(3)} s`.padStart(9);
+  const values = Object.entries(fields).map(([key, value]) => `${key}=${textOf(value)}`);
+  const mark = level === 'warn' || level === 'error' ? `${level}: ` : '';
+  return `${at}  ${process}  ${mark}${message}  ${values.join(' ')}`.trimEnd();
+}
+
+function textOf(value: unknown): string {
+  if (typeof value === 'string') return value.includes(' ') ? JSON.stringify(value) : value;
+  if (!Array.isArray(value)) return JSON.stringify(value);
+  return `[${value.map(itemOf).join(', ')}]`;
+}
+
+/** An entry of a list; of one with fields, their values in order. */
+function itemOf(item: unknown): string {
+  if (typeof item !== 'object' || item === null) return String(item);
+  return Object.entries(item)
+    .map(([key, value]) => `${key} ${String(value)}`)
+    .join(' ');
+}
+
+const SECOND_MS = 1_000;
--- a/src/runs/BackendHealth.ts
+++ b/src/runs/BackendHealth.ts
@@ -7,7 +7,9 @@
  * starts while its heartbeats stay good.
  *
  * Slowness is the time that runs have spent over the work that they got done, both fading within
- * some hundred milliseconds. It shows a slow or hanging backend server before anything has ended
+ * some hundred milliseconds in which something runs. While nothing does, the finding stands: else a slow
+ * backend server that is given nothing would seem sound again after a second and be filled anew. What
+ * stands weighs little then, so that two or three trials show its return. It shows a slow or hanging backend server before anything has ended
  * there, and the errors of single estimates, some 40%, even out over the ten runs that it usually has.
  */
 export default class BackendHealth {
@@ -44,13 +46,24 @@
     const now = this.timer.now();
     const sinceMs = now - this.lookedAt;
     this.lookedAt = now;
-    const fade = Math.exp(-sinceMs / FADE_MS);
+    const spent = [...running]
+      .filter(({ isConfirmed, request }) => isConfirmed && request.estimateMs > 0)
+      .map(({ startedAt }) => Math.min(sinceMs, now - startedAt));
+    if (spent.length === 0) {
+      this.lighten();
+      return;
+    }
+    const fade = Math.exp(-Math.max(...spent) / FADE_MS);
     this.spentMs *= fade;
     this.workedMs *= fade;
-    [...running].forEach(({ startedAt, request, isConfirmed }) => {
-      if (!isConfirmed || request.estimateMs <= 0) return;
-      this.spentMs += Math.min(sinceMs, now - startedAt);
-    });
+    this.spentMs += spent.reduce((sum, ms) => sum + ms, 0);
+  }
+
+  /** Keeps the finding, with the weight of a single run, for when work is tried again. */
+  private lighten(): void {
+    if (this.spentMs <= IDLE_SPENT_MS) return;
+    this.workedMs *= IDLE_SPENT_MS / this.spentMs;
+    this.spentMs = IDLE_SPENT_MS;
   }
 
   /** A run was seen to have come this much further, in hundredths of its work. */
@@ -73,6 +86,9 @@
 /** Time of runs that has to be seen before anything is said, ms: one run for that long, or ten for a tenth. */
 const LEAST_SPENT_MS = 150;
 
+/** Weight of the finding on a backend server that is given nothing, as time of runs, ms. */
+const IDLE_SPENT_MS = 200;
+
 /** The highest slowness told: nothing is decided by more. */
 const SLOWEST = 100;
 
--- a/src/runs/OwnerLink.ts
+++ b/src/runs/OwnerLink.ts
@@ -96,10 +96,10 @@
       const { number, step, index, needs, estimateMs, attempt, mostTogether, label } = order;
       this.newestOrder = Math.max(this.newestOrder, number);
       if (!this.isConfirmed) {
-        this.refuse(number, 'the entry is not confirmed to be awake');
+        this.refuse(batch, number, 'the entry is not confirmed to be awake');
         return;
       }
-      const ended = (end: RunEnd): void => this.report(end);
+      const ended = (end: RunEnd): void => this.report(batch, end);
       const amount = Resources.of(needs ?? {});
       this.opts.host.start(
         {
@@ -117,7 +117,7 @@
           },
           ...{ needs: amount, owner: this, ended },
         },
-        (reason) => this.refuse(number, reason),
+        (reason) => this.refuse(batch, number, reason),
       );
     });
   }
@@ -165,17 +165,19 @@
     this.opts.link.send({ case: 'pulse', value });
   }
 
-  private refuse(number: number, reason: string): void {
-    this.report(create(RunEndSchema, { number, outcome: RunOutcome.REFUSED, reason }));
+  private refuse(batch: string, number: number, reason: string): void {
+    this.report(batch, create(RunEndSchema, { number, outcome: RunOutcome.REFUSED, reason }));
   }
 
-  private report(end: RunEnd): void {
+  private report(batch: string, end: RunEnd): void {
     const { link, log, outcomes } = this.opts;
     const { number, attempt, reason } = end;
     const outcome = RunOutcome[end.outcome].toLowerCase();
     outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1);
     if (end.outcome !== RunOutcome.DONE) {
-      log.info('a run is over', { entry: link.peer.instance, number, attempt, outcome, reason });
+      log.info('a run is over', {
+        ...{ request: batch, entry: link.peer.instance, number, attempt, outcome, reason },
+      });
     }
     link.send({ case: 'runsEnded', value: create(RunsEndedSchema, { ends: [end] }) });
   }
--- a/test/replay/replay.test.ts
+++ b/test/replay/replay.test.ts
@@ -8,17 +8,19 @@
 import readRecording from '../../tools/replay/readRecording';
 import Replay from '../../tools/replay/Replay';
 import replayIdeal from '../../tools/replay/replayIdeal';
+import errorOf from '../support/errorOf';
+import valueOf from '../support/valueOf';
 
 const short = (name: keyof typeof draws) => drawRecording({ ...draws[name]!, seconds: 3 });
 
 test('a recording is read as it was written', () => {
   const recording = short('trouble');
-  expect(readRecording(formatRecording(recording))._unsafeUnwrap()).toEqual(recording);
+  expect(valueOf(readRecording(formatRecording(recording)))).toEqual(recording);
 });
 
 test('a line that is no batch is named', () => {
   const text = `${formatRecording({ ...short('calm'), batches: [] })}[1, 2]\n`;
-  expect(readRecording(text)._unsafeUnwrapErr()).toBe('line 2: is no batch');
+  expect(errorOf(readRecording(text))).toBe('line 2: is no batch');
 });
 
 test('the same recording and policy give the same result', async () => {
--- a/test/runs/BackendHealth.test.ts
+++ b/test/runs/BackendHealth.test.ts
@@ -17,6 +17,21 @@
   return health;
 }
 
+/** Looks at a slow backend server until its runs have been moved away, and for this long after. */
+function leaveIdle(ms: number) {
+  const timer = ManualTimer.create();
+  const health = BackendHealth.create(timer);
+  const runs = Array.from({ length: 10 }, runOf);
+  for (let look = 0; look < 3; look += 1) {
+    timer.jump(100);
+    health.look(runs);
+    runs.forEach((run) => health.progressed(run, 4));
+  }
+  health.look([]);
+  timer.jump(ms);
+  return { timer, health };
+}
+
 function runOf(): RunState {
   const none = { batch: 'a', step: 0, index: 0 };
   return {
@@ -53,3 +68,18 @@
   });
   expect(shares).toEqual([25, 44, 58, 43]);
 });
+
+test('a slow backend server that is given nothing stays slow', () => {
+  expect(leaveIdle(5_000).health.slowness).toBeGreaterThan(5);
+});
+
+test('after three trials that go as estimated it is slow no more', () => {
+  const { timer, health } = leaveIdle(5_000);
+  for (let trial = 0; trial < 3; trial += 1) {
+    const run = { ...runOf(), startedAt: timer.now() };
+    timer.jump(300);
+    health.look([run]);
+    health.ended(run, true);
+  }
+  expect(health.slowness).toBeLessThan(2);
+});
