Give back room in turns: an entry's own ended run is not its to reuse while others wait more urgently

Cause, found by a new test: with room short, an entry took the room of its own ended run before the sidecar could offer it, so that a patient batch there went before a pressing one elsewhere.

--- a/src/batches/SidecarPeer.ts
+++ b/src/batches/SidecarPeer.ts
@@ -243,7 +243,7 @@
     const run = this.runs.get(number);
     this.runs.delete(number);
     // The last report counted it as taken; the next one will not.
-    const isCounted = number <= this.room.newestOrder;
+    const isCounted = !this.room.inTurns && number <= this.room.newestOrder;
     if (run && isCounted) this.reported = this.reported.plus(run.task.step.needs);
     return run;
   }
--- a/src/runs/RoomReports.ts
+++ b/src/runs/RoomReports.ts
@@ -87,10 +87,11 @@
     this.later = undefined;
     const room = this.describe();
     const turn = this.turns.next(Resources.of(room.free ?? {}));
-    const withoutRoom = { ...room, free: create(AmountSchema) };
+    const inTurns = turn !== 'anybody';
+    const withoutRoom = { ...room, inTurns, free: create(AmountSchema) };
     [...this.owners()].forEach((owner) => {
-      const mayUse = turn === 'anybody' || turn === owner;
-      this.tellOwner(owner, mayUse ? room : withoutRoom);
+      const mayUse = !inTurns || turn === owner;
+      this.tellOwner(owner, mayUse ? { ...room, inTurns } : withoutRoom);
     });
     if (this.turns.offeredUntil !== undefined) this.awaitOffer(this.turns.offeredUntil);
   }
@@ -104,7 +105,7 @@
   private tellOwner(owner: OwnerLink, room: Room): void {
     const heldMilli = this.host.heldBy(owner).cpuMilli;
     const before = this.told.get(owner);
-    if (before && !isNews(room, heldMilli, before)) return;
+    if (before && !isNews(owner, room, heldMilli, before)) return;
     const value = create(RoomSchema, { ...room, newestOrder: owner.newestOrder });
     this.told.set(owner, { room: value, heldMilli });
     owner.link.send({ case: 'room', value });
@@ -129,6 +130,7 @@
 
 /** Whether an entry that was told `before` should hear of the room as it is now. */
 function isNews(
+  owner: OwnerLink,
   room: Room,
   heldMilli: number,
   { room: before, heldMilli: heldThen }: Told,
@@ -138,6 +140,10 @@
   if (!isLike) return true;
   const believed = (before.free?.cpuMilli ?? 0) + heldThen - heldMilli;
   const actual = room.free?.cpuMilli ?? 0;
+  if (room.inTurns) {
+    const toldFree = before.free?.cpuMilli ?? 0;
+    return actual !== toldFree || (actual > 0 && owner.newestOrder !== newestOrder);
+  }
   const total = room.total?.cpuMilli ?? 0;
   const isPlenty = Math.min(believed, actual) >= total * SHORT_SHARE;
   return Math.abs(actual - believed) > (isPlenty ? total * PLENTY_DRIFT : 0);
--- /dev/null
+++ b/test/runs/RoomReports.test.ts
@@ -0,0 +1,45 @@
+import { expect, test } from 'vitest';
+import type RunName from '../../src/runs/RunName';
+import BatchCase from '../support/BatchCase';
+
+async function roomReports(batchCase: BatchCase, work: () => void): Promise<number> {
+  batchCase.network.resetCounts();
+  work();
+  await batchCase.timer.advance(90);
+  return batchCase.network.counts().room ?? 0;
+}
+
+test('while there is plenty an entry hears nothing of what its own orders take', async () => {
+  const batchCase = await BatchCase.open({ entries: 1, sidecars: 1 });
+  expect(await roomReports(batchCase, () => batchCase.submit('a', { ms: 500 }))).toBe(0);
+});
+
+test('an entry hears of room that the orders of another take', async () => {
+  const batchCase = await BatchCase.open({ entries: 2, sidecars: 1 });
+  expect(await roomReports(batchCase, () => batchCase.submit('a', { ms: 500 }))).toBe(1);
+});
+
+test('room that is left is offered to the entry whose batch must start first', async () => {
+  const work = (run: RunName) => ({
+    ms: run.batch === 'full' ? 100 + 100 * run.index : 500,
+    fails: false,
+  });
+  const batchCase = await BatchCase.open({ entries: 2, sidecars: 1, work });
+  batchCase.submit('full', { tasks: 4, ms: 200 });
+  await batchCase.timer.advance(20);
+  batchCase.submit('patient', { entry: 0, ms: 900 });
+  await batchCase.timer.advance(20);
+  batchCase.submit('pressing', { entry: 1, ms: 100 });
+  await batchCase.timer.advance(80);
+  expect(batchCase.running).toEqual(['full.0.1', 'full.0.2', 'full.0.3', 'pressing.0.0']);
+});
+
+test('what waits at two entries fills all the room that comes free', async () => {
+  const batchCase = await BatchCase.open({ entries: 2, sidecars: 1 });
+  batchCase.submit('full', { tasks: 4, ms: 100 });
+  await batchCase.timer.advance(20);
+  batchCase.submit('a', { entry: 0, tasks: 3, ms: 300 });
+  batchCase.submit('b', { entry: 1, tasks: 3, ms: 300 });
+  await batchCase.timer.advance(110);
+  expect(batchCase.running.length).toBe(4);
+});
