--- a/src/batches/EntryPeers.ts
+++ b/src/batches/EntryPeers.ts
@@ -55,7 +55,7 @@
     );
     this.beats = [
       timer.every(TELL_INTERVAL_MS, () => this.broadcastEntries()),
-      timer.every(pulseLimits.idleIntervalMs, () => this.closeSilent()),
+      timer.every(pulseLimits.intervalMs, () => this.closeSilent()),
     ];
   }
 
--- a/src/batches/SidecarPeer.ts
+++ b/src/batches/SidecarPeer.ts
@@ -47,7 +47,7 @@
   /** When a task was last tried here although the backend server is shunned. */
   triedAt = -Infinity;
 
-  /** No orders before this time: the sidecar has refused one and its next report is awaited. */
+  /** No orders before this time: the sidecar has refused one. */
   private pausedUntil = 0;
 
   /** What waits here for the service's room, and what of that the sidecar was told, and when. */
@@ -153,7 +153,6 @@
     this.total = Resources.of(room.total ?? {});
     this.reported = Resources.of(room.free ?? {});
     this.reportedAt = this.timer.now();
-    this.pausedUntil = 0;
   }
 
   /** Answers its pulse, which confirms to it that this entry is awake. */
@@ -248,7 +247,7 @@
     return run;
   }
 
-  /** Gives it no orders until it reports its room anew, or for a moment. */
+  /** Gives it no orders for a moment, since it has refused one. */
   pause(): void {
     this.pausedUntil = this.timer.now() + REFUSED_PAUSE_MS;
   }
@@ -266,5 +265,5 @@
 /** Shortest time between two messages about what waits, ms; that nothing waits is told at once. */
 const HEAD_INTERVAL_MS = 10;
 
-/** Its next report of room is on the way when it refuses an order; this bounds the wait for it, ms. */
-const REFUSED_PAUSE_MS = 20;
+/** A round trip and some more, in which whatever the reason was may pass, ms. */
+const REFUSED_PAUSE_MS = 10;
--- a/src/observe/LineBuffer.ts
+++ b/src/observe/LineBuffer.ts
@@ -78,7 +78,7 @@
 const TOO_MANY = 'log lines were left out because the reader was behind';
 
 /** How long a line waits for others, ms: a reader notices no delay, and a busy process saves most writes. */
-const FLUSH_MS = 100;
+const FLUSH_MS = 250;
 
 /** Text that may wait, in characters: some seconds of a busy process. */
 const MAX_BYTES = 512 * 1024;
--- a/src/runs/OwnerLink.ts
+++ b/src/runs/OwnerLink.ts
@@ -1,5 +1,4 @@
 import { create } from '@bufbuild/protobuf';
-import type Subscription from '../core/Subscription';
 import type TimerService from '../core/TimerService';
 import {
   ClearedSchema,
@@ -45,8 +44,6 @@
 
   private heardMs = 0;
 
-  private beat: Subscription | undefined;
-
   private readonly openedAt: number;
 
   private constructor(private readonly opts: OwnerLinkOptions) {
@@ -56,7 +53,7 @@
   /** Begins to confirm that the entry is awake. */
   static open(opts: OwnerLinkOptions): OwnerLink {
     const owner = new OwnerLink(opts);
-    owner.pulse();
+    owner.sendPulse();
     return owner;
   }
 
@@ -82,6 +79,27 @@
     this.sendPulse();
   }
 
+  /**
+   * Asks whether the entry is awake, and stops its runs when the last answer is too old. To be called
+   * at the interval of pulses.
+   */
+  pulse(): void {
+    const { timer, host, link, log } = this.opts;
+    const silentMs = timer.now() - Math.max(this.confirmedAt ?? this.openedAt, this.doubtedUntil);
+    if (silentMs >= pulseLimits.ownerSilenceMs) {
+      log.warn('an entry is silent: its runs are stopped', {
+        entry: link.peer.instance,
+        silentMs: Math.round(silentMs),
+      });
+      host.stop(this);
+      if (silentMs >= pulseLimits.closeMs) {
+        link.close(true);
+        return;
+      }
+    }
+    this.sendPulse();
+  }
+
   /** Takes the entry's pulse. */
   hear({ sentMs, echoMs }: Pulse): void {
     this.heardMs = Math.max(this.heardMs, sentMs);
@@ -135,31 +153,9 @@
 
   /** The link has ended: everything that the entry ordered over it is stopped. */
   close(): void {
-    this.beat?.cancel();
     this.opts.host.stop(this);
   }
 
-  private pulse(): void {
-    const { timer, host, link, log } = this.opts;
-    if (link.closed.aborted) return;
-    const silentMs = timer.now() - Math.max(this.confirmedAt ?? this.openedAt, this.doubtedUntil);
-    if (silentMs >= pulseLimits.ownerSilenceMs) {
-      log.warn('an entry is silent: its runs are stopped', {
-        entry: link.peer.instance,
-        silentMs: Math.round(silentMs),
-      });
-      host.stop(this);
-      if (silentMs >= pulseLimits.closeMs) {
-        link.close(true);
-        return;
-      }
-    }
-    this.sendPulse();
-    const isBusy = host.hasRunsOf(this) || silentMs > pulseLimits.idleIntervalMs;
-    const { busyIntervalMs, idleIntervalMs } = pulseLimits;
-    this.beat = timer.after(isBusy ? busyIntervalMs : idleIntervalMs, () => this.pulse());
-  }
-
   private sendPulse(): void {
     const value = create(PulseSchema, { sentMs: this.opts.timer.now(), echoMs: this.heardMs });
     this.opts.link.send({ case: 'pulse', value });
--- a/src/runs/RoomReports.ts
+++ b/src/runs/RoomReports.ts
@@ -16,21 +16,16 @@
 /**
  * Tells the entries what room there is. An entry knows what its own orders take and give back, so a
  * report is only about what the others do: one is sent when what an entry believes is wrong by more
- * than matters. While there is plenty that is a good part of the whole, and a report may be late; when
- * room is short, tasks are waiting for it somewhere, and it is told with the same turn of the event
- * loop. So reports cost little at a calm backend server, however many entries are linked.
+ * than matters. While there is plenty that is a good part of the whole; when room is short, tasks are
+ * waiting for it somewhere, and every change is told with the same turn of the event loop. So reports cost little at a calm backend server, however many entries are linked.
  */
 export default class RoomReports {
   private readonly told = new Map<OwnerLink, Told>();
 
-  private later: Subscription | undefined;
-
   private offer: Subscription | undefined;
 
   private isDue = false;
 
-  private wasAccepting = false;
-
   private constructor(
     private readonly timer: TimerService,
     private readonly host: RunHost,
@@ -48,43 +43,21 @@
     return new RoomReports(timer, host, turns, owners);
   }
 
-  /** Something has changed: reports when it matters. */
+  /** Something has changed: whoever should hear of it is told after this turn. */
   changed(): void {
-    const { isAccepting } = this.host;
-    if (isAccepting !== this.wasAccepting || this.isShort) this.now();
-    else this.soon();
-    this.wasAccepting = isAccepting;
-  }
-
-  /** Reports after this turn. */
-  now(): void {
     if (this.isDue) return;
     this.isDue = true;
     queueMicrotask(() => this.tell());
   }
 
-  /** Reports soon, with what else changes until then. */
-  soon(): void {
-    if (this.isDue || this.later) return;
-    this.later = this.timer.after(this.isShort ? SHORT_MS : PLENTY_MS, () => this.tell());
-  }
-
   /** Forgets an owner whose link has ended. */
   forget(owner: OwnerLink): void {
     this.told.delete(owner);
     this.turns.forget(owner);
   }
 
-  private get isShort(): boolean {
-    const life = this.host.current;
-    if (!life) return true;
-    return life.free.cpuMilli < life.report.capacity.cpuMilli * SHORT_SHARE;
-  }
-
   private tell(): void {
     this.isDue = false;
-    this.later?.cancel();
-    this.later = undefined;
     const room = this.describe();
     const turn = this.turns.next(Resources.of(room.free ?? {}));
     const inTurns = turn !== 'anybody';
@@ -99,13 +72,13 @@
   /** Looks again when an offer passes on. */
   private awaitOffer(untilMs: number): void {
     this.offer?.cancel();
-    this.offer = this.timer.after(untilMs - this.timer.now(), () => this.now());
+    this.offer = this.timer.after(untilMs - this.timer.now(), () => this.changed());
   }
 
   private tellOwner(owner: OwnerLink, room: Room): void {
     const heldMilli = this.host.heldBy(owner).cpuMilli;
     const before = this.told.get(owner);
-    if (before && !isNews(owner, room, heldMilli, before)) return;
+    if (before && !isNews(room, heldMilli, before)) return;
     const value = create(RoomSchema, { ...room, newestOrder: owner.newestOrder });
     this.told.set(owner, { room: value, heldMilli });
     owner.link.send({ case: 'room', value });
@@ -130,7 +103,6 @@
 
 /** Whether an entry that was told `before` should hear of the room as it is now. */
 function isNews(
-  owner: OwnerLink,
   room: Room,
   heldMilli: number,
   { room: before, heldMilli: heldThen }: Told,
@@ -140,10 +112,8 @@
   if (!isLike) return true;
   const believed = (before.free?.cpuMilli ?? 0) + heldThen - heldMilli;
   const actual = room.free?.cpuMilli ?? 0;
-  if (room.inTurns) {
-    const toldFree = before.free?.cpuMilli ?? 0;
-    return actual !== toldFree || (actual > 0 && owner.newestOrder !== newestOrder);
-  }
+  // An order that was refused changes nothing here: to tell of it would have it sent again at once.
+  if (room.inTurns) return actual !== (before.free?.cpuMilli ?? 0);
   const total = room.total?.cpuMilli ?? 0;
   const isPlenty = Math.min(believed, actual) >= total * SHORT_SHARE;
   return Math.abs(actual - believed) > (isPlenty ? total * PLENTY_DRIFT : 0);
@@ -173,9 +143,3 @@
 
 /** While there is plenty, an entry's belief may be wrong by this share of the whole: one or two tasks. */
 const PLENTY_DRIFT = 0.15;
-
-/** How late a report may be while room is short and was only taken, ms: a few starts share one. */
-const SHORT_MS = 5;
-
-/** How late a report may be while there is plenty, ms: less than the shortest tasks take. */
-const PLENTY_MS = 40;
--- a/src/runs/RunSidecar.ts
+++ b/src/runs/RunSidecar.ts
@@ -10,6 +10,7 @@
 import linkDelays from '../peering/linkDelays';
 import LinkChoice from '../peering/LinkChoice';
 import LinkKeeper from '../peering/LinkKeeper';
+import pulseLimits from '../peering/pulseLimits';
 import readLink from '../peering/readLink';
 import type BackendReport from './BackendReport';
 import OwnerLink from './OwnerLink';
@@ -47,7 +48,7 @@
 
   private readonly gaps: GapWatch;
 
-  private readonly search: Subscription;
+  private readonly beats: readonly Subscription[];
 
   private constructor(private readonly opts: RunSidecarOptions) {
     const { timer, random, network, connect, log, seeds, instance } = opts;
@@ -65,9 +66,12 @@
     });
     this.addresses = KnownAddresses.create(timer, seeds, () => this.aim());
     this.gaps = GapWatch.start(timer, (gapMs) => this.doubt(gapMs));
-    this.search = timer.every(SEARCH_MS, () => {
-      if (this.owners.size === 0) this.findEntries();
-    });
+    this.beats = [
+      timer.every(pulseLimits.intervalMs, () => this.owners.forEach((owner) => owner.pulse())),
+      timer.every(SEARCH_MS, () => {
+        if (this.owners.size === 0) this.findEntries();
+      }),
+    ];
   }
 
   /** Creates a sidecar and dials the entries of its settings. */
@@ -122,7 +126,7 @@
     // The last ends are still to be written.
     await timer.sleep(LEAVE_POLL_MS);
     this.gaps.stop();
-    this.search.cancel();
+    this.beats.forEach((beat) => beat.cancel());
     this.addresses.stop();
     await Promise.race([this.keeper.stop(), timer.sleep(STOP_MS)]);
   }
@@ -146,7 +150,7 @@
     this.owners.add(owner);
     this.uncleared.add(owner);
     this.settle();
-    this.reports.now();
+    this.reports.changed();
     await readLink(link, {
       handle: (message) => {
         this.gaps.check();
@@ -217,7 +221,7 @@
       owner.start(orders);
       sidecar.turns.used(owner);
       if (orders.demand) sidecar.turns.hear(owner, orders.demand);
-      sidecar.reports.soon();
+      sidecar.reports.changed();
     },
     demand: ({ sidecar, owner }, demand) => {
       sidecar.turns.hear(owner, demand);
