Tell entries of memory and accelerators that others take, not of cores alone

Cause, found by reading the change: a report was due only when an entry's belief of free cores was wrong, so where tasks are bound by memory or accelerators it would have gone on ordering in vain, or left an idle accelerator alone. The test fails without the change.

--- a/src/runs/RoomReports.ts
+++ b/src/runs/RoomReports.ts
@@ -10,7 +10,7 @@
 /** What an entry was told last, and what it had here then. */
 interface Told {
   readonly room: Room;
-  readonly heldMilli: number;
+  readonly held: Resources;
 }
 
 /**
@@ -76,11 +76,11 @@
   }
 
   private tellOwner(owner: OwnerLink, room: Room): void {
-    const heldMilli = this.host.heldBy(owner).cpuMilli;
+    const held = this.host.heldBy(owner);
     const before = this.told.get(owner);
-    if (before && !isNews(room, heldMilli, before)) return;
+    if (before && !isNews(room, held, before)) return;
     const value = create(RoomSchema, { ...room, newestOrder: owner.newestOrder });
-    this.told.set(owner, { room: value, heldMilli });
+    this.told.set(owner, { room: value, held });
     owner.link.send({ case: 'room', value });
   }
 
@@ -102,23 +102,24 @@
 }
 
 /** Whether an entry that was told `before` should hear of the room as it is now. */
-function isNews(
-  room: Room,
-  heldMilli: number,
-  { room: before, heldMilli: heldThen }: Told,
-): boolean {
+function isNews(room: Room, held: Resources, { room: before, held: heldThen }: Told): boolean {
   const { newestOrder } = before;
   const isLike = equals(RoomSchema, { ...room, newestOrder, free: before.free }, before);
   if (!isLike) return true;
-  const believed = (before.free?.cpuMilli ?? 0) + heldThen - heldMilli;
-  const actual = room.free?.cpuMilli ?? 0;
-  // An order that was refused changes nothing here: to tell of it would have it sent again at once.
-  if (room.inTurns) return actual !== (before.free?.cpuMilli ?? 0);
-  const total = room.total?.cpuMilli ?? 0;
-  const isPlenty = Math.min(believed, actual) >= total * SHORT_SHARE;
-  return Math.abs(actual - believed) > (isPlenty ? total * PLENTY_DRIFT : 0);
+  const total = Resources.of(room.total ?? {});
+  const actual = Resources.of(room.free ?? {});
+  const told = Resources.of(before.free ?? {});
+  return kinds.some((kind) => {
+    // An order that was refused changes nothing here: to tell of it would have it sent again at once.
+    if (room.inTurns) return actual[kind] !== told[kind];
+    const believed = told[kind] + heldThen[kind] - held[kind];
+    const isPlenty = Math.min(believed, actual[kind]) >= total[kind] * SHORT_SHARE;
+    return Math.abs(actual[kind] - believed) > (isPlenty ? total[kind] * PLENTY_DRIFT : 0);
+  });
 }
 
+const kinds = ['cpuMilli', 'memoryMb', 'accelerators'] as const;
+
 function amountOf({ cpuMilli, memoryMb, accelerators }: Resources) {
   return create(AmountSchema, { cpuMilli, memoryMb, accelerators });
 }
--- a/test/runs/RoomReports.test.ts
+++ b/test/runs/RoomReports.test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from 'vitest';
+import Resources from '../../src/room/Resources';
 import type RunName from '../../src/runs/RunName';
 import BatchCase from '../support/BatchCase';
 
@@ -43,3 +44,10 @@
   await batchCase.timer.advance(110);
   expect(batchCase.running.length).toBe(4);
 });
+
+test('an entry hears of memory that the orders of another take, though there are cores enough', async () => {
+  const batchCase = await BatchCase.open({ entries: 2, sidecars: 1 });
+  const needs = Resources.of({ cpuMilli: 100, memoryMb: 4_000 });
+  const wide = { ...batchCase.stepOf(1, 500), needs };
+  expect(await roomReports(batchCase, () => batchCase.submit('a', { steps: [wide] }))).toBe(1);
+});
--- a/test/support/BatchCase.ts
+++ b/test/support/BatchCase.ts
@@ -99,6 +99,11 @@
     return submission;
   }
 
+  /** A step of tasks that each need a quarter of a backend server. */
+  stepOf(count: number, estimateMs: number): BatchStep {
+    return stepOf(count, estimateMs);
+  }
+
   /** Tasks that run now, on all backend servers. */
   get running(): readonly string[] {
     return this.backends.flatMap(({ tasks }) => tasks).sort();
