--- a/src/runs/BackendHealth.ts
+++ b/src/runs/BackendHealth.ts
@@ -7,10 +7,13 @@
  * starts while its heartbeats stay good.
  *
  * Slowness is the time that runs have spent over the work that they got done, both fading within
- * some hundred milliseconds in which something runs. While nothing does, the finding stands: else a slow
- * backend server that is given nothing would seem sound again after a second and be filled anew. What
- * stands weighs little then, so that two or three trials show its return. It shows a slow or hanging backend server before anything has ended
- * there, and the errors of single estimates, some 40%, even out over the ten runs that it usually has.
+ * some hundred milliseconds in which something runs. It shows a slow or hanging backend server before
+ * anything has ended there, and the errors of single estimates, some 40%, even out over the ten runs
+ * that it usually has.
+ *
+ * While nothing runs, the finding stands: else a slow backend server that is given nothing would seem
+ * sound again after a second and be filled anew. What stands weighs little then, so that two or three
+ * trials show its return.
  */
 export default class BackendHealth {
   private spentMs = 0;
--- a/src/runs/RoomReports.ts
+++ b/src/runs/RoomReports.ts
@@ -17,7 +17,8 @@
  * Tells the entries what room there is. An entry knows what its own orders take and give back, so a
  * report is only about what the others do: one is sent when what an entry believes is wrong by more
  * than matters. While there is plenty that is a good part of the whole; when room is short, tasks are
- * waiting for it somewhere, and every change is told with the same turn of the event loop. So reports cost little at a calm backend server, however many entries are linked.
+ * waiting for it somewhere, and every change is told with the same turn of the event loop. So reports
+ * cost little at a calm backend server, however many entries are linked.
  */
 export default class RoomReports {
   private readonly told = new Map<OwnerLink, Told>();
