Let requests wait while an entry starts, until it knows what it can serve

Ruled out: accepting connections later (callers' opening packets come again only after seconds). Change: in the first 3 s of a process a request waits for the configuration, half of its caller's time at most, and a batch for sidecars and backend servers until it is hopeless; the predicted wait refuses nothing meanwhile, since it counts the few sidecars that are there. Afterwards refusals are at once, as before, and each has its line. What waits is looked at every 50 ms, so that the hopeless hear of it. Until a process has had its first list, the store is asked again after 200 ms at most. A request's age counts towards its objective.

--- a/src/batches/Admission.ts
+++ b/src/batches/Admission.ts
@@ -21,6 +21,8 @@
   readonly backlog: () => readonly Batch[];
   /** Entries that callers are spread over. */
   readonly entryCount: () => number;
+  /** Whether sidecars and backend servers may still be about to come, as after a loss of power. */
+  readonly isStarting: () => boolean;
 }
 
 /**
@@ -35,20 +37,30 @@
     return new Admission(opts);
   }
 
-  /** Why a batch cannot run at all now; undefined when it can. */
-  refusalOf({ queue, steps }: BatchSubmission): BatchAnswer | undefined {
+  /** Why a batch cannot run at all now; undefined when it can, or when that is not known yet. */
+  refusalOf(submission: BatchSubmission): BatchAnswer | undefined {
+    const reason = this.opts.isStarting() ? undefined : this.obstacleTo(submission);
+    if (reason === undefined) return undefined;
+    const { id, queue } = submission;
+    const sidecars = [...this.opts.peers()].length;
+    this.opts.log.info('a batch is refused', { request: id, reason, queue: queue.name, sidecars });
+    return { kind: 'not-run', reason, retryAfterMs: refusalTimes.noRoomMs };
+  }
+
+  private obstacleTo({ queue, steps }: BatchSubmission): string | undefined {
     const peers = [...this.opts.peers()].filter((peer) => peer.service === queue.service);
     if (!peers.some(({ isAccepting }) => isAccepting)) {
-      return noRoom('no backend server of the service takes tasks');
+      return 'no backend server of the service takes tasks';
     }
     const unfit = steps.find(({ needs }) => !peers.some(({ capacity }) => capacity.holds(needs)));
-    return unfit && noRoom('a task needs more than any backend server has');
+    return unfit && 'a task needs more than any backend server has';
   }
 
   /** Why a batch would be answered too late, should it be taken; undefined when it would not. */
   refuseIfTooLate(batch: Batch): BatchAnswer | undefined {
     const backlog = this.opts.backlog();
-    if (backlog.length === 0) return undefined;
+    // While sidecars come one after the other, the room there is says little of what there will be.
+    if (backlog.length === 0 || this.opts.isStarting()) return undefined;
     const now = this.opts.timer.now();
     const { urgency } = this.opts.policy;
     const own = urgency(batch, now);
@@ -82,7 +94,3 @@
     return Math.round(this.opts.random.jitter(Math.max(waitMs, refusalTimes.leastMs)));
   }
 }
-
-function noRoom(reason: string): BatchAnswer {
-  return { kind: 'not-run', reason, retryAfterMs: refusalTimes.noRoomMs };
-}
--- a/src/batches/Batch.ts
+++ b/src/batches/Batch.ts
@@ -42,8 +42,8 @@
 
   private constructor(
     readonly submission: BatchSubmission,
-    /** When it was accepted, by the timer service. */
-    readonly acceptedAt: number,
+    /** When its request arrived, by the timer service. */
+    readonly arrivedAt: number,
   ) {
     this.objective = Objective.of(submission);
     this.steps = submission.steps.map((step, stepNumber) => ({
@@ -58,12 +58,12 @@
       unfinished: step.count,
       isOpen: false,
     }));
-    this.openSteps(acceptedAt);
+    this.openSteps(arrivedAt);
   }
 
   /** Accepts a batch; the steps that wait for no other are ready. */
   static accept(submission: BatchSubmission, now: number): Batch {
-    return new Batch(submission, now);
+    return new Batch(submission, now - (submission.ageMs ?? 0));
   }
 
   get id(): string {
@@ -86,12 +86,12 @@
 
   /** Time left before the rest has to start in order to be answered in its aim, ms; below 0 it is late. */
   slackMs(now: number): number {
-    return this.acceptedAt + this.objective.aimMs - this.restMs - now;
+    return this.arrivedAt + this.objective.aimMs - this.restMs - now;
   }
 
   /** Whether it can no longer be answered while the answer is of use, even if it had room now. */
   isHopeless(now: number): boolean {
-    return now + this.restMs > this.acceptedAt + this.objective.uselessMs;
+    return now + this.restMs > this.arrivedAt + this.objective.uselessMs;
   }
 
   /** The longest estimate of the tasks that are ready, ms; steps behind them are left out. */
--- a/src/batches/BatchEntry.ts
+++ b/src/batches/BatchEntry.ts
@@ -16,6 +16,7 @@
 import type OrderedStart from './OrderedStart';
 import QueueTable from './QueueTable';
 import Scheduler from './Scheduler';
+import Startup from './Startup';
 import type SidecarPeer from './SidecarPeer';
 import standardPolicy from './standardPolicy';
 
@@ -39,6 +40,8 @@
 
   private readonly lost: LostSidecars;
 
+  private readonly startup: Startup;
+
   private readonly gaps: GapWatch;
 
   private readonly moves: Subscription;
@@ -48,6 +51,7 @@
   private constructor(private readonly opts: BatchEntryOptions) {
     const { timer, random, log, metrics, zone, policy = standardPolicy } = opts;
     this.policy = policy;
+    this.startup = Startup.begin(timer);
     this.peers = EntryPeers.create({
       ...opts,
       table: () => this.table,
@@ -68,6 +72,7 @@
       ...{ timer, random, log, policy, peers: sidecars },
       backlog: () => this.scheduler.backlog,
       entryCount: () => this.peers.entryCount,
+      isStarting: () => this.startup.isGoingOn,
     });
     this.batches = OpenBatches.create({
       ...{ timer, log, metrics },
@@ -132,11 +137,21 @@
     return this.batches.find(id);
   }
 
+  /**
+   * Resolves to whether there is a configuration to tell by what a request is. Just after the start a
+   * caller that has this much time, in ms, waits for it for a while; afterwards nobody does.
+   */
+  async configured(callerMs: number, gone: AbortSignal): Promise<boolean> {
+    if (this.table.version === 0) await this.startup.configuration(callerMs, gone);
+    return this.table.version > 0;
+  }
+
   /** Puts a configuration in force unless a newer one is; tells all peers of it. */
   configure(table: QueueTable, source: string): void {
     if (!this.tables.adopt(table)) return;
     const { version, size } = table;
     this.opts.log.info('a configuration is in force', { version, queues: size, source });
+    this.startup.endWait();
     this.peers.tellConfiguration();
     this.scheduler.wake();
   }
@@ -165,6 +180,7 @@
   async leave(graceMs: number): Promise<void> {
     const { timer, log } = this.opts;
     this.isLeaving = true;
+    this.startup.endWait();
     log.info('leaving: open batches are finished', { open: this.batches.size, graceMs });
     const deadline = timer.now() + graceMs;
     while (this.batches.size > 0 && timer.now() < deadline) await timer.sleep(LEAVE_POLL_MS);
--- a/src/batches/BatchSubmission.ts
+++ b/src/batches/BatchSubmission.ts
@@ -9,6 +9,8 @@
   /** What each backend server gets with a task. */
   readonly spec: string;
   readonly steps: readonly BatchStep[];
-  /** How long the caller waits for the answer, ms. */
+  /** Time since its request arrived, ms; it counts towards its objective. */
+  readonly ageMs?: number;
+  /** How long the caller still waits for the answer, ms. */
   readonly waitMs: number;
 }
--- a/src/batches/OpenBatches.ts
+++ b/src/batches/OpenBatches.ts
@@ -84,7 +84,7 @@
   close(batch: Batch, answer: BatchAnswer): void {
     const { timer, log, metrics, answered } = this.opts;
     const { id } = batch;
-    const tookMs = timer.now() - batch.acceptedAt;
+    const tookMs = timer.now() - batch.arrivedAt;
     metrics?.record('batch_seconds', tookMs / SECOND_MS, batch.submission.queue.name);
     this.open.delete(id);
     answered(batch);
--- a/src/batches/Scheduler.ts
+++ b/src/batches/Scheduler.ts
@@ -1,3 +1,4 @@
+import type Subscription from '../core/Subscription';
 import type TimerService from '../core/TimerService';
 import type Batch from './Batch';
 import type BatchPolicy from './BatchPolicy';
@@ -28,6 +29,8 @@
 
   private isDue = false;
 
+  private sweep: Subscription | undefined;
+
   private constructor(private readonly opts: SchedulerOptions) {}
 
   /** Creates a scheduler for which nothing waits. */
@@ -82,6 +85,16 @@
     });
     peers.forEach((peer) => peer.flush(heads.get(peer.service)));
     this.dropHopeless(now);
+    this.sweepLater();
+  }
+
+  /** Looks again for what has become hopeless, also when nothing else wakes this scheduler. */
+  private sweepLater(): void {
+    if (this.sweep || this.backlog.length === 0) return;
+    this.sweep = this.opts.timer.after(SWEEP_MS, () => {
+      this.sweep = undefined;
+      this.wake();
+    });
   }
 
   /** The backlog in the order in which it gets room. */
@@ -125,6 +138,9 @@
   }
 }
 
+/** A caller whose batch has become hopeless hears of it within this time, ms. */
+const SWEEP_MS = 50;
+
 /** Where tasks may go, the same for all that are assigned in one turn. */
 type Place = Omit<Parameters<BatchPolicy['choose']>[0], 'batch' | 'task'> & {
   readonly peers: readonly SidecarPeer[];
--- a/src/membership/StoreFollower.ts
+++ b/src/membership/StoreFollower.ts
@@ -31,6 +31,7 @@
   async run(signal: AbortSignal): Promise<void> {
     const { timer, random, log, prefix } = this.opts;
     const backoff = Backoff.of(FIRST_DELAY_MS, LIMIT_DELAY_MS, random);
+    const firstBackoff = Backoff.of(FIRST_DELAY_MS, FIRST_LIST_LIMIT_MS, random);
     while (!signal.aborted) {
       const failure = await this.step(signal);
       if (failure === undefined) {
@@ -40,7 +41,8 @@
       } else if (!signal.aborted) {
         if (!this.isLost) log.warn('the store is out of reach', { prefix, reason: failure });
         this.isLost = true;
-        await timer.sleep(backoff.next(), signal);
+        const pauses = this.revision === undefined ? firstBackoff : backoff;
+        await timer.sleep(pauses.next(), signal);
       }
     }
   }
@@ -72,6 +74,9 @@
 const FIRST_DELAY_MS = 100;
 const LIMIT_DELAY_MS = 700;
 
+/** The same until the first list was had, ms: callers wait for what is in it. */
+const FIRST_LIST_LIMIT_MS = 200;
+
 /** How long a watch waits. Each call is paid for; a silent connection is noticed after this, ms. */
 const WATCH_MS = 5_000;
 const DOUBTED_WATCH_MS = 1_000;
--- a/test/batches/BatchEntry.test.ts
+++ b/test/batches/BatchEntry.test.ts
@@ -96,6 +96,8 @@
 
 test('a task that is larger than every backend server is refused at once', async () => {
   const batchCase = await BatchCase.open();
+  // While an entry starts, a larger backend server may be about to come.
+  await batchCase.timer.advance(3_000);
   const needs = Resources.of({ cpuMilli: 99_000 });
   const caller = batchCase.submit('a', { steps: [{ ...step, needs }] });
   await batchCase.timer.advance(1);
@@ -204,3 +206,30 @@
     [],
   ]);
 });
+
+test('a batch that arrives before any sidecar of a starting entry waits for one', async () => {
+  const batchCase = await BatchCase.open({ entries: 1, sidecars: 0 });
+  const caller = batchCase.submit('a', { ms: 300 });
+  await batchCase.timer.advance(200);
+  batchCase.addSidecar(0);
+  await batchCase.timer.advance(800);
+  expect(caller.answer).toEqual({ kind: 'completed' });
+});
+
+test('a batch that waits for a sidecar in vain is refused once it is hopeless', async () => {
+  const batchCase = await BatchCase.open({ entries: 1, sidecars: 0 });
+  const caller = batchCase.submit('a', { ms: 100 });
+  // Three times the objective of 250 ms, less the 100 ms of work.
+  await batchCase.timer.advance(640);
+  const before = caller.answer;
+  await batchCase.timer.advance(80);
+  expect([before, caller.answer]).toMatchObject([undefined, { kind: 'not-run' }]);
+});
+
+test('an entry that has been up for long refuses at once what no sidecar can take', async () => {
+  const batchCase = await BatchCase.open({ entries: 1, sidecars: 0 });
+  await batchCase.timer.advance(3_000);
+  const caller = batchCase.submit('a', { ms: 300 });
+  await batchCase.timer.advance(1);
+  expect(caller.answer).toMatchObject({ kind: 'not-run' });
+});
--- a/test/support/BatchCase.ts
+++ b/test/support/BatchCase.ts
@@ -16,6 +16,8 @@
   readonly entries?: number;
   readonly sidecars?: number;
   readonly work?: Work;
+  /** Whether the entries have a configuration from the beginning. */
+  readonly configured?: boolean;
 }
 
 /** Entries for batches, and sidecars with their backend servers, in one memory network. */
@@ -40,16 +42,23 @@
     entries = 2,
     sidecars = 2,
     work,
+    configured = true,
   }: BatchCaseOptions = {}): Promise<BatchCase> {
     const batchCase = new BatchCase(work);
     for (let number = 0; number < entries; number += 1) await batchCase.addEntry(number);
     for (let number = 0; number < sidecars; number += 1) batchCase.addSidecar(number);
     await batchCase.timer.advance(300);
-    batchCase.entries[0]!.configure(tableOf(1), 'a test');
+    if (!configured) return batchCase;
+    batchCase.configure();
     await batchCase.timer.advance(100);
     return batchCase;
   }
 
+  /** Puts the first configuration in force. */
+  configure(): void {
+    this.entries[0]!.configure(tableOf(1), 'a test');
+  }
+
   /** Starts an entry; after a kill, its next process. */
   async addEntry(number: number): Promise<BatchEntry> {
     const instance = `e${number}`;
--- a/test/usersPlatform/CallerServer.test.ts
+++ b/test/usersPlatform/CallerServer.test.ts
@@ -110,3 +110,34 @@
   const answers = await ask([{ body: job }], (server) => server.leave());
   expect(answers).toEqual(['200 {"state":"completed"} close']);
 });
+
+/** The answer to a job whose entry gets its configuration so long after its arrival. */
+async function answerBeforeConfiguration(afterMs: number, startedMsAgo = 0): Promise<string> {
+  const batchCase = await BatchCase.open({ entries: 1, configured: false });
+  await batchCase.timer.advance(startedMsAgo);
+  const server = CallerServer.of(batchCase.entries[0]!, log);
+  await server.listen('127.0.0.1:0');
+  let answer: string | undefined;
+  send(server.port, { body: job }).then((text) => {
+    answer = text;
+  });
+  for (let waitedMs = 0; answer === undefined; waitedMs += 20) {
+    if (waitedMs === afterMs) batchCase.configure();
+    await batchCase.timer.advance(20);
+    await new Promise(setImmediate);
+  }
+  server.close();
+  return answer;
+}
+
+test('a job that arrives just before the first configuration waits for it', async () => {
+  expect(await answerBeforeConfiguration(800)).toBe('200 {"state":"completed"} keep-alive');
+});
+
+test('a job waits half of its time for the first configuration at most', async () => {
+  expect(await answerBeforeConfiguration(1_800)).toMatch(/^503 .*there is no configuration yet/);
+});
+
+test('an entry that has gone without a configuration for long refuses at once', async () => {
+  expect(await answerBeforeConfiguration(20, 3_000)).toMatch(/^503 /);
+});
--- a/tools/replay/Replay.ts
+++ b/tools/replay/Replay.ts
@@ -235,8 +235,8 @@
 
 const SERVICE = 'booking';
 
-/** Time for links to open before the load begins, ms; twice. */
-const LINK_MS = 500;
+/** Time for links to open before the load begins, ms, twice: entries are no longer starting then. */
+const LINK_MS = 2_000;
 
 /** How far the clock is moved between two looks whether all is answered, ms. */
 const STEP_MS = 250;
--- a/tools/replay/policies.ts
+++ b/tools/replay/policies.ts
@@ -11,7 +11,7 @@
   /** First come, first served; nothing is refused, shunned or moved. */
   plain: {
     ...standardPolicy,
-    urgency: ({ acceptedAt }, now) => ({ rank: 0, slackMs: acceptedAt - now }),
+    urgency: ({ arrivedAt }, now) => ({ rank: 0, slackMs: arrivedAt - now }),
     shun: () => nobody,
     predict: () => 0,
     move: () => false,
@@ -34,8 +34,8 @@
   patient: { ...standardPolicy, predict: () => 0 },
 };
 
-function byPriority({ submission, acceptedAt }: Batch, now: number): Urgency {
-  return { rank: submission.queue.priority, slackMs: acceptedAt - now };
+function byPriority({ submission, arrivedAt }: Batch, now: number): Urgency {
+  return { rank: submission.queue.priority, slackMs: arrivedAt - now };
 }
 
 export default policies;
