Count requests without a result by moment and reason, from log lines: magnoliakeelctl causes

The command groups what was refused, given up or failed by two seconds and reason and names one request of each group, for explain. Lines that were written together and have the collector's name before the first only now keep it: before, explain took them to be of a process named like the file.

--- a/src/ctl/commands.ts
+++ b/src/ctl/commands.ts
@@ -1,4 +1,5 @@
 import apply from './apply';
+import causes from './causes';
 import type Command from './Command';
 import drain from './drain';
 import explain from './explain';
@@ -22,6 +23,7 @@
   jobs,
   trace,
   explain,
+  causes,
 };
 
 export default commands;
--- a/src/ctl/explain.ts
+++ b/src/ctl/explain.ts
@@ -1,14 +1,12 @@
-import path from 'node:path';
 import { ResultAsync } from 'neverthrow';
 import type ExitCode from '../core/ExitCode';
 import exitCodes from '../core/exitCodes';
 import type Terminal from '../core/Terminal';
 import formatFinding from '../settings/formatFinding';
-import readText from '../settings/readText';
 import type Command from './Command';
 import type CommandInput from './CommandInput';
 import type LogLine from './LogLine';
-import readLogLines from './readLogLines';
+import readLogFile from './readLogFile';
 import storyOf from './storyOf';
 
 /** Tells what became of one request, from the log lines of several processes. */
@@ -23,7 +21,7 @@
 
 async function run({ args, json }: CommandInput, terminal: Terminal): Promise<ExitCode> {
   const [id = '', ...files] = args;
-  const read = await ResultAsync.combine(files.map(readLines));
+  const read = await ResultAsync.combine(files.map(readLogFile));
   if (read.isErr()) {
     read.error.forEach((finding) => terminal.warn(formatFinding(finding)));
     return exitCodes.badFile;
@@ -38,15 +36,6 @@
   return exitCodes.ok;
 }
 
-function readLines(file: string) {
-  const source = file === '-' ? STANDARD_INPUT : file;
-  const name = file === '-' ? '' : path.basename(file, path.extname(file));
-  return readText(source).map((text) => readLogLines(text, name));
-}
-
-/** The path by which standard input is read as a file. */
-const STANDARD_INPUT = '/dev/stdin';
-
 function describe({ process, timeMs, level, message, fields }: LogLine, startMs: number): string {
   const at = `${((timeMs - startMs) / SECOND_MS).toFixed(3)} s`.padStart(9);
   const values = Object.entries(fields).map(([key, value]) => `${key}=${textOf(value)}`);
--- a/src/ctl/readLogLines.ts
+++ b/src/ctl/readLogLines.ts
@@ -2,15 +2,18 @@
 
 /**
  * Reads the log lines in a text; other lines are passed over. A collector may have put the name of
- * the process before each line, as in `12.345 entry-1 {"message":...}`; else all are of `process`.
+ * the process before each line, or before the first of several that were written together, as in
+ * `12.345 entry-1 {"message":...}`; else all are of `process`.
  */
 export default function readLogLines(text: string, process: string): readonly LogLine[] {
+  let newest = process;
   return text.split('\n').flatMap((line) => {
     const at = line.indexOf('{"');
     if (at < 0) return [];
     const name = line.slice(0, at).trim().split(/\s+/).pop() ?? '';
+    if (name !== '') newest = name;
     const read = parse(line.slice(at));
-    return read ? [{ ...read, process: name === '' ? process : name }] : [];
+    return read ? [{ ...read, process: newest }] : [];
   });
 }
 
--- a/test/ctl/runCtl.test.ts
+++ b/test/ctl/runCtl.test.ts
@@ -38,13 +38,13 @@
   expect(await Promise.all(lines.map(run))).toMatchInlineSnapshot(`
     [
       "2
-    err: magnoliakeelctl: a command is missing, one of validate, plan, apply, history, rollback, status, drain, jobs, trace, explain
+    err: magnoliakeelctl: a command is missing, one of validate, plan, apply, history, rollback, status, drain, jobs, trace, explain, causes
     Run \`magnoliakeelctl --help\` for its use.",
       "2
     err: magnoliakeelctl: unknown command "valdate", did you mean "validate"?
     Run \`magnoliakeelctl --help\` for its use.",
       "2
-    err: magnoliakeelctl: unknown command "toString", expected one of validate, plan, apply, history, rollback, status, drain, jobs, trace, explain
+    err: magnoliakeelctl: unknown command "toString", expected one of validate, plan, apply, history, rollback, status, drain, jobs, trace, explain, causes
     Run \`magnoliakeelctl --help\` for its use.",
       "2
     err: magnoliakeelctl: the argument <file> is missing
