--- a/src/batches/Batch.ts
+++ b/src/batches/Batch.ts
@@ -84,6 +84,11 @@
     return this.ready.reduce((sum, { step }) => sum + step.needs.cpuMilli * step.estimateMs, 0);
   }
 
+  /** Whether nothing of it has run and nothing ordered may still run. */
+  get hasNotRun(): boolean {
+    return this.runs === 0 && !this.mayHaveRun;
+  }
+
   /** Time left before the rest has to start in order to be answered in its aim, ms; below 0 it is late. */
   slackMs(now: number): number {
     return this.arrivedAt + this.objective.aimMs - this.restMs - now;
--- a/src/batches/OpenBatches.ts
+++ b/src/batches/OpenBatches.ts
@@ -115,7 +115,7 @@
 
   private expire(batch: Batch): void {
     const reason = `its time is over with ${batch.unfinished} tasks not done`;
-    if (batch.runs === 0 && !batch.mayHaveRun) {
+    if (batch.hasNotRun) {
       this.finish(batch, { kind: 'not-run', reason, retryAfterMs: refusalTimes.noRoomMs });
     } else this.finish(batch, { kind: 'unknown', reason });
   }
--- a/src/batches/Scheduler.ts
+++ b/src/batches/Scheduler.ts
@@ -14,7 +14,7 @@
   readonly zone: string;
   readonly policy: BatchPolicy;
   readonly peers: () => Iterable<SidecarPeer>;
-  /** Told of a batch that was never started and cannot be answered in time any more. */
+  /** Told of a batch of which nothing has run and that cannot be answered in time any more. */
   readonly hopeless: (batch: Batch) => void;
   /** Told of the starts of a batch that are ordered in one turn. */
   readonly ordered: (batch: Batch, starts: readonly OrderedStart[]) => void;
@@ -107,7 +107,7 @@
   /** What got no room now and can no longer be of use is not kept waiting. */
   private dropHopeless(now: number): void {
     this.backlog
-      .filter((batch) => batch.startsSent === 0 && batch.isHopeless(now))
+      .filter((batch) => batch.hasNotRun && batch.isHopeless(now))
       .forEach((batch) => this.opts.hopeless(batch));
   }
 
--- a/test/batches/decisions.test.ts
+++ b/test/batches/decisions.test.ts
@@ -137,6 +137,27 @@
   expect(order).toEqual(['urgent in time, older', 'urgent in time', 'other', 'urgent late']);
 });
 
+test('a begun batch with few tasks left is finished also when it is late', () => {
+  const narrow = batch('narrow', { count: 3 }, 1);
+  narrow.starting(narrow.ready[0]!);
+  const waiting = batch('waiting', {}, 0, 600);
+  const [first, second] = [urgencyOf(narrow, 600), urgencyOf(waiting, 600)];
+  expect(compareUrgencies(first, second)).toBeLessThan(0);
+});
+
+test('among the late the small go first, and the hopeless last', () => {
+  const now = 1_000;
+  const batches = [
+    batch('hopeless', {}, 0, -500),
+    batch('wide', { count: 20 }, 0, 100),
+    batch('narrow', {}, 0, 200),
+  ];
+  const order = batches
+    .sort((a, b) => compareUrgencies(urgencyOf(a, now), urgencyOf(b, now)))
+    .map(({ id }) => id);
+  expect(order).toEqual(['narrow', 'wide', 'hopeless']);
+});
+
 test('a batch that has begun is finished before an equal one is begun', () => {
   const begun = batch('begun', { count: 2 }, 0, 1_000);
   const waiting = batch('waiting', {}, 0, 990);
