Learn how long a queue's tasks take when their estimates say so much

Change: each entry fits a line through the logarithms of estimates and times of its done tasks, by queue, the newest 200 weighing most, and reckons with that: order, objective, hopelessness, work ahead, slowness. Slow backend servers teach nothing. Before anything is known estimates are taken as they come.

--- a/src/batches/BatchEntry.ts
+++ b/src/batches/BatchEntry.ts
@@ -9,6 +9,7 @@
 import type BatchPolicy from './BatchPolicy';
 import type BatchEntryOptions from './BatchEntryOptions';
 import type BatchSubmission from './BatchSubmission';
+import DurationModel from './DurationModel';
 import EntryPeers from './EntryPeers';
 import LostSidecars from './LostSidecars';
 import OpenBatches from './OpenBatches';
@@ -42,6 +43,8 @@
 
   private readonly startup: Startup;
 
+  private readonly durations = DurationModel.create();
+
   private readonly gaps: GapWatch;
 
   private readonly moves: Subscription;
@@ -203,7 +206,7 @@
     const refusal = this.admission.refusalOf(submission);
     if (refusal) return refusal;
     const earlier = this.batches.endingOf(id);
-    const batch = Batch.accept(submission, this.opts.timer.now());
+    const batch = Batch.accept(this.withExpectedTimes(submission), this.opts.timer.now());
     const tooLate = this.admission.refuseIfTooLate(batch);
     if (tooLate) return tooLate;
     this.accepted(batch, earlier.length);
@@ -213,6 +216,17 @@
     return answer;
   }
 
+  /** The batch with how long its tasks are expected to take, by what was seen of their queue. */
+  private withExpectedTimes(submission: BatchSubmission): BatchSubmission {
+    const { name } = submission.queue;
+    const steps = submission.steps.map((step) => ({
+      ...step,
+      statedMs: step.estimateMs,
+      estimateMs: this.policy.expect(this.durations, name, step.estimateMs),
+    }));
+    return { ...submission, steps };
+  }
+
   private accepted(batch: Batch, earlier: number): void {
     const { id, queue, steps, waitMs } = batch.submission;
     this.batches.add(batch);
@@ -223,6 +237,7 @@
       version: this.table.version,
       tasks: steps.reduce((sum, { count }) => sum + count, 0),
       estimateMs: steps.map(({ estimateMs }) => estimateMs),
+      statedMs: steps.map(({ statedMs }) => statedMs),
       waitMs,
       queued: this.scheduler.queued,
       sidecars: this.peers.sidecars.size,
@@ -299,7 +314,12 @@
     this.scheduler.wake();
   }
 
-  private taskDone({ batch, task }: OrderedRun, now: number): void {
+  private taskDone(run: OrderedRun, peer: SidecarPeer, now: number): void {
+    const { batch, task, orderedAt } = run;
+    const { name } = batch.submission.queue;
+    if ((peer.slowness ?? 1) < SLOW) {
+      this.durations.learn(name, task.step.statedMs ?? task.step.estimateMs, now - orderedAt);
+    }
     batch.done(task, now);
     if (batch.answer) this.batches.close(batch, batch.answer);
   }
@@ -330,13 +350,16 @@
     Record<RunOutcome, (entry: BatchEntry, run: OrderedRun, peer: SidecarPeer, now: number) => void>
   > = {
     [RunOutcome.UNSPECIFIED]: (_entry, { batch, task }, _peer, now) => batch.again(task, now),
-    [RunOutcome.DONE]: (entry, run, _peer, now) => entry.taskDone(run, now),
+    [RunOutcome.DONE]: (entry, run, peer, now) => entry.taskDone(run, peer, now),
     [RunOutcome.FAILED]: (entry, run, peer, now) => entry.taskFailed(run, peer, now),
     [RunOutcome.LOST]: (_entry, { batch, task }, _peer, now) => batch.again(task, now),
     [RunOutcome.REFUSED]: (_entry, { batch, task }, _peer, now) => batch.again(task, now),
   };
 }
 
+/** Slowness from which what is done at a backend server says nothing of the tasks. */
+const SLOW = 2;
+
 /** How often a leaving entry looks whether its batches are answered, ms. */
 const LEAVE_POLL_MS = 20;
 
--- a/src/batches/BatchPolicy.ts
+++ b/src/batches/BatchPolicy.ts
@@ -1,4 +1,5 @@
 import type choosePeer from './choosePeer';
+import type DurationModel from './DurationModel';
 import type findShunned from './findShunned';
 import type predictWait from './predictWait';
 import type urgencyOf from './urgencyOf';
@@ -9,6 +10,8 @@
  * function of what the entry knows at that moment, so that others can be tried in its place.
  */
 export default interface BatchPolicy {
+  /** How long a task is expected to take, by its estimate and what was seen of its queue. */
+  readonly expect: (durations: DurationModel, queue: string, estimateMs: number) => number;
   /** How urgently a batch waits, and so the order in which batches get room. */
   readonly urgency: typeof urgencyOf;
   /** Where a task starts, if anywhere now. */
--- a/src/batches/BatchStep.ts
+++ b/src/batches/BatchStep.ts
@@ -5,8 +5,10 @@
   readonly count: number;
   /** What each task needs. */
   readonly needs: Resources;
-  /** How long a task takes, roughly; 0 when the caller does not say. */
+  /** How long a task is expected to take; 0 when nothing is known. */
   readonly estimateMs: number;
+  /** What the caller said of that, where something else is expected. */
+  readonly statedMs?: number;
   /** Numbers of earlier steps that must be done before this one starts. */
   readonly after: readonly number[];
   /** A label that the backend server must have; empty for none. */
--- a/src/batches/standardPolicy.ts
+++ b/src/batches/standardPolicy.ts
@@ -7,6 +7,7 @@
 
 /** The decisions that entries make unless others are tried. */
 const standardPolicy: BatchPolicy = {
+  expect: (durations, queue, estimateMs) => durations.expect(queue, estimateMs),
   urgency: urgencyOf,
   choose: choosePeer,
   shun: findShunned,
