Wait for a backend server's answer by the time its answers take, and send an order again at once

Cause: an order whose answer is lost was sent again after 100 ms and a pause of 30, three times in all, while an answer from the same machine takes one or two; a search has 200 ms to be in time, and its room is taken all the while. A renewal in which an end is told was missed for 250 ms, and two lost answers in a row (one in eleven at 30% lost) made the backend server count as silent, whatever else it answered. A renewal after two unanswered ones prolongs nothing, as before. The test of a start that is never answered loses five answers instead of three (the case has moved, it is no looser). The new test fails before: 130 ms.

--- a/src/runs/BackendLife.ts
+++ b/src/runs/BackendLife.ts
@@ -1,6 +1,7 @@
 import { create } from '@bufbuild/protobuf';
 import { RunEndSchema, RunOutcome } from '../gen/magnoliakeel/v1/peer_pb';
 import type Resources from '../room/Resources';
+import AnswerTimes from './AnswerTimes';
 import BackendHealth from './BackendHealth';
 import BackendLease from './BackendLease';
 import type BackendLifeOptions from './BackendLifeOptions';
@@ -25,7 +26,7 @@
   /** Orders that came when there was no room, oldest first: entries decide at the same time. */
   private waiting: RunRequest[] = [];
 
-  private readonly presence = BackendPresence.create((reason) => this.over(reason));
+  private readonly presence: BackendPresence;
 
   private readonly lease: BackendLease;
 
@@ -42,7 +43,8 @@
 
   private constructor(private readonly opts: BackendLifeOptions) {
     const { timer, report, backend, log, changed } = opts;
-    const { presence } = this;
+    const presence = BackendPresence.create(timer, (reason) => this.over(reason));
+    this.presence = presence;
     this.newest = report;
     this.lease = BackendLease.of(timer, report.clockMs);
     this.health = BackendHealth.create(timer);
@@ -50,7 +52,8 @@
       over: (key) => this.runOver(key),
       progressed: (state, percent) => this.health.progressed(state, percent),
     });
-    const shared = { timer, backend, log, presence, lease: this.lease, held: this.held };
+    const times = AnswerTimes.create();
+    const shared = { timer, backend, log, presence, times, lease: this.lease, held: this.held };
     this.orders = RunOrders.create({
       ...shared,
       lookSoon: () => this.looks.soon(),
--- a/src/runs/BackendLooks.ts
+++ b/src/runs/BackendLooks.ts
@@ -2,6 +2,7 @@
 import Wakeup from '../core/Wakeup';
 import { RunOutcome } from '../gen/magnoliakeel/v1/peer_pb';
 import type EventLog from '../observe/EventLog';
+import type AnswerTimes from './AnswerTimes';
 import type BackendHealth from './BackendHealth';
 import type BackendHold from './BackendHold';
 import type BackendLease from './BackendLease';
@@ -19,6 +20,7 @@
   readonly lease: BackendLease;
   readonly presence: BackendPresence;
   readonly health: BackendHealth;
+  readonly times: AnswerTimes;
   readonly held: HeldRuns;
   readonly orders: RunOrders;
   readonly log: EventLog;
@@ -66,9 +68,10 @@
   }
 
   private async clear(): Promise<void> {
-    const { backend, lease, log, presence, timer } = this.opts;
-    while (presence.state === 'clearing') {
-      const res = await backend.hold(this.seenEnd, lease.token, 0);
+    const { backend, lease, log, presence, times, timer } = this.opts;
+    for (let tries = 0; presence.state === 'clearing'; tries += 1) {
+      const timeoutMs = times.timeoutMs(tries);
+      const res = await backend.hold(this.seenEnd, lease.token, 0, timeoutMs);
       if (res.isOk()) {
         this.hearEnds(res.value);
         const { running } = res.value;
@@ -77,7 +80,7 @@
           return;
         }
         log.info('stopping what an earlier process left running', { running: running.length });
-        await Promise.all(running.map(({ run }) => backend.stop(run, lease.token)));
+        await Promise.all(running.map(({ run }) => backend.stop(run, lease.token, timeoutMs)));
       } else {
         if (presence.isEndedBy(res.error)) return;
         if (res.error.kind === 'refused') lease.raiseToken();
@@ -94,13 +97,16 @@
   }
 
   private async look(): Promise<void> {
-    const { backend, changed, health, held, lease, orders, presence, timer } = this.opts;
+    const { backend, changed, health, held, lease, orders, presence, times, timer } = this.opts;
     const look = held.beginLook();
     const seen = this.seenEnd;
     const isSilent = presence.state === 'silent';
     const waitMs = isSilent || this.unanswered > 0 || held.awaitsProof ? 0 : runLimits.holdWaitMs;
-    const until = isSilent ? undefined : lease.renew();
-    const res = await backend.hold(seen, lease.token, waitMs, until);
+    // What cannot be known to go on is not prolonged, so that it is soon known to be over.
+    const isDoubtful = isSilent || this.unanswered >= runLimits.silentAfter;
+    const until = isDoubtful ? undefined : lease.renew();
+    const timeoutMs = times.timeoutMs(this.unanswered);
+    const res = await backend.hold(seen, lease.token, waitMs, timeoutMs, until);
     if (presence.isOver) return;
     if (res.isErr()) {
       await this.missed(res.error);
@@ -139,7 +145,9 @@
     }
     this.unanswered += 1;
     log.warn('a renewal was not answered', { kind, reason, unanswered: this.unanswered });
-    if (presence.state === 'open' && this.unanswered >= runLimits.silentAfter) this.fallSilent();
+    const isSilent =
+      this.unanswered >= runLimits.silentAfter && presence.silentMs >= runLimits.silentAfterMs;
+    if (presence.state === 'open' && isSilent) this.fallSilent();
     if (presence.state !== 'silent') return;
     if (lease.hasPassed && held.size > 0) {
       held.loseAll('the lease passed while the backend server was silent');
--- a/src/runs/BackendPresence.ts
+++ b/src/runs/BackendPresence.ts
@@ -1,3 +1,4 @@
+import type TimerService from '../core/TimerService';
 import type BackendRunFailure from './BackendRunFailure';
 
 /**
@@ -10,11 +11,18 @@
 
   private refusedConnections = 0;
 
-  private constructor(private readonly ended: (reason: string) => void) {}
+  private answeredAt: number;
+
+  private constructor(
+    private readonly timer: TimerService,
+    private readonly ended: (reason: string) => void,
+  ) {
+    this.answeredAt = timer.now();
+  }
 
   /** Starts before the first call; `ended` is told once, when the life is known to be over. */
-  static create(ended: (reason: string) => void): BackendPresence {
-    return new BackendPresence(ended);
+  static create(timer: TimerService, ended: (reason: string) => void): BackendPresence {
+    return new BackendPresence(timer, ended);
   }
 
   /** Whether the life is known to be over. */
@@ -22,9 +30,15 @@
     return this.state === 'over';
   }
 
+  /** Time since a call was answered, ms. */
+  get silentMs(): number {
+    return this.timer.now() - this.answeredAt;
+  }
+
   /** A call was answered. */
   answered(): void {
     this.refusedConnections = 0;
+    this.answeredAt = this.timer.now();
   }
 
   /** Whether a failure shows that this life has ended; then it is ended here too. */
--- a/src/runs/RunBackend.ts
+++ b/src/runs/RunBackend.ts
@@ -8,7 +8,8 @@
  * The calls to one life of a backend server that runs tasks under a lease. Every call names the
  * fencing token; a backend server that has seen a higher one does nothing.
  *
- * A call that fails as `unanswered` may have been carried out, and may still be, seconds later.
+ * A call that fails as `unanswered` may have been carried out, and may still be, seconds later. Each
+ * call says how long its answer is waited for, ms.
  */
 export default interface RunBackend {
   /**
@@ -20,19 +21,21 @@
     spec: string,
     leaseUntil: number,
     token: number,
+    timeoutMs: number,
   ): ResultAsync<BackendRefusal | 'started', BackendRunFailure>;
 
   /** Stops a run. Once this is acknowledged, a start of it that is still under way is refused. */
-  stop(run: RunName, token: number): ResultAsync<void, BackendRunFailure>;
+  stop(run: RunName, token: number, timeoutMs: number): ResultAsync<void, BackendRunFailure>;
 
   /**
    * Renews the lease of everything there, forgets the ends up to `seenEnd`, and tells what runs and
-   * what ended. It waits up to `waitMs` for an end. Without `leaseUntil` nothing is renewed.
+   * what ended. It waits there up to `waitMs` for an end, and then `timeoutMs` for the answer. Without `leaseUntil` nothing is renewed.
    */
   hold(
     seenEnd: number,
     token: number,
     waitMs: number,
+    timeoutMs: number,
     leaseUntil?: number,
   ): ResultAsync<BackendHold, BackendRunFailure>;
 }
--- a/src/runs/RunHost.ts
+++ b/src/runs/RunHost.ts
@@ -1,5 +1,6 @@
 import type TimerService from '../core/TimerService';
 import Resources from '../room/Resources';
+import AnswerTimes from './AnswerTimes';
 import BackendLife from './BackendLife';
 import type BackendRunFailure from './BackendRunFailure';
 import type BackendReport from './BackendReport';
@@ -126,8 +127,9 @@
 
   /** How a look at a backend server fails, if it does. A single answer may be lost, so it is asked again. */
   private async look(backend: RunBackend): Promise<BackendRunFailure['kind'] | undefined> {
+    const times = AnswerTimes.create();
     for (let tries = 1; ; tries += 1) {
-      const res = await backend.hold(0, 0, 0);
+      const res = await backend.hold(0, 0, 0, times.timeoutMs(tries - 1));
       if (res.isOk()) return undefined;
       const { kind } = res.error;
       if (kind !== 'unanswered' || tries >= LOOKS) return kind;
--- a/src/runs/RunOrders.ts
+++ b/src/runs/RunOrders.ts
@@ -1,6 +1,7 @@
 import type TimerService from '../core/TimerService';
 import { RunOutcome } from '../gen/magnoliakeel/v1/peer_pb';
 import type EventLog from '../observe/EventLog';
+import type AnswerTimes from './AnswerTimes';
 import AttemptNumbers from './AttemptNumbers';
 import type BackendLease from './BackendLease';
 import type BackendPresence from './BackendPresence';
@@ -19,6 +20,7 @@
   readonly lease: BackendLease;
   readonly presence: BackendPresence;
   readonly held: HeldRuns;
+  readonly times: AnswerTimes;
   readonly log: EventLog;
   /** Told that a look is wanted soon: something was started or stopped. */
   readonly lookSoon: () => void;
@@ -68,9 +70,9 @@
 
   /** Something runs there that is not held; whatever started it, it must end. */
   stopStranger(run: RunName): void {
-    const { log, backend, lease } = this.opts;
+    const { log, backend, lease, times } = this.opts;
     log.warn('an unknown run is stopped', { ...run });
-    backend.stop(run, lease.token).match(
+    backend.stop(run, lease.token, times.timeoutMs()).match(
       () => undefined,
       // It is seen again with the next look, and stopped again.
       () => undefined,
@@ -78,18 +80,23 @@
   }
 
   private async send(first: RunState): Promise<void> {
-    const { backend, held, lease, log, presence, timer } = this.opts;
+    const { backend, held, lease, log, presence, times, timer } = this.opts;
     let state = first;
     let isDoubtful = false;
     for (let tries = 0; tries < runLimits.startTries; tries += 1) {
-      const res = await backend.start(state.run, state.request.spec, lease.renew(), lease.token);
+      const sentAt = timer.now();
+      const { run, request } = state;
+      const timeoutMs = times.timeoutMs(tries);
+      const until = lease.renew();
+      const res = await backend.start(run, request.spec, until, lease.token, timeoutMs);
+      if (res.isOk() && tries === 0) times.add(timer.now() - sentAt);
       if (!held.holds(state)) return;
       if (res.isErr()) {
         if (presence.isEndedBy(res.error)) return;
-        log.warn('a start was not answered', { ...logged(state), reason: res.error.reason });
+        log.warn('a start was not answered', { ...logged(state), tries, reason: res.error.reason });
         if (state.isStopping) return;
         if (res.error.kind === 'unanswered') isDoubtful = true;
-        await timer.sleep(runLimits.retryMs);
+        else await timer.sleep(runLimits.retryMs);
         continue;
       }
       const answer = res.value;
@@ -124,17 +131,19 @@
   }
 
   private async sendStop(state: RunState): Promise<void> {
-    const { backend, held, lease, log, lookSoon, presence, timer } = this.opts;
-    while (held.holds(state)) {
-      const res = await backend.stop(state.run, lease.token);
+    const { backend, held, lease, log, lookSoon, presence, times, timer } = this.opts;
+    for (let tries = 0; held.holds(state); tries += 1) {
+      const sentAt = timer.now();
+      const res = await backend.stop(state.run, lease.token, times.timeoutMs(tries));
       if (res.isOk()) {
+        if (tries === 0) times.add(timer.now() - sentAt);
         held.stopped(state);
         lookSoon();
         return;
       }
       if (presence.isEndedBy(res.error)) return;
-      log.warn('a stop was not answered', { ...logged(state), reason: res.error.reason });
-      await timer.sleep(runLimits.retryMs);
+      log.warn('a stop was not answered', { ...logged(state), tries, reason: res.error.reason });
+      if (res.error.kind !== 'unanswered') await timer.sleep(runLimits.retryMs);
     }
   }
 }
--- a/src/runs/runLimits.ts
+++ b/src/runs/runLimits.ts
@@ -12,12 +12,14 @@
   stopCheckMs: 20,
   /** Time to kill what runs once its lease is over; the users' pages give 50, and a timer may be late. */
   killMs: 80,
-  /** Pause before a call is made again that was not answered. */
+  /** Pause before a call is made again that failed at once. */
   retryMs: 30,
   /** Starts sent for one run, all with the same attempt number, before it is given up and stopped. */
-  startTries: 3,
-  /** Renewals in a row without an answer after which the backend server counts as silent. */
+  startTries: 5,
+  /** Renewals in a row without an answer after which the backend server counts as silent... */
   silentAfter: 2,
+  /** ...and time in which no call at all was answered: answers are lost one by one while it lives. */
+  silentAfterMs: 500,
   /** How often a silent backend server is asked again. */
   silentProbeMs: 200,
   /**
--- a/test/runs/BackendLife.test.ts
+++ b/test/runs/BackendLife.test.ts
@@ -67,9 +67,21 @@
   expect([runCase.ends, backend.starts.length]).toEqual([['a.0 DONE'], 1]);
 });
 
+test('a start whose answer is lost is sent again long before its task is late', async () => {
+  const { runCase, backend } = await RunCase.open();
+  for (let round = 0; round < 8; round += 1) {
+    runCase.order(`a${round}`, 4, { spec: '5' });
+    await runCase.timer.advance(20);
+  }
+  backend.fail({ call: 'start', how: 'dropped' });
+  runCase.order('b', 1, { spec: '5' });
+  await runCase.timer.advance(50);
+  expect(runCase.ends.at(-1)).toBe('b.0 DONE');
+});
+
 test('a start that is never answered is stopped before its room is given back', async () => {
   const { runCase, backend } = await RunCase.open();
-  for (let i = 0; i < 3; i += 1) backend.fail({ call: 'start', how: 'late', lateMs: 2_000 });
+  for (let i = 0; i < 5; i += 1) backend.fail({ call: 'start', how: 'late', lateMs: 2_000 });
   runCase.order('a');
   await runCase.timer.advance(3_000);
   expect([runCase.ends, backend.starts, runCase.host.size]).toEqual([['a.0 LOST'], [], 0]);
@@ -190,7 +202,7 @@
 
 test('an attempt number that was used there before is raised', async () => {
   const { runCase, backend } = await RunCase.open();
-  await backend.stop({ batch: 'a', step: 0, index: 0, attempt: 1 }, 50_000);
+  await backend.stop({ batch: 'a', step: 0, index: 0, attempt: 1 }, 50_000, 100);
   runCase.order('a');
   await runCase.timer.advance(500);
   expect([runCase.ends, backend.starts[0]?.attempt]).toEqual([['a.0 DONE'], 2]);
--- a/test/usersPlatform/RunnerCalls.test.ts
+++ b/test/usersPlatform/RunnerCalls.test.ts
@@ -19,7 +19,7 @@
 
 test('a start names the task, its attempt, the lease and the life it is meant for', async () => {
   const { runner, calls } = await open(() => ({ status: 200, body: { clock_ms: 1 } }));
-  const res = await calls.start(run, 'text', 486_000, 7);
+  const res = await calls.start(run, 'text', 486_000, 7, 100);
   await runner.close();
   const [{ method, path, body, headers }] = runner.calls as [(typeof runner.calls)[number]];
   expect([valueOf(res), method, path, headers['x-expected-instance'], body]).toMatchInlineSnapshot(`
@@ -47,7 +47,7 @@
   ['new word', 'unfit'],
 ])('a start refused for "%s" is %s', async (reason, expected) => {
   const { runner, calls } = await open(() => ({ status: 409, body: { clock_ms: 1, reason } }));
-  const res = await calls.start(run, '', 1, 1);
+  const res = await calls.start(run, '', 1, 1, 100);
   await runner.close();
   expect(valueOf(res)).toBe(expected);
 });
@@ -63,7 +63,7 @@
     ],
   };
   const { runner, calls } = await open(() => ({ status: 200, body }));
-  const res = await calls.hold(57, 7, 0);
+  const res = await calls.hold(57, 7, 0, 100);
   await runner.close();
   expect([valueOf(res), runner.calls[0]?.body]).toMatchInlineSnapshot(`
     [
@@ -120,7 +120,7 @@
   ['it answers with a mistake', { status: 400, body: {} } as const, 'refused'],
 ])('when %s a stop has failed as such', async (_name, reply, kind) => {
   const { runner, calls } = await open(() => reply);
-  const res = await calls.stop(run, 1);
+  const res = await calls.stop(run, 1, 100);
   await runner.close();
   expect(errorOf(res).kind).toBe(kind);
 });
@@ -128,6 +128,6 @@
 test('when nothing listens, nothing was carried out', async () => {
   const { runner, calls } = await open(() => 'silence');
   await runner.close();
-  const res = await calls.stop(run, 1);
+  const res = await calls.stop(run, 1, 100);
   expect(errorOf(res).kind).toBe('closed');
 });
--- a/tools/leasedBackend/LeasedBackend.ts
+++ b/tools/leasedBackend/LeasedBackend.ts
@@ -132,12 +132,13 @@
     spec: string,
     leaseUntil: number,
     token: number,
+    timeoutMs: number,
   ): ResultAsync<BackendRefusal | 'started', BackendRunFailure> {
-    return this.call('start', () => this.carryOutStart(run, spec, leaseUntil, token));
+    return this.call('start', timeoutMs, () => this.carryOutStart(run, spec, leaseUntil, token));
   }
 
-  stop(run: RunName, token: number): ResultAsync<void, BackendRunFailure> {
-    return this.call('stop', () => {
+  stop(run: RunName, token: number, timeoutMs: number): ResultAsync<void, BackendRunFailure> {
+    return this.call('stop', timeoutMs, () => {
       if (!this.passes(token)) return;
       const key = taskKey(run);
       this.highest.set(key, Math.max(this.highest.get(key) ?? 0, run.attempt));
@@ -152,9 +153,10 @@
     seenEnd: number,
     token: number,
     waitMs: number,
+    timeoutMs: number,
     leaseUntil?: number,
   ): ResultAsync<BackendHold, BackendRunFailure> {
-    return this.call('hold', () => {
+    return this.call('hold', waitMs + timeoutMs, () => {
       if (this.passes(token) && leaseUntil !== undefined) this.renew(leaseUntil);
       this.ends = this.ends.filter(({ number }) => number > seenEnd);
     }).andThen(() => new ResultAsync(this.waitForEnd(waitMs)));
@@ -178,7 +180,11 @@
     });
   }
 
-  private call<T>(kind: CallFault['call'], carryOut: () => T): ResultAsync<T, BackendRunFailure> {
+  private call<T>(
+    kind: CallFault['call'],
+    timeoutMs: number,
+    carryOut: () => T,
+  ): ResultAsync<T, BackendRunFailure> {
     if (this.fate === 'gone') return errAsync({ kind: 'closed', reason: 'connection refused' });
     if (this.fate === 'replaced') return errAsync({ kind: 'replaced', reason: 'another life' });
     const at = this.faults.findIndex(({ call }) => call === kind);
@@ -186,7 +192,7 @@
     if (this.fate === 'silent' || fault) {
       if (fault?.how === 'lost') carryOut();
       if (fault?.how === 'late') this.opts.timer.after(fault.lateMs ?? LATE_MS, carryOut);
-      const answer = this.opts.timer.sleep(ANSWER_MS).then(() => err(unanswered));
+      const answer = this.opts.timer.sleep(timeoutMs).then(() => err(unanswered));
       return new ResultAsync<T, BackendRunFailure>(answer);
     }
     return okAsync(carryOut());
@@ -273,9 +279,6 @@
 /** How long a stop takes, ms. */
 const STOP_MS = 30;
 
-/** How long a caller waits for an answer that does not come, ms. */
-const ANSWER_MS = 100;
-
 /** How much later a late call is carried out when the fault does not say, ms. */
 const LATE_MS = 2_000;
 
