Decode what comes from outside by schemas: heartbeats, the configuration, the store's and backend servers' answers

Any writer may have put them together, with fields missing or of other types. Before, a heartbeat with a text as room made the room NaN, which holds nothing and is never corrected; a configuration was cast, an entry's address in the store was dialled whatever it was, and numbers of a job's steps were taken unchecked (the new tests of heartbeats and jobs fail before). Now validators compiled from platform/wire.schema.json check each; what is not usable names no backend server and no address, changes nothing that holds, and has a line with its place. An answer of the store or a backend server that cannot be read counts as none.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -26,7 +26,7 @@
 };
 
 export default [
-  { ignores: ['dist/**', 'target/**', 'src/gen/**', 'node_modules/**'] },
+  { ignores: ['dist/**', 'target/**', 'src/gen/**', 'platform/gen/**', 'node_modules/**'] },
   plugins.stylistic,
   plugins.importX,
   ...configs.base.recommended,
--- a/test/usersPlatform/formats.test.ts
+++ b/test/usersPlatform/formats.test.ts
@@ -2,6 +2,8 @@
 import readConfiguration from '../../platform/readConfiguration';
 import readHeartbeat from '../../platform/readHeartbeat';
 import readSubmission from '../../platform/readSubmission';
+import errorOf from '../support/errorOf';
+import valueOf from '../support/valueOf';
 
 const step = { count: 2, cpu: 6200, mem_mb: 64, estimate_ms: 85.4 };
 
@@ -69,7 +71,7 @@
 
 test('a route of the configuration is a queue, found by host and longest prefix', () => {
   const route = { host: 'h', service: 's', max_attempts: 2, timeout_ms: 1500, priority: 1 };
-  const table = readConfiguration(
+  const res = readConfiguration(
     JSON.stringify({
       version: 7,
       routes: [
@@ -79,6 +81,7 @@
       limits: { max_body_bytes: 10 },
     }),
   );
+  const table = valueOf(res);
   const found = ['/a/1', '/a/b/1', '/c/1'].map((path) => table.find('H', path)?.name);
   expect([table.version, table.limits.bodyBytes, found]).toEqual([
     7,
@@ -92,7 +95,7 @@
     ...{ service: 's', addr: '10.0.0.1:8', state: 'draining', seq: 4, clock_ms: 9 },
     ...{ capacity: { cpu: 64_000, mem_mb: 1_024 }, labels: ['a', 'r1-3'] },
   };
-  expect(readHeartbeat('i-1', body)).toMatchInlineSnapshot(`
+  expect(valueOf(readHeartbeat('i-1', body))).toMatchInlineSnapshot(`
     {
       "address": "10.0.0.1:8",
       "capacity": Resources {
@@ -113,6 +116,27 @@
   `);
 });
 
-test('a heartbeat without a clock is refused with the field', () => {
-  expect(readHeartbeat('i-1', { service: 's', addr: 'a:1' })).toBe('clock_ms: must be a number');
+const heartbeat = {
+  ...{ service: 's', addr: '10.0.0.1:8', state: 'ready', seq: 4, clock_ms: 9 },
+  ...{ capacity: { cpu: 64_000, mem_mb: 1_024 }, labels: ['a'] },
+};
+
+test.each([
+  ['no clock', { clock_ms: undefined }, "the body: must have required property 'clock_ms'"],
+  ['a text as room', { capacity: { cpu: '9', mem_mb: 1 } }, 'capacity.cpu: must be number'],
+  ['a state not known', { state: 'open' }, 'state: must be equal to one of the allowed values'],
+  ['no address', { addr: 'here' }, /^addr: must match pattern/],
+  ['a service that is no text', { service: 7 }, 'service: must be string'],
+])('a heartbeat with %s names no backend server, and the place is told', (_name, change, place) => {
+  expect(errorOf(readHeartbeat('i-1', { ...heartbeat, ...change }))).toMatch(place);
+});
+
+test.each([
+  ['cpu', 'x', 'steps.0.cpu: must be a number of 0 or more'],
+  ['estimate_ms', -1, 'steps.0.estimate_ms: must be a number of 0 or more'],
+  ['after', 3, 'steps.0.after: must name earlier steps'],
+  ['affinity', 5, 'steps.0.affinity: must be a text'],
+])('a job whose %s is %o is invalid', (field, value, reason) => {
+  const job = { best_effort: true, steps: [{ ...step, [field]: value }] };
+  expect(readSubmission(job)).toEqual({ kind: 'invalid', reason });
 });
