Reckon with the time that a returning caller has spent before, by how long it says that it waits

Cause: after all machines lose power, callers whose entry was lost come back with what is left of their time. An entry counted their objective from their arrival at it. Change: an entry knows what the upper quarter of the newest 64 callers of a queue say; who says less than three quarters of that counts as having spent the difference, for its slack and for when it is hopeless. What there is room for starts at once, as before.

--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -29,12 +29,14 @@
 await writeValidator('validateBatchEntrySettings', batchEntry);
 await writeValidator('validateRunSidecarSettings', runSidecar);
 
-const { address, text, count, ...wireSchema } = expand(wire, wire).$defs;
 await mkdir('platform/gen', { recursive: true });
+const { address, text: nonEmpty, count, ...wireSchema } = expand(wire, wire).$defs;
 await writeConstant('wireSchema', wireSchema, 'platform/gen');
-for (const [name, schema] of Object.entries(wireSchema)) {
-  await writeValidator(`validate${name[0].toUpperCase()}${name.slice(1)}`, schema, 'platform/gen');
-}
+await Promise.all(
+  Object.entries(wireSchema).map(([name, schema]) =>
+    writeValidator(`validate${name[0].toUpperCase()}${name.slice(1)}`, schema, 'platform/gen'),
+  ),
+);
 
 async function readSchema(name) {
   return JSON.parse(await readFile(`${name}.schema.json`, 'utf8'));
--- a/src/batches/Batch.ts
+++ b/src/batches/Batch.ts
@@ -32,6 +32,9 @@
   /** By when it should be answered. */
   readonly objective: Objective;
 
+  /** When its caller's first try was made, as far as is known. */
+  private readonly begunAt: number;
+
   private readonly steps: readonly StepProgress[];
 
   private final: BatchAnswer | undefined;
@@ -46,6 +49,7 @@
     readonly arrivedAt: number,
   ) {
     this.objective = Objective.of(submission);
+    this.begunAt = arrivedAt - (submission.spentMs ?? 0);
     this.steps = submission.steps.map((step, stepNumber) => ({
       tasks: Array.from({ length: step.count }, (_, index) => ({
         ...{ step, stepNumber, index },
@@ -91,12 +95,12 @@
 
   /** Time left before the rest has to start in order to be answered in its aim, ms; below 0 it is late. */
   slackMs(now: number): number {
-    return this.arrivedAt + this.objective.aimMs - this.restMs - now;
+    return this.begunAt + this.objective.aimMs - this.restMs - now;
   }
 
   /** Whether it can no longer be answered while the answer is of use, even if it had room now. */
   isHopeless(now: number): boolean {
-    return now + this.restMs > this.arrivedAt + this.objective.uselessMs;
+    return now + this.restMs > this.begunAt + this.objective.uselessMs;
   }
 
   /** The longest estimate of the tasks that are ready, ms; steps behind them are left out. */
--- a/src/batches/BatchEntry.ts
+++ b/src/batches/BatchEntry.ts
@@ -9,6 +9,7 @@
 import type BatchPolicy from './BatchPolicy';
 import type BatchEntryOptions from './BatchEntryOptions';
 import type BatchSubmission from './BatchSubmission';
+import CallerPatience from './CallerPatience';
 import DurationModel from './DurationModel';
 import EntryPeers from './EntryPeers';
 import LostSidecars from './LostSidecars';
@@ -45,6 +46,8 @@
 
   private readonly durations = DurationModel.create();
 
+  private readonly patience = CallerPatience.create();
+
   private readonly gaps: GapWatch;
 
   private readonly moves: Subscription;
@@ -206,7 +209,7 @@
     const refusal = this.admission.refusalOf(submission);
     if (refusal) return refusal;
     const earlier = this.batches.endingOf(id);
-    const batch = Batch.accept(this.withExpectedTimes(submission), this.opts.timer.now());
+    const batch = Batch.accept(this.withExpectations(submission), this.opts.timer.now());
     const tooLate = this.admission.refuseIfTooLate(batch);
     if (tooLate) return tooLate;
     this.accepted(batch, earlier.length);
@@ -216,19 +219,21 @@
     return answer;
   }
 
-  /** The batch with how long its tasks are expected to take, by what was seen of their queue. */
-  private withExpectedTimes(submission: BatchSubmission): BatchSubmission {
-    const { name } = submission.queue;
+  /** The batch with how long its tasks are expected to take and its caller's time, by what its queue has shown. */
+  private withExpectations(submission: BatchSubmission): BatchSubmission {
+    const { queue, waitMs, ageMs = 0 } = submission;
+    const { name } = queue;
+    const spentMs = this.policy.spent(this.patience, name, ageMs + waitMs);
     const steps = submission.steps.map((step) => ({
       ...step,
       statedMs: step.estimateMs,
       estimateMs: this.policy.expect(this.durations, name, step.estimateMs),
     }));
-    return { ...submission, steps };
+    return { ...submission, steps, spentMs };
   }
 
   private accepted(batch: Batch, earlier: number): void {
-    const { id, queue, steps, waitMs } = batch.submission;
+    const { id, queue, steps, waitMs, spentMs } = batch.submission;
     this.batches.add(batch);
     this.opts.metrics?.add('batches_accepted_total', 1, queue.name);
     this.opts.log.info('a batch is accepted', {
@@ -238,7 +243,7 @@
       tasks: steps.reduce((sum, { count }) => sum + count, 0),
       estimateMs: steps.map(({ estimateMs }) => estimateMs),
       statedMs: steps.map(({ statedMs }) => statedMs),
-      waitMs,
+      ...{ waitMs, spentMs },
       queued: this.scheduler.queued,
       sidecars: this.peers.sidecars.size,
       earlier,
--- a/src/batches/BatchPolicy.ts
+++ b/src/batches/BatchPolicy.ts
@@ -1,3 +1,4 @@
+import type CallerPatience from './CallerPatience';
 import type choosePeer from './choosePeer';
 import type DurationModel from './DurationModel';
 import type findShunned from './findShunned';
@@ -12,6 +13,8 @@
 export default interface BatchPolicy {
   /** How long a task is expected to take, by its estimate and what was seen of its queue. */
   readonly expect: (durations: DurationModel, queue: string, estimateMs: number) => number;
+  /** Time that a caller seems to have spent elsewhere before, by how long it says that it waits. */
+  readonly spent: (patience: CallerPatience, queue: string, waitMs: number) => number;
   /** How urgently a batch waits, and so the order in which batches get room. */
   readonly urgency: typeof urgencyOf;
   /** Where a task starts, if anywhere now. */
--- a/src/batches/BatchSubmission.ts
+++ b/src/batches/BatchSubmission.ts
@@ -11,6 +11,8 @@
   readonly steps: readonly BatchStep[];
   /** Time since its request arrived, ms; it counts towards its objective. */
   readonly ageMs?: number;
+  /** Time that its caller seems to have spent before that, ms; it counts towards its objective as well. */
+  readonly spentMs?: number;
   /** How long the caller still waits for the answer, ms. */
   readonly waitMs: number;
 }
--- a/src/batches/Objective.ts
+++ b/src/batches/Objective.ts
@@ -8,14 +8,14 @@
   private constructor(
     /** The longest chain of estimated work, ms. */
     readonly chainMs: number,
-    /** Time from the arrival to the answer, ms. */
+    /** Time from the caller's first try to the answer, ms. */
     readonly aimMs: number,
-    /** Time from the arrival after which the answer is of no use, ms. */
+    /** Time from the caller's first try after which the answer is of no use, ms. */
     readonly uselessMs: number,
   ) {}
 
   /** The objective of a batch as submitted. */
-  static of({ steps, queue, waitMs, ageMs = 0 }: BatchSubmission): Objective {
+  static of({ steps, queue, waitMs, ageMs = 0, spentMs = 0 }: BatchSubmission): Objective {
     const chains: number[] = [];
     steps.forEach(({ after, estimateMs }) => {
       const before = Math.max(0, ...after.map((number) => chains[number] ?? 0));
@@ -23,7 +23,7 @@
     });
     const chainMs = Math.max(0, ...chains);
     const aimMs = queue.stretch * chainMs + queue.targetLatencyMs;
-    return new Objective(chainMs, aimMs, Math.min(aimMs * USELESS, ageMs + waitMs));
+    return new Objective(chainMs, aimMs, Math.min(aimMs * USELESS, spentMs + ageMs + waitMs));
   }
 }
 
--- a/src/batches/standardPolicy.ts
+++ b/src/batches/standardPolicy.ts
@@ -8,6 +8,7 @@
 /** The decisions that entries make unless others are tried. */
 const standardPolicy: BatchPolicy = {
   expect: (durations, queue, estimateMs) => durations.expect(queue, estimateMs),
+  spent: (patience, queue, waitMs) => patience.hear(queue, waitMs),
   urgency: urgencyOf,
   choose: choosePeer,
   shun: findShunned,
--- a/test/batches/decisions.test.ts
+++ b/test/batches/decisions.test.ts
@@ -178,6 +178,12 @@
   expect([one.isHopeless(1_319), one.isHopeless(1_321)]).toEqual([false, true]);
 });
 
+test('what its caller has spent before counts towards its objective', () => {
+  const { submission } = batch('a');
+  const one = Batch.accept({ ...submission, spentMs: 1_000 }, 0);
+  expect([one.isHopeless(319), one.isHopeless(321)]).toEqual([false, true]);
+});
+
 test.each([
   ['crawls', { slowness: 8, at: 300 }, true],
   ['is nearly done', { slowness: 1.4, at: 300 }, false],
