Give a backend server that leaves two calls unanswered nothing new, and suspect silent sidecars sooner

Cause: a backend server that goes dark was given orders until 500 ms without an answer had passed, and a sidecar that is cut off for 750 ms; each such order is known to be over only when its lease has passed, over a second later, and its batch, of eight tasks on eight servers, is late or lost with it. Change: after two calls in a row without an answer (20 and 40 ms beside a quick backend server) the sidecar takes no new orders and says so, until anything is answered; what runs there is looked at as before. Entries suspect a sidecar after 450 ms without a pulse, which come every 250. The new test fails before.

--- a/src/peering/pulseLimits.ts
+++ b/src/peering/pulseLimits.ts
@@ -12,8 +12,12 @@
    * killing them takes some 100 ms.
    */
   ownerSilenceMs: 650,
-  /** After this long without a sidecar's pulse an entry gives it no more tasks. */
-  suspectMs: 750,
+  /**
+   * After this long without a sidecar's pulse an entry gives it no more tasks: one interval, and what a
+   * busy process may be late. Being wrong costs nothing while others have room; each task ordered from a
+   * sidecar that is cut off makes its whole batch late.
+   */
+  suspectMs: 450,
   /** After this long without a sidecar's pulse an entry closes the link. */
   closeMs: 1_500,
   /** How often this process looks whether it was held up. */
--- a/src/runs/BackendLife.ts
+++ b/src/runs/BackendLife.ts
@@ -43,7 +43,10 @@
 
   private constructor(private readonly opts: BackendLifeOptions) {
     const { timer, report, backend, log, changed } = opts;
-    const presence = BackendPresence.create(timer, (reason) => this.over(reason));
+    const presence = BackendPresence.create(timer, {
+      ended: (reason) => this.over(reason),
+      doubtChanged: () => this.doubtChanged(),
+    });
     this.presence = presence;
     this.newest = report;
     this.lease = BackendLease.of(timer, report.clockMs);
@@ -77,7 +80,8 @@
 
   /** Whether new tasks are taken now. */
   get isAccepting(): boolean {
-    return this.presence.state === 'open' && !this.newest.draining;
+    const { state, isDoubted } = this.presence;
+    return state === 'open' && !isDoubted && !this.newest.draining;
   }
 
   /** Whether nothing of an earlier sidecar is left running here. */
@@ -177,6 +181,16 @@
     this.opts.changed();
   }
 
+  private doubtChanged(): void {
+    const { isDoubted, silentMs } = this.presence;
+    this.opts.log.info('whether the backend server answers has changed', {
+      ...{ backend: this.newest.id, isDoubted, silentMs: Math.round(silentMs) },
+      running: this.held.size,
+    });
+    this.looks.soon();
+    this.opts.changed();
+  }
+
   private refusalOf(request: RunRequest): string | undefined {
     if (!this.isAccepting) return `the backend server takes no tasks (${this.presence.state})`;
     if (request.service !== this.newest.service) return 'it serves another service';
--- a/src/runs/BackendLooks.ts
+++ b/src/runs/BackendLooks.ts
@@ -62,7 +62,7 @@
     await this.clear();
     while (!presence.isOver) {
       const isIdle = held.size === 0 && this.acknowledgedEnd === this.seenEnd;
-      if (isIdle && presence.state === 'open') await this.work.wait();
+      if (isIdle && presence.state === 'open' && !presence.isDoubted) await this.work.wait();
       else await this.look();
     }
   }
--- a/src/runs/BackendPresence.ts
+++ b/src/runs/BackendPresence.ts
@@ -1,6 +1,13 @@
 import type TimerService from '../core/TimerService';
 import type BackendRunFailure from './BackendRunFailure';
 
+interface PresenceHandlers {
+  /** Told once, when the life is known to be over. */
+  readonly ended: (reason: string) => void;
+  /** Told when it comes to be doubted, and when it no longer is. */
+  readonly doubtChanged: () => void;
+}
+
 /**
  * Whether a life of a backend server is still there, by what calls to it have shown.
  * `clearing`: what an earlier sidecar left running is being stopped. `open`: it answers.
@@ -11,18 +18,20 @@
 
   private refusedConnections = 0;
 
+  private unanswered = 0;
+
   private answeredAt: number;
 
   private constructor(
     private readonly timer: TimerService,
-    private readonly ended: (reason: string) => void,
+    private readonly told: PresenceHandlers,
   ) {
     this.answeredAt = timer.now();
   }
 
-  /** Starts before the first call; `ended` is told once, when the life is known to be over. */
-  static create(timer: TimerService, ended: (reason: string) => void): BackendPresence {
-    return new BackendPresence(timer, ended);
+  /** Starts before the first call. */
+  static create(timer: TimerService, told: PresenceHandlers): BackendPresence {
+    return new BackendPresence(timer, told);
   }
 
   /** Whether the life is known to be over. */
@@ -30,6 +39,15 @@
     return this.state === 'over';
   }
 
+  /**
+   * Whether the newest calls were not answered, so that it gets nothing new before it answers one. It
+   * answers a backend server that has just gone dark: each task sent there would be late, and a batch is
+   * as late as its last task.
+   */
+  get isDoubted(): boolean {
+    return this.unanswered >= DOUBTED_AFTER;
+  }
+
   /** Time since a call was answered, ms. */
   get silentMs(): number {
     return this.timer.now() - this.answeredAt;
@@ -37,8 +55,11 @@
 
   /** A call was answered. */
   answered(): void {
+    const wasDoubted = this.isDoubted;
     this.refusedConnections = 0;
+    this.unanswered = 0;
     this.answeredAt = this.timer.now();
+    if (wasDoubted) this.told.doubtChanged();
   }
 
   /** Whether a failure shows that this life has ended; then it is ended here too. */
@@ -48,6 +69,7 @@
       this.end(failure.reason);
       return true;
     }
+    if (failure.kind === 'unanswered') this.missed();
     if (failure.kind !== 'closed') return false;
     this.refusedConnections += 1;
     if (this.refusedConnections < CLOSED_IS_GONE) return false;
@@ -59,9 +81,17 @@
   end(reason: string): void {
     if (this.isOver) return;
     this.state = 'over';
-    this.ended(reason);
+    this.told.ended(reason);
+  }
+
+  private missed(): void {
+    this.unanswered += 1;
+    if (this.unanswered === DOUBTED_AFTER) this.told.doubtChanged();
   }
 }
 
+/** Calls in a row without an answer after which a backend server gets nothing new: one may be lost. */
+const DOUBTED_AFTER = 2;
+
 /** Connections refused in a row by which nothing listens there any more: one could be a restart's gap. */
 const CLOSED_IS_GONE = 2;
--- a/test/runs/BackendLife.test.ts
+++ b/test/runs/BackendLife.test.ts
@@ -142,6 +142,21 @@
   expect([wasAccepting, runCase.host.isAccepting]).toEqual([false, true]);
 });
 
+test('a backend server that leaves two calls unanswered gets nothing new until it answers', async () => {
+  const { runCase, backend } = await RunCase.open();
+  for (let round = 0; round < 8; round += 1) {
+    runCase.order(`a${round}`, 4, { spec: '5' });
+    await runCase.timer.advance(20);
+  }
+  backend.fallSilent();
+  runCase.order('b', 1, { spec: '5' });
+  await runCase.timer.advance(100);
+  const inSilence = runCase.host.isAccepting;
+  backend.speak();
+  await runCase.timer.advance(200);
+  expect([inSilence, runCase.host.isAccepting]).toEqual([false, true]);
+});
+
 test('runs of a backend server whose process is gone are over at once', async () => {
   const { runCase, backend } = await RunCase.open();
   runCase.order('a');
