--- a/src/batches/Scheduler.ts
+++ b/src/batches/Scheduler.ts
@@ -31,6 +31,8 @@
 
   private sweep: Subscription | undefined;
 
+  private found: Found | undefined;
+
   private constructor(private readonly opts: SchedulerOptions) {}
 
   /** Creates a scheduler for which nothing waits. */
@@ -71,37 +73,48 @@
   }
 
   private assign(): void {
-    const { timer, policy, zone, peers: allPeers } = this.opts;
+    const { timer, zone, peers: allPeers } = this.opts;
     const now = timer.now();
     const peers = [...allPeers()];
-    const place = { peers, shunned: policy.shun(peers), zone, now };
+    const place = { peers, shunned: this.shunned(peers, now), zone, now };
     const heads = new Map<string, WaitingHead>();
-    this.line(now).forEach(({ batch, urgency }) => {
-      const { service } = batch.submission.queue;
-      // Room of the service is short, and nobody behind the first in line goes before it.
-      if (heads.has(service)) return;
-      const left = this.assignBatch(batch, place);
-      if (left) heads.set(service, { urgency, needs: left.step.needs });
-    });
+    let line = this.line(now);
+    while (line.length > 0) {
+      const first = line.reduce(firstOf);
+      const { service } = first.batch.submission.queue;
+      const left = this.assignBatch(first.batch, place);
+      if (left) heads.set(service, { urgency: first.urgency, needs: left.step.needs });
+      // Where room of the service is short, nobody behind the first in line goes before it.
+      line = line.filter(
+        (waiting) => waiting !== first && !heads.has(waiting.batch.submission.queue.service),
+      );
+    }
     peers.forEach((peer) => peer.flush(heads.get(peer.service)));
-    this.dropHopeless(now);
-    this.sweepLater();
+    if (this.backlog.length > 0) this.sweepLater();
   }
 
-  /** Looks again for what has become hopeless, also when nothing else wakes this scheduler. */
+  /** Looks whether what gets no room has become hopeless: not each time, since a long line takes long. */
   private sweepLater(): void {
-    if (this.sweep || this.backlog.length === 0) return;
-    this.sweep = this.opts.timer.after(SWEEP_MS, () => {
+    this.sweep ??= this.opts.timer.after(SWEEP_MS, () => {
       this.sweep = undefined;
+      this.dropHopeless(this.opts.timer.now());
       this.wake();
     });
   }
 
-  /** The backlog in the order in which it gets room. */
-  private line(now: number): readonly { readonly batch: Batch; readonly urgency: Urgency }[] {
-    const { policy } = this.opts;
-    const line = this.backlog.map((batch) => ({ batch, urgency: policy.urgency(batch, now) }));
-    return line.sort((a, b) => compareUrgencies(a.urgency, b.urgency));
+  /** The backend servers that get no work but trials, found anew after a moment or for other sidecars. */
+  private shunned(peers: readonly SidecarPeer[], now: number): ReadonlySet<SidecarPeer> {
+    const { found } = this;
+    if (found && now - found.at < SHUNNED_MS && found.among === peers.length) return found.shunned;
+    const shunned = this.opts.policy.shun(peers);
+    this.found = { shunned, at: now, among: peers.length };
+    return shunned;
+  }
+
+  /** The backlog, with how urgently each batch waits. */
+  private line(now: number): readonly Waiting[] {
+    const { urgency } = this.opts.policy;
+    return this.backlog.map((batch) => ({ batch, urgency: urgency(batch, now) }));
   }
 
   /** What got no room now and can no longer be of use is not kept waiting. */
@@ -138,6 +151,26 @@
   }
 }
 
+/** A batch in line. */
+interface Waiting {
+  readonly batch: Batch;
+  readonly urgency: Urgency;
+}
+
+function firstOf(a: Waiting, b: Waiting): Waiting {
+  return compareUrgencies(b.urgency, a.urgency) < 0 ? b : a;
+}
+
+/** Backend servers that were found to be shunned, among how many and when. */
+interface Found {
+  readonly shunned: ReadonlySet<SidecarPeer>;
+  readonly at: number;
+  readonly among: number;
+}
+
+/** How long such a finding stands, ms: it changes over some hundred. */
+const SHUNNED_MS = 10;
+
 /** A caller whose batch has become hopeless hears of it within this time, ms. */
 const SWEEP_MS = 50;
 
--- a/src/batches/SidecarPeer.ts
+++ b/src/batches/SidecarPeer.ts
@@ -40,6 +40,9 @@
 
   private reportedAt = 0;
 
+  /** What was reported without what was ordered since; asked for often, so it is kept. */
+  private left = Resources.none;
+
   private heardAt: number;
 
   private lastNumber = 0;
@@ -131,12 +134,7 @@
 
   /** Room that is left, as far as is known here. */
   get free(): Resources {
-    const { newestOrder } = this.room;
-    let { reported } = this;
-    this.runs.forEach(({ number, task }) => {
-      if (number > newestOrder) reported = reported.minus(task.step.needs);
-    });
-    return reported;
+    return this.left;
   }
 
   /** Tasks of the step of a batch that are there. */
@@ -151,6 +149,7 @@
     this.total = Resources.of(room.total ?? {});
     this.reported = Resources.of(room.free ?? {});
     this.reportedAt = this.timer.now();
+    this.reckonLeft();
   }
 
   /** Answers its pulse, which confirms to it that this entry is awake. */
@@ -170,6 +169,7 @@
     const run: OrderedRun = { number, batch, task, orderedAt, isStopping: false };
     this.runs.set(number, run);
     const { needs, estimateMs, mostTogether, label } = step;
+    this.left = this.left.minus(needs);
     const order = create(RunOrderSchema, {
       ...{ number, index, attempt, estimateMs, mostTogether, label },
       step: stepNumber,
@@ -236,9 +236,19 @@
     // The last report counted it as taken; the next one will not.
     const isCounted = !this.room.inTurns && number <= this.room.newestOrder;
     if (run && isCounted) this.reported = this.reported.plus(run.task.step.needs);
+    if (run) this.reckonLeft();
     return run;
   }
 
+  private reckonLeft(): void {
+    const { newestOrder } = this.room;
+    let left = this.reported;
+    this.runs.forEach(({ number, task }) => {
+      if (number > newestOrder) left = left.minus(task.step.needs);
+    });
+    this.left = left;
+  }
+
   /** Gives it no orders for a moment, since it has refused one. */
   pause(): void {
     this.pausedUntil = this.timer.now() + REFUSED_PAUSE_MS;
--- a/src/runs/RoomReports.ts
+++ b/src/runs/RoomReports.ts
@@ -1,4 +1,4 @@
-import { create, equals } from '@bufbuild/protobuf';
+import { create } from '@bufbuild/protobuf';
 import type Subscription from '../core/Subscription';
 import type TimerService from '../core/TimerService';
 import { type Room, RoomSchema } from '../gen/magnoliakeel/v1/peer_pb';
@@ -105,13 +105,14 @@
 
 /** Whether an entry that was told `before` should hear of the room as it is now. */
 function isNews(room: Room, held: Resources, { room: before, held: heldThen }: Told): boolean {
-  const { newestOrder } = before;
-  const isLike = equals(RoomSchema, { ...room, newestOrder, free: before.free }, before);
-  if (!isLike) return true;
+  if (tellings.some((field) => room[field] !== before[field])) return true;
+  if (room.labels.join() !== before.labels.join()) return true;
   const total = Resources.of(room.total ?? {});
+  const toldTotal = Resources.of(before.total ?? {});
   const actual = Resources.of(room.free ?? {});
   const told = Resources.of(before.free ?? {});
   return kinds.some((kind) => {
+    if (total[kind] !== toldTotal[kind]) return true;
     // An order that was refused changes nothing here: to tell of it would have it sent again at once.
     if (room.inTurns) return actual[kind] !== told[kind];
     const believed = told[kind] + heldThen[kind] - held[kind];
@@ -120,6 +121,9 @@
   });
 }
 
+/** What a report tells besides amounts and labels. */
+const tellings = ['backend', 'service', 'accepting', 'inTurns', 'slowness', 'failing'] as const;
+
 const kinds = ['cpuMilli', 'memoryMb', 'accelerators'] as const;
 
 /**
