--- a/src/batches/Admission.ts
+++ b/src/batches/Admission.ts
@@ -1,20 +1,16 @@
 import type Random from '../core/Random';
-import type TimerService from '../core/TimerService';
 import type EventLog from '../observe/EventLog';
 import ENTRIES_PER_SIDECAR from '../peering/ENTRIES_PER_SIDECAR';
 import type Batch from './Batch';
 import type BatchAnswer from './BatchAnswer';
-import type BatchPolicy from './BatchPolicy';
 import type BatchSubmission from './BatchSubmission';
-import compareUrgencies from './compareUrgencies';
+import predictWait from './predictWait';
 import refusalTimes from './refusalTimes';
 import type SidecarPeer from './SidecarPeer';
 
 interface AdmissionOptions {
-  readonly timer: TimerService;
   readonly random: Random;
   readonly log: EventLog;
-  readonly policy: BatchPolicy;
   /** Sidecars linked now. */
   readonly peers: () => Iterable<SidecarPeer>;
   /** Batches with tasks that wait for room, in no order. */
@@ -26,8 +22,8 @@
 }
 
 /**
- * Says which batches an entry takes. It answers bursts and outages: what cannot run, or would end so
- * late that its answer is of no use, is refused at once, as not run, with a time to come back.
+ * Says which batches an entry takes, and when refused callers are to come back. It answers outages: what
+ * cannot run is refused at once, as not run.
  */
 export default class Admission {
   private constructor(private readonly opts: AdmissionOptions) {}
@@ -56,37 +52,12 @@
     return unfit && 'a task needs more than any backend server has';
   }
 
-  /** Why a batch would be answered too late, should it be taken; undefined when it would not. */
-  refuseIfTooLate(batch: Batch): BatchAnswer | undefined {
-    const backlog = this.opts.backlog();
-    // While sidecars come one after the other, the room there is says little of what there will be.
-    if (backlog.length === 0 || this.opts.isStarting()) return undefined;
-    const now = this.opts.timer.now();
-    const { urgency } = this.opts.policy;
-    const own = urgency(batch, now);
-    const ahead = backlog.filter((other) => compareUrgencies(urgency(other, now), own) <= 0);
-    const waitMs = this.waitBehind(ahead);
-    if (!batch.isHopeless(now + waitMs)) return undefined;
-    const reason = 'it would wait longer than its answer is of use';
-    this.opts.log.info('a batch is refused', {
-      request: batch.id,
-      ...{ reason, waitMs: Math.round(waitMs), ahead: ahead.length },
-      entries: this.opts.entryCount(),
-      ...batch.objective,
-    });
-    return { kind: 'not-run', reason, retryAfterMs: this.retryAfter(waitMs) };
-  }
-
-  /** The answer to a batch that has waited in vain: the line moved more slowly than predicted. */
+  /** The answer to a batch that has waited in vain: the caller comes back when the line should be gone. */
   refuseWaiting(): BatchAnswer {
-    const waitMs = this.waitBehind(this.opts.backlog());
-    const reason = 'it has waited until its answer is of no use';
-    return { kind: 'not-run', reason, retryAfterMs: this.retryAfter(waitMs) };
-  }
-
-  private waitBehind(ahead: readonly Batch[]): number {
     const sharing = Math.min(this.opts.entryCount(), ENTRIES_PER_SIDECAR);
-    return this.opts.policy.predict(ahead, [...this.opts.peers()], sharing);
+    const waitMs = predictWait(this.opts.backlog(), [...this.opts.peers()], sharing);
+    const reason = 'there was no room for it in time';
+    return { kind: 'not-run', reason, retryAfterMs: this.retryAfter(waitMs) };
   }
 
   /** The predicted wait, spread so that callers do not come back together. */
--- a/src/batches/Batch.ts
+++ b/src/batches/Batch.ts
@@ -103,6 +103,16 @@
     return now + this.restMs > this.begunAt + this.objective.uselessMs;
   }
 
+  /**
+   * Whether nothing of it has run and waiting on is of no use to its caller: it is hopeless, or has
+   * waited for half of its caller's time, who can turn elsewhere with the other half.
+   */
+  isWaitingInVain(now: number): boolean {
+    if (!this.hasNotRun) return false;
+    const { ageMs = 0, waitMs } = this.submission;
+    return this.isHopeless(now) || now - this.arrivedAt > (ageMs + waitMs) / 2;
+  }
+
   /** The longest estimate of the tasks that are ready, ms; steps behind them are left out. */
   private get restMs(): number {
     return this.ready.reduce((most, { step }) => Math.max(most, step.estimateMs), 0);
--- a/src/batches/BatchEntry.ts
+++ b/src/batches/BatchEntry.ts
@@ -71,11 +71,11 @@
     const sidecars = (): ReadonlySet<SidecarPeer> => this.peers.sidecars;
     this.scheduler = Scheduler.create({
       ...{ timer, zone, policy, peers: sidecars },
-      hopeless: (batch) => this.batches.finish(batch, this.admission.refuseWaiting()),
+      vain: (batch) => this.batches.finish(batch, this.admission.refuseWaiting()),
       ordered: (batch, starts) => this.ordered(batch, starts),
     });
     this.admission = Admission.create({
-      ...{ timer, random, log, policy, peers: sidecars },
+      ...{ random, log, peers: sidecars },
       backlog: () => this.scheduler.backlog,
       entryCount: () => this.peers.entryCount,
       isStarting: () => this.startup.isGoingOn,
@@ -210,8 +210,6 @@
     if (refusal) return refusal;
     const earlier = this.batches.endingOf(id);
     const batch = Batch.accept(this.withExpectations(submission), this.opts.timer.now());
-    const tooLate = this.admission.refuseIfTooLate(batch);
-    if (tooLate) return tooLate;
     this.accepted(batch, earlier.length);
     const answer = this.batches.join(batch, gone);
     await Promise.all(earlier.map((each) => each.idle()));
--- a/src/batches/BatchPolicy.ts
+++ b/src/batches/BatchPolicy.ts
@@ -2,7 +2,6 @@
 import type choosePeer from './choosePeer';
 import type DurationModel from './DurationModel';
 import type findShunned from './findShunned';
-import type predictWait from './predictWait';
 import type urgencyOf from './urgencyOf';
 import type worthMoving from './worthMoving';
 
@@ -21,8 +20,6 @@
   readonly choose: typeof choosePeer;
   /** Backend servers that get no work but trials. */
   readonly shun: typeof findShunned;
-  /** How long a new batch would wait for room. */
-  readonly predict: typeof predictWait;
   /** Whether a run at a shunned backend server is stopped and started elsewhere. */
   readonly move: typeof worthMoving;
 }
--- a/src/batches/Scheduler.ts
+++ b/src/batches/Scheduler.ts
@@ -14,8 +14,8 @@
   readonly zone: string;
   readonly policy: BatchPolicy;
   readonly peers: () => Iterable<SidecarPeer>;
-  /** Told of a batch of which nothing has run and that cannot be answered in time any more. */
-  readonly hopeless: (batch: Batch) => void;
+  /** Told of a batch of which nothing has run and that waits in vain. */
+  readonly vain: (batch: Batch) => void;
   /** Told of the starts of a batch that are ordered in one turn. */
   readonly ordered: (batch: Batch, starts: readonly OrderedStart[]) => void;
 }
@@ -97,7 +97,7 @@
   private sweepLater(): void {
     this.sweep ??= this.opts.timer.after(SWEEP_MS, () => {
       this.sweep = undefined;
-      this.dropHopeless(this.opts.timer.now());
+      this.dropVain(this.opts.timer.now());
       this.wake();
     });
   }
@@ -118,10 +118,10 @@
   }
 
   /** What got no room now and can no longer be of use is not kept waiting. */
-  private dropHopeless(now: number): void {
+  private dropVain(now: number): void {
     this.backlog
-      .filter((batch) => batch.hasNotRun && batch.isHopeless(now))
-      .forEach((batch) => this.opts.hopeless(batch));
+      .filter((batch) => batch.isWaitingInVain(now))
+      .forEach((batch) => this.opts.vain(batch));
   }
 
   /** Starts what can be started of a batch; returns the first task for which room is short. */
--- a/src/batches/predictWait.ts
+++ b/src/batches/predictWait.ts
@@ -2,18 +2,17 @@
 import type SidecarPeer from './SidecarPeer';
 
 /**
- * How long a new batch would wait for room, ms: the work that goes before it at this entry, over
- * this entry's share of the backend servers. It answers bursts, in which holding everything makes
- * everything late. Other entries are taken to have as much to do as this one, because callers are
- * spread over them by chance. Nothing waits while there is room for it.
+ * How long the line at this entry lasts, ms: its work over this entry's share of the backend servers.
+ * Callers that are refused are told to come back when it should be gone. Other entries are taken to have
+ * as much to do as this one, because callers are spread over them by chance.
  */
 export default function predictWait(
-  ahead: readonly Batch[],
+  line: readonly Batch[],
   peers: readonly SidecarPeer[],
   entries: number,
 ): number {
   const cores = peers.reduce((sum, { capacity }) => sum + capacity.cpuMilli, 0);
   if (cores === 0) return 0;
-  const work = ahead.reduce((sum, batch) => sum + batch.waitingWork, 0);
+  const work = line.reduce((sum, batch) => sum + batch.waitingWork, 0);
   return (work / cores) * Math.max(1, entries);
 }
--- a/src/batches/standardPolicy.ts
+++ b/src/batches/standardPolicy.ts
@@ -1,7 +1,6 @@
 import type BatchPolicy from './BatchPolicy';
 import choosePeer from './choosePeer';
 import findShunned from './findShunned';
-import predictWait from './predictWait';
 import urgencyOf from './urgencyOf';
 import worthMoving from './worthMoving';
 
@@ -12,7 +11,6 @@
   urgency: urgencyOf,
   choose: choosePeer,
   shun: findShunned,
-  predict: predictWait,
   move: worthMoving,
 };
 
--- a/test/batches/decisions.test.ts
+++ b/test/batches/decisions.test.ts
@@ -145,6 +145,27 @@
   expect(compareUrgencies(first, second)).toBeLessThan(0);
 });
 
+test('what has ample time lets pass what is late, what has little does not', () => {
+  const late = batch('late', {}, 0, 0);
+  const ample = batch('ample', { estimateMs: 1_300 }, 2, 600);
+  const little = batch('little', {}, 1, 600);
+  const order = [late, ample, little]
+    .sort((a, b) => compareUrgencies(urgencyOf(a, 601), urgencyOf(b, 601)))
+    .map(({ id }) => id);
+  expect(order).toEqual(['little', 'late', 'ample']);
+});
+
+test('a batch that has not run waits for half of its caller time at most', () => {
+  const one = batch('a', { estimateMs: 1_300 });
+  expect([one.isWaitingInVain(2_499), one.isWaitingInVain(2_501)]).toEqual([false, true]);
+});
+
+test('a batch that has begun does not wait in vain', () => {
+  const one = batch('a');
+  one.starting(one.ready[0]!);
+  expect(one.isWaitingInVain(4_000)).toBe(false);
+});
+
 test('among the late the small go first, and the hopeless last', () => {
   const now = 1_000;
   const batches = [
@@ -166,7 +187,7 @@
   expect(compareUrgencies(first, second)).toBeLessThan(0);
 });
 
-test('the wait is the work ahead over the share of the backend servers', () => {
+test('the wait is the work in line over the share of the backend servers', () => {
   const ahead = [batch('a', { count: 32 })];
   const peers = [sidecar({ name: 'a', freeMilli: 0 })];
   expect(predictWait(ahead, peers, 3)).toBe((32 * 6_000 * 300 * 3) / 64_000);
--- a/tools/replay/policies.ts
+++ b/tools/replay/policies.ts
@@ -13,7 +13,6 @@
     ...standardPolicy,
     urgency: ({ arrivedAt }, now) => ({ rank: 0, slackMs: arrivedAt - now }),
     shun: () => nobody,
-    predict: () => 0,
     move: () => false,
   },
   /** The queue's priority, then first come, first served. */
@@ -30,8 +29,10 @@
   },
   /** Slow and failing backend servers get as much as the others. */
   blind: { ...standardPolicy, shun: () => nobody },
-  /** Everything is taken, however long it would wait. */
-  patient: { ...standardPolicy, predict: () => 0 },
+  /** Estimates are taken as they come. */
+  stated: { ...standardPolicy, expect: (_durations, _queue, estimateMs) => estimateMs },
+  /** Runs stay where they are, however they crawl. */
+  still: { ...standardPolicy, move: () => false },
 };
 
 function byPriority({ submission, arrivedAt }: Batch, now: number): Urgency {
