--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -32,8 +32,10 @@
 await mkdir('platform/gen', { recursive: true });
 const { address, text: nonEmpty, count, ...wireSchema } = expand(wire, wire).$defs;
 await writeConstant('wireSchema', wireSchema, 'platform/gen');
+// Items are parts of lists and events, which are checked as a whole.
+const { storeItem, ...messages } = wireSchema;
 await Promise.all(
-  Object.entries(wireSchema).map(([name, schema]) =>
+  Object.entries(messages).map(([name, schema]) =>
     writeValidator(`validate${name[0].toUpperCase()}${name.slice(1)}`, schema, 'platform/gen'),
   ),
 );
--- a/src/batches/BatchEntry.ts
+++ b/src/batches/BatchEntry.ts
@@ -9,9 +9,8 @@
 import type BatchPolicy from './BatchPolicy';
 import type BatchEntryOptions from './BatchEntryOptions';
 import type BatchSubmission from './BatchSubmission';
-import CallerPatience from './CallerPatience';
-import DurationModel from './DurationModel';
 import EntryPeers from './EntryPeers';
+import Expectations from './Expectations';
 import LostSidecars from './LostSidecars';
 import OpenBatches from './OpenBatches';
 import type OrderedRun from './OrderedRun';
@@ -44,9 +43,7 @@
 
   private readonly startup: Startup;
 
-  private readonly durations = DurationModel.create();
-
-  private readonly patience = CallerPatience.create();
+  private readonly expectations: Expectations;
 
   private readonly gaps: GapWatch;
 
@@ -58,6 +55,7 @@
     const { timer, random, log, metrics, zone, policy = standardPolicy } = opts;
     this.policy = policy;
     this.startup = Startup.begin(timer);
+    this.expectations = Expectations.create(policy);
     this.peers = EntryPeers.create({
       ...opts,
       table: () => this.table,
@@ -71,7 +69,7 @@
     const sidecars = (): ReadonlySet<SidecarPeer> => this.peers.sidecars;
     this.scheduler = Scheduler.create({
       ...{ timer, zone, policy, peers: sidecars },
-      vain: (batch) => this.batches.finish(batch, this.admission.refuseWaiting()),
+      waitedInVain: (batch) => this.batches.finish(batch, this.admission.refuseWaiting()),
       ordered: (batch, starts) => this.ordered(batch, starts),
     });
     this.admission = Admission.create({
@@ -209,7 +207,7 @@
     const refusal = this.admission.refusalOf(submission);
     if (refusal) return refusal;
     const earlier = this.batches.endingOf(id);
-    const batch = Batch.accept(this.withExpectations(submission), this.opts.timer.now());
+    const batch = Batch.accept(this.expectations.fillIn(submission), this.opts.timer.now());
     this.accepted(batch, earlier.length);
     const answer = this.batches.join(batch, gone);
     await Promise.all(earlier.map((each) => each.idle()));
@@ -217,19 +215,6 @@
     return answer;
   }
 
-  /** The batch with how long its tasks are expected to take and its caller's time, by what its queue has shown. */
-  private withExpectations(submission: BatchSubmission): BatchSubmission {
-    const { queue, waitMs, ageMs = 0 } = submission;
-    const { name } = queue;
-    const spentMs = this.policy.spent(this.patience, name, ageMs + waitMs);
-    const steps = submission.steps.map((step) => ({
-      ...step,
-      statedMs: step.estimateMs,
-      estimateMs: this.policy.expect(this.durations, name, step.estimateMs),
-    }));
-    return { ...submission, steps, spentMs };
-  }
-
   private accepted(batch: Batch, earlier: number): void {
     const { id, queue, steps, waitMs, spentMs } = batch.submission;
     this.batches.add(batch);
@@ -318,11 +303,8 @@
   }
 
   private taskDone(run: OrderedRun, peer: SidecarPeer, now: number): void {
-    const { batch, task, orderedAt } = run;
-    const { name } = batch.submission.queue;
-    if ((peer.slowness ?? 1) < SLOW) {
-      this.durations.learn(name, task.step.statedMs ?? task.step.estimateMs, now - orderedAt);
-    }
+    const { batch, task } = run;
+    this.expectations.learn(run, peer, now);
     batch.done(task, now);
     if (batch.answer) this.batches.close(batch, batch.answer);
   }
@@ -360,9 +342,6 @@
   };
 }
 
-/** Slowness from which what is done at a backend server says nothing of the tasks. */
-const SLOW = 2;
-
 /** How often a leaving entry looks whether its batches are answered, ms. */
 const LEAVE_POLL_MS = 20;
 
--- /dev/null
+++ b/src/batches/Expectations.ts
@@ -0,0 +1,46 @@
+import type BatchPolicy from './BatchPolicy';
+import type BatchSubmission from './BatchSubmission';
+import CallerPatience from './CallerPatience';
+import DurationModel from './DurationModel';
+import type OrderedRun from './OrderedRun';
+import type SidecarPeer from './SidecarPeer';
+
+/**
+ * What an entry expects of a batch beyond what its caller says: how long its tasks take, and how much of
+ * its caller's time is over. Both are learned from the batches of the same queue.
+ */
+export default class Expectations {
+  private readonly durations = DurationModel.create();
+
+  private readonly patience = CallerPatience.create();
+
+  private constructor(private readonly policy: BatchPolicy) {}
+
+  /** Creates the expectations of an entry that has seen no batch. */
+  static create(policy: BatchPolicy): Expectations {
+    return new Expectations(policy);
+  }
+
+  /** The submission with what is expected of it; what the caller said of its tasks is kept beside that. */
+  fillIn(submission: BatchSubmission): BatchSubmission {
+    const { queue, waitMs, ageMs = 0 } = submission;
+    const { name } = queue;
+    const spentMs = this.policy.spent(this.patience, name, ageMs + waitMs);
+    const steps = submission.steps.map((step) => ({
+      ...step,
+      statedMs: step.estimateMs,
+      estimateMs: this.policy.expect(this.durations, name, step.estimateMs),
+    }));
+    return { ...submission, steps, spentMs };
+  }
+
+  /** A run is done; at a slow backend server that says nothing of its task. */
+  learn({ batch, task, orderedAt }: OrderedRun, peer: SidecarPeer, now: number): void {
+    if ((peer.slowness ?? 1) >= SLOW) return;
+    const { statedMs, estimateMs } = task.step;
+    this.durations.learn(batch.submission.queue.name, statedMs ?? estimateMs, now - orderedAt);
+  }
+}
+
+/** Times the estimates that runs take at a backend server from which it counts as slow here. */
+const SLOW = 2;
--- a/src/batches/Scheduler.ts
+++ b/src/batches/Scheduler.ts
@@ -15,7 +15,7 @@
   readonly policy: BatchPolicy;
   readonly peers: () => Iterable<SidecarPeer>;
   /** Told of a batch of which nothing has run and that waits in vain. */
-  readonly vain: (batch: Batch) => void;
+  readonly waitedInVain: (batch: Batch) => void;
   /** Told of the starts of a batch that are ordered in one turn. */
   readonly ordered: (batch: Batch, starts: readonly OrderedStart[]) => void;
 }
@@ -93,11 +93,11 @@
     if (this.backlog.length > 0) this.sweepLater();
   }
 
-  /** Looks whether what gets no room has become hopeless: not each time, since a long line takes long. */
+  /** Looks whether what gets no room waits in vain: not each time, since a long line takes long. */
   private sweepLater(): void {
     this.sweep ??= this.opts.timer.after(SWEEP_MS, () => {
       this.sweep = undefined;
-      this.dropVain(this.opts.timer.now());
+      this.refuseWaitingInVain(this.opts.timer.now());
       this.wake();
     });
   }
@@ -118,10 +118,10 @@
   }
 
   /** What got no room now and can no longer be of use is not kept waiting. */
-  private dropVain(now: number): void {
+  private refuseWaitingInVain(now: number): void {
     this.backlog
       .filter((batch) => batch.isWaitingInVain(now))
-      .forEach((batch) => this.opts.vain(batch));
+      .forEach((batch) => this.opts.waitedInVain(batch));
   }
 
   /** Starts what can be started of a batch; returns the first task for which room is short. */
@@ -171,7 +171,7 @@
 /** How long such a finding stands, ms: it changes over some hundred. */
 const SHUNNED_MS = 10;
 
-/** A caller whose batch has become hopeless hears of it within this time, ms. */
+/** A caller whose batch waits in vain hears of it within this time, ms. */
 const SWEEP_MS = 50;
 
 /** Where tasks may go, the same for all that are assigned in one turn. */
