--- a/src/batches/Batch.ts
+++ b/src/batches/Batch.ts
@@ -33,7 +33,7 @@
   readonly objective: Objective;
 
   /** When its caller's first try was made, as far as is known. */
-  private readonly begunAt: number;
+  private readonly firstTriedAt: number;
 
   private readonly steps: readonly StepProgress[];
 
@@ -49,7 +49,7 @@
     readonly arrivedAt: number,
   ) {
     this.objective = Objective.of(submission);
-    this.begunAt = arrivedAt - (submission.spentMs ?? 0);
+    this.firstTriedAt = arrivedAt - (submission.spentMs ?? 0);
     this.steps = submission.steps.map((step, stepNumber) => ({
       tasks: Array.from({ length: step.count }, (_, index) => ({
         ...{ step, stepNumber, index },
@@ -95,12 +95,12 @@
 
   /** Time left before the rest has to start in order to be answered in its aim, ms; below 0 it is late. */
   slackMs(now: number): number {
-    return this.begunAt + this.objective.aimMs - this.restMs - now;
+    return this.firstTriedAt + this.objective.aimMs - this.restMs - now;
   }
 
   /** Whether it can no longer be answered while the answer is of use, even if it had room now. */
   isHopeless(now: number): boolean {
-    return now + this.restMs > this.begunAt + this.objective.uselessMs;
+    return now + this.restMs > this.firstTriedAt + this.objective.uselessMs;
   }
 
   /**
