Ask a store that is silent at the start again after 0.4 s, not after 1.5

Change: a list is waited for 0.4 s, after each failure twice as long up to 1.5 s. The new test fails before.

--- a/src/membership/StoreFollower.ts
+++ b/src/membership/StoreFollower.ts
@@ -20,6 +20,9 @@
 
   private isLost = false;
 
+  /** Lists that failed since the last one was had. */
+  private failedLists = 0;
+
   private constructor(private readonly opts: StoreFollowerOptions) {}
 
   /** Creates a follower that asks nothing before `run`. */
@@ -54,9 +57,10 @@
     // A connection may go silent without a reset, so a watch after a failure comes back sooner.
     const waitMs = this.isLost ? DOUBTED_WATCH_MS : WATCH_MS;
     const res = isFirst
-      ? await store.list(prefix)
+      ? await store.list(prefix, Math.min(LIST_LIMIT_MS, FIRST_LIST_MS * 2 ** this.failedLists))
       : await store.watch(prefix, this.revision!, waitMs, signal);
     if (res.isErr()) {
+      if (isFirst) this.failedLists += 1;
       if (res.error.kind === 'compacted') {
         this.revision = undefined;
         return undefined;
@@ -64,6 +68,7 @@
       return res.error.reason;
     }
     this.revision = res.value.revision;
+    this.failedLists = 0;
     res.value.items.forEach(({ key, value }) => put(key, value));
     if (isFirst && res.value.items.length === 0) await timer.sleep(EMPTY_MS, signal);
     return undefined;
@@ -77,6 +82,15 @@
 /** The same until the first list was had, ms: callers wait for what is in it. */
 const FIRST_LIST_LIMIT_MS = 200;
 
+/**
+ * How long a list is waited for, ms, twice as long after each that failed: a store that was silent answers
+ * nothing of before when it is back, and callers wait for the first list of a process. It answers within
+ * some milliseconds, and within a few hundred when it is slow. After a silence of 6 s the first list came
+ * 0.7 s late with a fixed 1,500.
+ */
+const FIRST_LIST_MS = 400;
+const LIST_LIMIT_MS = 1_500;
+
 /** How long a watch waits. Each call is paid for; a silent connection is noticed after this, ms. */
 const WATCH_MS = 5_000;
 const DOUBTED_WATCH_MS = 1_000;
--- a/src/store/WatchedStore.ts
+++ b/src/store/WatchedStore.ts
@@ -4,8 +4,8 @@
 
 /** What of the key-value service it takes to follow the keys under a prefix. */
 export default interface WatchedStore {
-  /** All keys with the prefix. */
-  list(prefix: string): ResultAsync<StoreChanges, WatchError>;
+  /** All keys with the prefix; the answer may be waited for so long, in ms, or as long as is usual. */
+  list(prefix: string, answerMs?: number): ResultAsync<StoreChanges, WatchError>;
 
   /** Waits for changes under the prefix after a revision; returns without any once the wait is over. */
   watch(
--- a/test/usersPlatform/store.test.ts
+++ b/test/usersPlatform/store.test.ts
@@ -93,3 +93,14 @@
   await store.close();
   expect(paths.slice(0, 5)).toEqual(['kv-lease', 'kv-txn', 'kv-keep/1', 'kv-lease', 'kv-txn']);
 });
+
+test('a first list that gets no answer is asked for again after four tenths of a second', async () => {
+  const store = await HttpStandIn.open(() =>
+    store.calls.length === 1
+      ? 'silence'
+      : { status: 200, body: { items: [item('op/config', 'one', 4)], at: 5 } },
+  );
+  const startedAt = timer.now();
+  const values = await follow(store, 1);
+  expect([values, timer.now() - startedAt < 1_400]).toEqual([['one'], true]);
+});
