--- a/src/batches/Batch.ts
+++ b/src/batches/Batch.ts
@@ -103,14 +103,9 @@
     return now + this.restMs > this.firstTriedAt + this.objective.uselessMs;
   }
 
-  /**
-   * Whether nothing of it has run and waiting on is of no use to its caller: it is hopeless, or has
-   * waited for half of its caller's time, who can turn elsewhere with the other half.
-   */
+  /** Whether nothing of it has run and its caller gains nothing by waiting on. */
   isWaitingInVain(now: number): boolean {
-    if (!this.hasNotRun) return false;
-    const { ageMs = 0, waitMs } = this.submission;
-    return this.isHopeless(now) || now - this.arrivedAt > (ageMs + waitMs) / 2;
+    return this.hasNotRun && this.isHopeless(now);
   }
 
   /** The longest estimate of the tasks that are ready, ms; steps behind them are left out. */
--- a/src/batches/urgencyOf.ts
+++ b/src/batches/urgencyOf.ts
@@ -11,8 +11,7 @@
  * by who has to start soonest. What is late goes behind that, whatever its queue, since its answer is
  * worth a fraction: after an outage the line would otherwise stay late for long after the backlog is
  * gone. Among the late the small go first, so that most callers are served, and who has waited longer
- * catches up. What has ample time lets the late pass, since it can be in time afterwards and they cannot
- * wait. What is hopeless goes last.
+ * catches up. What is hopeless goes last.
  *
  * `npm run replay` shows other orders beside this one.
  */
@@ -23,13 +22,12 @@
   return { rank, slackMs: stage === LATE ? lateSlackMs(batch, now) : slackMs };
 }
 
-/** Nearly done, in time, late, with ample time, or hopeless. */
+/** Nearly done, in time, late, or hopeless. */
 function stageOf(batch: Batch, slackMs: number, now: number): number {
   const { ready, startsSent } = batch;
   if (batch.isHopeless(now)) return HOPELESS;
   if (startsSent > 0 && ready.length <= FEW) return NEARLY_DONE;
-  if (slackMs < 0) return LATE;
-  return slackMs > AMPLE_MS ? AMPLE : IN_TIME;
+  return slackMs < 0 ? LATE : IN_TIME;
 }
 
 /** The work of the tasks that wait, as time on one core, less the time since the arrival, ms. */
@@ -40,17 +38,10 @@
 const NEARLY_DONE = 0;
 const IN_TIME = 1;
 const LATE = 2;
-const AMPLE = 3;
-const HOPELESS = 4;
+const HOPELESS = 3;
 
 const CORE_MILLI = 1_000;
 
-/**
- * Slack from which a batch lets those that are late pass, ms: a few times what a slot takes to become free.
- * Replayed with 200 to 500 ms, the share unserved fell by a tenth to a fifth and the worth stayed.
- */
-const AMPLE_MS = 250;
-
 /** More than there are priorities of queues. */
 const PRIORITIES = 1_000;
 
