--- a/src/batches/BatchEntry.ts
+++ b/src/batches/BatchEntry.ts
@@ -1,7 +1,7 @@
 import type { Result } from 'neverthrow';
 import type Subscription from '../core/Subscription';
 import Versioned from '../core/Versioned';
-import { type RunEnd, RunOutcome } from '../gen/magnoliakeel/v1/peer_pb';
+import { RunOutcome } from '../gen/magnoliakeel/v1/peer_pb';
 import GapWatch from '../peering/GapWatch';
 import Admission from './Admission';
 import Batch from './Batch';
@@ -13,9 +13,9 @@
 import Expectations from './Expectations';
 import LostSidecars from './LostSidecars';
 import OpenBatches from './OpenBatches';
-import type OrderedRun from './OrderedRun';
 import type OrderedStart from './OrderedStart';
 import QueueTable from './QueueTable';
+import RunEnds from './RunEnds';
 import Scheduler from './Scheduler';
 import Startup from './Startup';
 import type SidecarPeer from './SidecarPeer';
@@ -39,6 +39,8 @@
 
   private readonly admission: Admission;
 
+  private readonly ends: RunEnds;
+
   private readonly lost: LostSidecars;
 
   private readonly startup: Startup;
@@ -62,7 +64,7 @@
       configured: (table) => this.configure(table, 'another entry'),
       beforeMessage: () => this.gaps.check(),
       roomChanged: () => this.scheduler.wake(),
-      runEnded: (peer, end) => this.runEnded(peer, end),
+      runEnded: (peer, end) => this.ends.report(peer, end),
       sidecarLost: (peer) => this.lost.add(peer),
       sidecarCleared: (instance) => this.lost.cleared(instance),
     });
@@ -82,8 +84,12 @@
       ...{ timer, log, metrics },
       answered: (batch) => this.answered(batch),
     });
+    this.ends = RunEnds.create({
+      ...{ timer, log, metrics, batches: this.batches, expectations: this.expectations },
+      ended: () => this.scheduler.wake(),
+    });
     this.lost = LostSidecars.create(timer, (run, peer, reason) =>
-      this.runOver(run, peer, RunOutcome.LOST, reason),
+      this.ends.over(run, peer, RunOutcome.LOST, reason),
     );
     this.gaps = GapWatch.start(timer, (gapMs) => this.heldUp(gapMs));
     this.moves = timer.every(MOVE_INTERVAL_MS, () => this.moveRuns());
@@ -276,50 +282,6 @@
     });
   }
 
-  private runEnded(peer: SidecarPeer, end: RunEnd): void {
-    const run = peer.take(end);
-    if (!run) return;
-    const { task } = run;
-    task.attempt = Math.max(task.attempt, end.attempt + 1);
-    if (end.outcome === RunOutcome.REFUSED) peer.pause();
-    this.runOver(run, peer, end.outcome, end.reason);
-  }
-
-  private runOver(run: OrderedRun, peer: SidecarPeer, outcome: RunOutcome, reason: string): void {
-    const { batch, task } = run;
-    const now = this.opts.timer.now();
-    this.opts.metrics?.add('runs_over_total', 1, RunOutcome[outcome].toLowerCase());
-    batch.runOver();
-    if (outcome !== RunOutcome.REFUSED) batch.mayHaveRun = true;
-    if (outcome !== RunOutcome.DONE && !batch.answer) {
-      this.opts.log.info('a run gave no result', {
-        request: batch.id,
-        ...{ step: task.stepNumber, index: task.index, sidecar: peer.instance },
-        ...{ outcome: RunOutcome[outcome], reason, afterMs: Math.round(now - run.orderedAt) },
-      });
-    }
-    if (!batch.answer) BatchEntry.outcomes[outcome](this, run, peer, now);
-    this.scheduler.wake();
-  }
-
-  private taskDone(run: OrderedRun, peer: SidecarPeer, now: number): void {
-    const { batch, task } = run;
-    this.expectations.learn(run, peer, now);
-    batch.done(task, now);
-    if (batch.answer) this.batches.close(batch, batch.answer);
-  }
-
-  private taskFailed({ batch, task }: OrderedRun, peer: SidecarPeer, now: number): void {
-    task.failures += 1;
-    task.failedAt.add(peer.instance);
-    if (task.failures < batch.submission.queue.maxAttempts) {
-      batch.again(task, now);
-      return;
-    }
-    const reason = `a task failed ${task.failures} times`;
-    this.batches.finish(batch, { kind: 'failed', reason });
-  }
-
   /**
    * This process did not run for a while. Callers may have turned to other entries meanwhile, so
    * nothing that was taken before is continued.
@@ -329,17 +291,6 @@
     this.opts.log.warn('this process was held up: open batches are given up', { gapMs, open });
     this.batches.abandonAll('this entry was held up');
   }
-
-  /** What becomes of a task, by how its run ended. */
-  private static readonly outcomes: Readonly<
-    Record<RunOutcome, (entry: BatchEntry, run: OrderedRun, peer: SidecarPeer, now: number) => void>
-  > = {
-    [RunOutcome.UNSPECIFIED]: (_entry, { batch, task }, _peer, now) => batch.again(task, now),
-    [RunOutcome.DONE]: (entry, run, peer, now) => entry.taskDone(run, peer, now),
-    [RunOutcome.FAILED]: (entry, run, peer, now) => entry.taskFailed(run, peer, now),
-    [RunOutcome.LOST]: (_entry, { batch, task }, _peer, now) => batch.again(task, now),
-    [RunOutcome.REFUSED]: (_entry, { batch, task }, _peer, now) => batch.again(task, now),
-  };
 }
 
 /** How often a leaving entry looks whether its batches are answered, ms. */
