--- a/src/membership/StoreFollower.ts
+++ b/src/membership/StoreFollower.ts
@@ -85,8 +85,8 @@
 /**
  * How long a list is waited for, ms, twice as long after each that failed: a store that was silent answers
  * nothing of before when it is back, and callers wait for the first list of a process. It answers within
- * some milliseconds, and within a few hundred when it is slow. After a silence of 6 s the first list came
- * 0.7 s late with a fixed 1,500.
+ * some milliseconds, and within a few hundred when it is slow. This spares up to a second after a silence
+ * that is shorter than that; after a long one it is as with the limit alone.
  */
 const FIRST_LIST_MS = 400;
 const LIST_LIMIT_MS = 1_500;
