--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -30,7 +30,7 @@
 await writeValidator('validateRunSidecarSettings', runSidecar);
 
 await mkdir('platform/gen', { recursive: true });
-const { address, text: nonEmpty, count, ...wireSchema } = expand(wire, wire).$defs;
+const { text: nonEmpty, count, ...wireSchema } = expand(wire, wire).$defs;
 await writeConstant('wireSchema', wireSchema, 'platform/gen');
 // Items are parts of lists and events, which are checked as a whole.
 const { storeItem, ...messages } = wireSchema;
--- a/src/ctl/causes.ts
+++ b/src/ctl/causes.ts
@@ -1,12 +1,11 @@
-import { ResultAsync } from 'neverthrow';
 import type ExitCode from '../core/ExitCode';
 import exitCodes from '../core/exitCodes';
 import type Terminal from '../core/Terminal';
-import formatFinding from '../settings/formatFinding';
 import causesOf from './causesOf';
 import type Command from './Command';
 import type CommandInput from './CommandInput';
 import formatTable from './formatTable';
+import readFiles from './readFiles';
 import readLogFile from './readLogFile';
 
 /** Tells when and for what reasons requests got no result, from the log lines of several processes. */
@@ -20,12 +19,9 @@
 export default causes;
 
 async function run({ args, json }: CommandInput, terminal: Terminal): Promise<ExitCode> {
-  const read = await ResultAsync.combine(args.map(readLogFile));
-  if (read.isErr()) {
-    read.error.forEach((finding) => terminal.warn(formatFinding(finding)));
-    return exitCodes.badFile;
-  }
-  const found = causesOf(read.value.flat());
+  const lines = await readFiles(args, readLogFile, terminal);
+  if (!lines) return exitCodes.badFile;
+  const found = causesOf(lines.flat());
   if (found.length === 0) {
     terminal.warn('no request without a result is in these files');
     return exitCodes.notFound;
--- a/src/ctl/explain.ts
+++ b/src/ctl/explain.ts
@@ -1,11 +1,10 @@
-import { ResultAsync } from 'neverthrow';
 import type ExitCode from '../core/ExitCode';
 import exitCodes from '../core/exitCodes';
 import type Terminal from '../core/Terminal';
-import formatFinding from '../settings/formatFinding';
 import type Command from './Command';
 import type CommandInput from './CommandInput';
 import type LogLine from './LogLine';
+import readFiles from './readFiles';
 import readLogFile from './readLogFile';
 import storyOf from './storyOf';
 
@@ -21,12 +20,9 @@
 
 async function run({ args, json }: CommandInput, terminal: Terminal): Promise<ExitCode> {
   const [id = '', ...files] = args;
-  const read = await ResultAsync.combine(files.map(readLogFile));
-  if (read.isErr()) {
-    read.error.forEach((finding) => terminal.warn(formatFinding(finding)));
-    return exitCodes.badFile;
-  }
-  const story = storyOf(read.value.flat(), id);
+  const lines = await readFiles(files, readLogFile, terminal);
+  if (!lines) return exitCodes.badFile;
+  const story = storyOf(lines.flat(), id);
   if (story.length === 0) {
     terminal.warn(`no line in these files names the request ${id}`);
     return exitCodes.notFound;
--- a/src/ctl/trace.ts
+++ b/src/ctl/trace.ts
@@ -1,11 +1,10 @@
-import { ResultAsync } from 'neverthrow';
 import type ExitCode from '../core/ExitCode';
 import exitCodes from '../core/exitCodes';
 import type Terminal from '../core/Terminal';
-import formatFinding from '../settings/formatFinding';
 import readText from '../settings/readText';
 import type Command from './Command';
 import type CommandInput from './CommandInput';
+import readFiles from './readFiles';
 import readSpans from './readSpans';
 import renderTrace from './renderTrace';
 import traceRoots from './traceRoots';
@@ -24,13 +23,10 @@
 export default trace;
 
 async function run(input: CommandInput, terminal: Terminal): Promise<ExitCode> {
-  const texts = await ResultAsync.combine(input.args.map(readText));
-  if (texts.isErr()) {
-    texts.error.forEach((finding) => terminal.warn(formatFinding(finding)));
-    return exitCodes.badFile;
-  }
+  const texts = await readFiles(input.args, readText, terminal);
+  if (!texts) return exitCodes.badFile;
   const { id = '' } = input.options;
-  const spans = texts.value.flatMap(readSpans).filter(({ traceId }) => begins(traceId, id));
+  const spans = texts.flatMap(readSpans).filter(({ traceId }) => begins(traceId, id));
   const traces = byTrace(spans);
   if (traces.length === 0) {
     terminal.warn(id === '' ? 'no spans in these files' : `no trace ${String(id)} in these files`);
--- a/src/runs/RunOrders.ts
+++ b/src/runs/RunOrders.ts
@@ -1,3 +1,4 @@
+import type { Result, ResultAsync } from 'neverthrow';
 import type TimerService from '../core/TimerService';
 import { RunOutcome } from '../gen/magnoliakeel/v1/peer_pb';
 import type EventLog from '../observe/EventLog';
@@ -6,6 +7,7 @@
 import type BackendLease from './BackendLease';
 import type BackendPresence from './BackendPresence';
 import type BackendRefusal from './BackendRefusal';
+import type BackendRunFailure from './BackendRunFailure';
 import type HeldRuns from './HeldRuns';
 import type RunBackend from './RunBackend';
 import runLimits from './runLimits';
@@ -80,16 +82,15 @@
   }
 
   private async send(first: RunState): Promise<void> {
-    const { backend, held, lease, log, presence, times, timer } = this.opts;
+    const { backend, held, lease, log, presence, timer } = this.opts;
     let state = first;
     let isDoubtful = false;
     for (let tries = 0; tries < runLimits.startTries; tries += 1) {
-      const sentAt = timer.now();
       const { run, request } = state;
-      const timeoutMs = times.timeoutMs(tries);
       const until = lease.renew();
-      const res = await backend.start(run, request.spec, until, lease.token, timeoutMs);
-      if (res.isOk() && tries === 0) times.add(timer.now() - sentAt);
+      const res = await this.timed(tries, (timeoutMs) =>
+        backend.start(run, request.spec, until, lease.token, timeoutMs),
+      );
       if (!held.holds(state)) return;
       if (res.isErr()) {
         if (presence.isEndedBy(res.error)) return;
@@ -121,6 +122,18 @@
     if (held.holds(state)) this.stop(state);
   }
 
+  /** Waits for an answer as long as answers take; that to a first try tells how long they do. */
+  private async timed<Answer>(
+    triesBefore: number,
+    call: (timeoutMs: number) => ResultAsync<Answer, BackendRunFailure>,
+  ): Promise<Result<Answer, BackendRunFailure>> {
+    const { timer, times } = this.opts;
+    const sentAt = timer.now();
+    const res = await call(times.timeoutMs(triesBefore));
+    if (res.isOk() && triesBefore === 0) times.add(timer.now() - sentAt);
+    return res;
+  }
+
   /** The same start with the next attempt number. */
   private renumber(state: RunState): RunState {
     const { request, run } = state;
@@ -131,12 +144,12 @@
   }
 
   private async sendStop(state: RunState): Promise<void> {
-    const { backend, held, lease, log, lookSoon, presence, times, timer } = this.opts;
+    const { backend, held, lease, log, lookSoon, presence, timer } = this.opts;
     for (let tries = 0; held.holds(state); tries += 1) {
-      const sentAt = timer.now();
-      const res = await backend.stop(state.run, lease.token, times.timeoutMs(tries));
+      const res = await this.timed(tries, (timeoutMs) =>
+        backend.stop(state.run, lease.token, timeoutMs),
+      );
       if (res.isOk()) {
-        if (tries === 0) times.add(timer.now() - sentAt);
         held.stopped(state);
         lookSoon();
         return;
