--- a/test/support/TcpProxy.ts
+++ b/test/support/TcpProxy.ts
@@ -8,6 +8,8 @@
 
   private readonly sockets = new Set<Socket>();
 
+  private readonly frozen = new Set<Socket>();
+
   private readonly server: Server;
 
   private constructor(private readonly target: string) {
@@ -28,9 +30,14 @@
     return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
   }
 
-  /** Passes no more bytes, and keeps the connections. */
+  /** Passes no more bytes of the connections there are, and keeps them. New ones work. */
   freeze(): void {
-    this.sockets.forEach((socket) => socket.unpipe().pause());
+    this.sockets.forEach((socket) => this.frozen.add(socket.unpipe().pause()));
+  }
+
+  /** Resets the frozen connections, as a host does that has forgotten them. */
+  reset(): void {
+    this.frozen.forEach((socket) => socket.resetAndDestroy());
   }
 
   /** Breaks the connections there are. */
@@ -59,7 +66,7 @@
     [near, far].forEach((socket) => {
       this.sockets.add(socket);
       socket.on('error', () => socket.destroy());
-      socket.once('close', () => this.sockets.delete(socket));
+      socket.once('close', () => [this.sockets, this.frozen].forEach((all) => all.delete(socket)));
     });
   }
 }
