Keep listening to a connection that has failed until it is gone, so that its late error ends no entry

Cause: one session manager served an address for ever. When the ping of its connection timed out, Node destroyed the session but emits its error only once the socket has closed, which a dead peer with data queued prevents. The next dial made the manager open a second connection, for which it takes its listeners off the first. 51 s after the peer had been lost, when it was back and answered TCP's retry with a reset, the error found no listener and the process ended with all its requests.

Change: a session is the life of one connection. Its manager is refused a second connection, so it never stops listening to the first; the network makes a new session for the next dial. The session owns its socket and ends it at once when its streams fail by it, in place of waiting until TCP gives up, and ends by its socket, not by the manager's abort, which takes the listeners off as well. An error that comes after the manager has let go of a connection (its idle timeout) finds a listener.

Ruled out: a listener alone. The old connection would go on with its queue for up to a quarter of an hour.

--- a/src/link/ConnectNetwork.ts
+++ b/src/link/ConnectNetwork.ts
@@ -142,16 +142,16 @@
 
   private sessionTo(address: string): PeerSession {
     const known = this.sessions.get(address);
-    if (known) return known;
-    this.forgetUnused();
+    if (known && !known.isOver) return known;
+    this.forgetEnded();
     const session = PeerSession.to(address, this.timer, this.timeouts.connectMs, this.tls);
     this.sessions.set(address, session);
     return session;
   }
 
-  private forgetUnused(): void {
+  private forgetEnded(): void {
     [...this.sessions]
-      .filter(([, session]) => session.unused)
+      .filter(([, session]) => session.isOver)
       .forEach(([address]) => this.sessions.delete(address));
   }
 }
--- a/src/link/PeerSession.ts
+++ b/src/link/PeerSession.ts
@@ -1,7 +1,8 @@
 import { type Client, createClient } from '@connectrpc/connect';
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
-import type { ClientHttp2Stream } from 'node:http2';
-import { connect } from 'node:tls';
+import type { ClientHttp2Stream, Http2Session } from 'node:http2';
+import { connect, type Socket } from 'node:net';
+import { connect as connectTls } from 'node:tls';
 import type TimerService from '../core/TimerService';
 import { Peer } from '../gen/magnoliakeel/v1/peer_pb';
 import MESSAGE_LIMITS from './MESSAGE_LIMITS';
@@ -15,23 +16,31 @@
   idleConnectionTimeoutMs: 60_000,
 };
 
-/** The one HTTP/2 session to an address, opened when it is needed and used by all calls and the link. */
+/**
+ * The life of one HTTP/2 connection to an address: opened when it is needed, used by all calls and the
+ * link, and never opened again once it is over. A later connection is a session of its own, so nothing
+ * stops listening to an older one that is still ending.
+ */
 export default class PeerSession {
   /** Calls the peer's methods over this session. */
   readonly client: Client<typeof Peer>;
 
   private readonly manager: Http2SessionManager;
 
-  private readonly widened = new WeakSet<object>();
+  private socket: Socket | undefined;
+
+  /** Known from the first request on. */
+  private conn: Http2Session | undefined;
 
   private constructor(
     address: string,
     private readonly timer: TimerService,
     private readonly connectMs: number,
-    tls: TlsCredentials | undefined,
+    private readonly tls: TlsCredentials | undefined,
   ) {
     const baseUrl = `${tls ? 'https' : 'http'}://${address}`;
-    const options = tls ? { ...SESSION_OPTIONS, ...securedBy(tls) } : SESSION_OPTIONS;
+    const createConnection = (url: URL): Socket => this.createConnection(url);
+    const options = { ...SESSION_OPTIONS, createConnection };
     this.manager = new Http2SessionManager(baseUrl, KEEP_ALIVE, options);
     this.client = createClient(Peer, this.transport(baseUrl));
   }
@@ -46,9 +55,10 @@
     return new PeerSession(address, timer, connectMs, tls);
   }
 
-  /** True while no connection is open or being opened. */
-  get unused(): boolean {
-    return ['closed', 'error'].includes(this.manager.state());
+  /** True once the connection has ended or is ending, in good order or not: it takes no new requests. */
+  get isOver(): boolean {
+    const { socket, conn } = this;
+    return socket?.destroyed === true || conn?.closed === true || conn?.destroyed === true;
   }
 
   /** Opens the connection when there is none. Resolves to the reason when that fails, else to undefined. */
@@ -60,27 +70,52 @@
     const state = await Promise.race([this.manager.connect(), late]);
     decided.abort();
     if (state === 'late') return this.giveUp(signal);
-    return state === 'error' ? reasonOf(this.manager.error()) : undefined;
+    if (state !== 'error') return undefined;
+    this.close();
+    return reasonOf(this.manager.error());
   }
 
-  /** Ends the connection and all that uses it. */
+  /**
+   * Ends the connection and all that uses it, at once. The manager hears of it by the socket's end: its
+   * own `abort` would stop listening to a connection that failed a moment before, and whose error is
+   * still to come.
+   */
   close(): void {
-    this.manager.abort();
+    this.socket?.destroy();
   }
 
   private giveUp(signal?: AbortSignal): string {
     if (signal?.aborted) return 'the caller has given up';
-    if (this.manager.state() === 'connecting') this.manager.abort();
+    if (this.manager.state() === 'connecting') this.close();
     return `no connection within ${this.connectMs} ms`;
   }
 
+  /**
+   * Called by the manager for a connection. A second one is refused: for a new connection the manager
+   * would stop listening to the one before, and the error with which that ends later, when a peer that
+   * was gone resets it, would end this process.
+   */
+  private createConnection({ hostname, port }: URL): Socket {
+    if (this.socket) throw new Error('the connection has ended');
+    const host = hostname.replace(/^\[|\]$/g, '');
+    this.socket = this.tls
+      ? connectTls({
+          ...this.tls.current,
+          ...{ host, port: Number(port || DEFAULT_TLS_PORT), ALPNProtocols: ['h2'] },
+          // Processes are known by the authority of their certificates, not by addresses, which change.
+          checkServerIdentity: () => undefined,
+        })
+      : connect({ host, port: Number(port || DEFAULT_PORT) });
+    return this.socket;
+  }
+
   private transport(baseUrl: string) {
     const { manager } = this;
     const sessionManager = {
       authority: manager.authority,
       request: async (...args: Parameters<Http2SessionManager['request']>) => {
         const stream = await manager.request(...args);
-        this.widenOnce(stream);
+        this.adopt(stream);
         return stream;
       },
       notifyResponseByteRead: (stream: ClientHttp2Stream) => manager.notifyResponseByteRead(stream),
@@ -95,29 +130,25 @@
     });
   }
 
-  private widenOnce({ session }: ClientHttp2Stream): void {
-    if (!session || this.widened.has(session)) return;
-    this.widened.add(session);
+  private adopt(stream: ClientHttp2Stream): void {
+    const { session } = stream;
+    if (!session) return;
+    // A session that has failed waits to write what is queued before it closes its socket. With a peer
+    // that is gone that takes until TCP gives up, so the socket is ended here.
+    stream.once('error', () => {
+      if (session.destroyed) this.close();
+    });
+    if (this.conn) return;
+    this.conn = session;
+    // The manager listens only while it holds the session for usable; an error that comes later and finds
+    // no listener would end this process. The calls and the link fail by their streams.
+    session.on('error', () => this.close());
     widenWindow(session);
   }
 }
 
-/** Each connection takes the credentials of its time. */
-function securedBy(tls: TlsCredentials) {
-  return {
-    createConnection: ({ hostname, port }: URL) =>
-      connect({
-        ...tls.current,
-        host: hostname.replace(/^\[|\]$/g, ''),
-        port: Number(port || DEFAULT_TLS_PORT),
-        ALPNProtocols: ['h2'],
-        // Processes are known by the authority of their certificates, not by addresses, which change.
-        checkServerIdentity: () => undefined,
-      }),
-  };
-}
-
-/** A URL leaves this port out. */
+/** A URL leaves these ports out. */
+const DEFAULT_PORT = 80;
 const DEFAULT_TLS_PORT = 443;
 
 function reasonOf(failure: unknown): string {
