Retry a full pipe at the end of a process by the clock, without shared memory

The users' platform refuses programs that name shared memory, which the waiting between two tries used. Lines that are left at the end are now tried for 100 ms.

--- a/src/observe/LineBuffer.ts
+++ b/src/observe/LineBuffer.ts
@@ -42,14 +42,15 @@
 
   /** Writes what is left, for the end of the process; a reader that is behind has a moment to catch up. */
   end(): void {
+    const until = this.timer.now() + END_MS;
     let rest = Buffer.from(this.take());
-    for (let turn = 0; rest.length > 0 && turn < END_TURNS; turn += 1) {
+    while (rest.length > 0) {
       try {
         rest = rest.subarray(writeSync(this.fd, rest));
       } catch (error) {
-        // There is nobody left to tell that the reader of the log is gone.
-        if ((error as NodeJS.ErrnoException).code !== 'EAGAIN') return;
-        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, END_TURN_MS);
+        // There is nobody left to tell that the reader of the log is gone, or too far behind.
+        const isFull = (error as NodeJS.ErrnoException).code === 'EAGAIN';
+        if (!isFull || this.timer.now() >= until) return;
       }
     }
   }
@@ -83,9 +84,8 @@
 /** How long a line waits for others, ms: a reader notices no delay, and a busy process saves most writes. */
 const FLUSH_MS = 250;
 
-/** At the end of a process a pipe that is full is tried this often, and this long apart, ms: half a second. */
-const END_TURNS = 100;
-const END_TURN_MS = 5;
+/** How long a pipe that is full is tried again at the end of a process, ms: a reader that lives needs less. */
+const END_MS = 100;
 
 /** Text that may wait, in characters: some seconds of a busy process. */
 const MAX_BYTES = 512 * 1024;
