Show in tests two more ways in which a process ends by the error of a replaced connection

GOAWAY: a peer that ends in good order makes the library destroy a session without streams with an error, and its socket closes a turn of the event loop later. A call within that turn opens the next session and takes the listeners off: "[canceled] received GOAWAY without any open streams", uncaught.

Verification: a call to a peer silent for more than 5 s makes the library verify the connection by a ping. It learns that the ping timed out from the session's error, which comes when the socket has closed. When a dial has opened the next connection by then, the library gives that one up in favour of a third, with the link still on it: no pings, no listener, and the next reset is uncaught.

Ruled out, each tried in the same way and without an uncaught error: a reset without a dial; a reset under a call with the next call at once; a session closed while it is open, by the limit of the hello or as silent, and replaced; GOAWAY with open streams and 15 s of silence after it, which leaves the session open; a TLS handshake and a TCP connect given up after connectMs that fail later; the idle limit with data queued.

--- a/test/link/PeerSession.test.ts
+++ b/test/link/PeerSession.test.ts
@@ -14,6 +14,8 @@
 const FILLING_CALLS = 14;
 /** Turns of the event loop after which nothing is left to be done on loopback. */
 const TURNS = 200;
+/** Turns of the event loop within which a session ends on loopback. */
+const ENDING_TURNS = 20;
 const PING_INTERVAL_MS = 5000;
 const PING_TIMEOUT_MS = 10_000;
 
@@ -25,7 +27,7 @@
 
   beforeEach(async () => {
     // The pings of a session are timed by the library; all else keeps its time.
-    vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout'] });
+    vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'Date'] });
     far = await NetworkCase.start(NetworkCase.kinds.connect!);
     proxy = await TcpProxy.to(far.listener.address);
     near = ConnectNetwork.create(ManualTimer.create());
@@ -48,16 +50,20 @@
     for await (const message of link.messages()) expect(message).toBeUndefined();
   };
 
-  /** Opens a connection to a peer that falls silent with data queued, up to when its ping times out. */
-  async function loseSilentPeer(): Promise<void> {
+  const claim = (job = '') => near.claim(proxy.address, create(ClaimRequestSchema, { job }));
+
+  /**
+   * Opens a connection to a peer that falls silent with data queued, up to when its ping times out;
+   * `meanwhile` is done after the ping.
+   */
+  async function loseSilentPeer(meanwhile?: () => unknown): Promise<void> {
     const link = await dial();
     proxy.freeze();
     const job = 'x'.repeat(MIB);
-    const calls = Array.from({ length: FILLING_CALLS }, () =>
-      near.claim(proxy.address, create(ClaimRequestSchema, { job })),
-    );
+    const calls = Array.from({ length: FILLING_CALLS }, () => claim(job));
     await settle();
-    await vi.advanceTimersByTimeAsync(PING_INTERVAL_MS);
+    await vi.advanceTimersByTimeAsync(PING_INTERVAL_MS + 1);
+    meanwhile?.();
     await vi.advanceTimersByTimeAsync(PING_TIMEOUT_MS);
     await Promise.all([ended(link), ...calls]);
   }
@@ -79,4 +85,43 @@
     const { value } = await link.messages()[Symbol.asyncIterator]().next();
     expect(value?.case).toBe('heartbeat');
   });
+
+  // A peer that ends in good order sends GOAWAY. The library then destroys a session without streams
+  // with an error, "[canceled] received GOAWAY without any open streams", which Node emits a turn of
+  // the event loop later, when the socket has closed. A call within that turn opens the next session
+  // and takes the listeners off this one. As many processes as turns, each of which calls in a turn
+  // of its own, meet it.
+  it('survives a call in the moment in which its peer ends in good order', async () => {
+    const { address } = far.listener;
+    const callers = Array.from({ length: ENDING_TURNS }, () =>
+      ConnectNetwork.create(ManualTimer.create()),
+    );
+    const call = (caller: ConnectNetwork) => caller.claim(address, create(ClaimRequestSchema));
+    await Promise.all(callers.map(call));
+    const end = far.listener.close();
+    for (const caller of callers) {
+      await ManualTimer.settle(1);
+      call(caller);
+    }
+    await end;
+    await settle();
+    callers.forEach((caller) => caller.close());
+    expect(uncaught.errors).toEqual([]);
+  });
+
+  // A call to a silent peer makes the library verify the connection by a ping, and it learns that this
+  // ping timed out from the session's error, so when the socket has closed. By then a dial has opened
+  // the next connection. The library takes that one for the old one: it opens a third, and sends no
+  // pings on the second any more and does not hear its errors, while the link goes on over it. The
+  // next reset ended the process with "Error: read ECONNRESET".
+  it('keeps to the connection that replaced one that was being verified', async () => {
+    await loseSilentPeer(claim);
+    await dial();
+    proxy.reset();
+    await settle();
+    proxy.freeze();
+    proxy.reset();
+    await settle();
+    expect([uncaught.errors, proxy.connections]).toEqual([[], 2]);
+  });
 });
