Show in a test that closing a session which its ping has destroyed leaves its error to nobody

Cause: abort() of the library's manager adds a listener for the errors to come only when the session is not destroyed yet, and takes the others off in any case. A session that its ping has destroyed, and whose socket waits for a silent peer, is then left without one; the reset ends the process:

+ [ "ConnectError: [unavailable] PING timed out" ]

--- a/test/link/PeerSession.test.ts
+++ b/test/link/PeerSession.test.ts
@@ -86,6 +86,17 @@
     expect(value?.case).toBe('heartbeat');
   });
 
+  // The same words, "PING timed out", without a dial: closing a session takes the library's listeners
+  // off as well, and the listener that it adds for the errors to come goes only to a session that is
+  // not destroyed yet.
+  it('survives the reset of a connection that it has closed', async () => {
+    await loseSilentPeer();
+    near.close();
+    proxy.reset();
+    await settle();
+    expect(uncaught.errors).toEqual([]);
+  });
+
   // A peer that ends in good order sends GOAWAY. The library then destroys a session without streams
   // with an error, "[canceled] received GOAWAY without any open streams", which Node emits a turn of
   // the event loop later, when the socket has closed. A call within that turn opens the next session
