Test that a message that cannot be encoded does no harm to whoever sends it

A failing test alone: sending it throws on the code as it is, since the bytes of every sixteenth message of a kind are counted by encoding it. In the entry's scheduler, which runs in a microtask, that ends the process.

--- a/test/link/FrameQueue.test.ts
+++ b/test/link/FrameQueue.test.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf';
 import { expect, it } from 'vitest';
-import { GrantSchema } from '../../src/gen/magnoliakeel/v1/peer_pb';
+import { AmountSchema, GrantSchema, RoomSchema } from '../../src/gen/magnoliakeel/v1/peer_pb';
 import FrameQueue from '../../src/link/FrameQueue';
 
 function caseOf(maxBytes?: number) {
@@ -43,3 +43,13 @@
   await read();
   expect(seen).toEqual(['overflow']);
 });
+
+// The bytes of one message of sixteen are counted by encoding it where it is queued. A message that cannot
+// be encoded threw there, out of whatever was sending: in the scheduler of an entry that ended the process
+// ("cannot encode field magnoliakeel.v1.Amount.cpu_milli to binary: invalid uint32: 100.5").
+it('takes a message that cannot be encoded without harm to its sender', () => {
+  const { queue } = caseOf();
+  const total = create(AmountSchema, { cpuMilli: 100.5 });
+  const value = create(RoomSchema, { total });
+  expect(() => queue.send({ case: 'room', value })).not.toThrow();
+});
