Ask that an error that reaches nobody leaves a process serving, and that going on has an end

One error ends a process with all the requests that it holds, whatever it belonged to. The tests run the bundles: a sidecar with an error in a timer and one in a promise, and an entry, with a batch under way, in which an error comes every 50 ms. Errors begin at a signal, so that a slow start does not matter.

--- a/test/support/faulty.mjs
+++ b/test/support/faulty.mjs
@@ -1,5 +1,7 @@
-// Loaded before a program under test: errors that reach nobody, as the variable FAULTS lists them.
-// Each is [kind, milliseconds after the start, how often]; one that repeats comes every 50 ms.
+// Loaded before a program under test: on SIGUSR2 errors come that reach nobody, as the variable FAULTS
+// lists them, each by its kind and how often, 50 ms apart. The seed of the process is held to one of which the
+// first number drawn is 0, so that it leaves without a pause.
+import crypto from 'node:crypto';
 import process from 'node:process';
 import { setTimeout } from 'node:timers';
 
@@ -12,6 +14,10 @@
   },
 };
 
-JSON.parse(process.env.FAULTS).forEach(([kind, afterMs, times]) => {
-  for (let turn = 0; turn < times; turn += 1) setTimeout(kinds[kind], afterMs + turn * 50);
-});
+crypto.randomInt = () => 2 ** 31 - 1;
+
+process.on('SIGUSR2', () =>
+  JSON.parse(process.env.FAULTS).forEach(([kind, times]) => {
+    for (let turn = 0; turn < times; turn += 1) setTimeout(kinds[kind], turn * 50);
+  }),
+);
--- a/test/usersPlatform/processEnds.test.ts
+++ b/test/usersPlatform/processEnds.test.ts
@@ -5,6 +5,8 @@
 import path from 'node:path';
 import { afterAll, beforeAll, expect, onTestFinished, test, vi } from 'vitest';
 import freePort from '../support/freePort';
+import HttpStandIn from '../support/HttpStandIn';
+import StandInSidecar from '../support/StandInSidecar';
 
 // Two entries once ended by themselves at the same moment, each with all the requests that it held. The
 // last of their own lines, "a batch is accepted" and the like, told nothing of it; only Node's text on
@@ -16,6 +18,8 @@
 
 let folder: string;
 
+let lastFile = 0;
+
 beforeAll(() => {
   folder = mkdtempSync(path.join(tmpdir(), 'ends-'));
   execFileSync(process.execPath, ['scripts/buildPlatform.mjs', folder]);
@@ -23,7 +27,7 @@
 
 afterAll(() => rmSync(folder, { recursive: true }));
 
-type Fault = readonly [kind: 'throw' | 'reject', afterMs: number, times: number];
+type Fault = readonly [kind: 'throw' | 'reject', times: number];
 
 interface Started {
   readonly child: ChildProcess;
@@ -33,19 +37,18 @@
   readonly ended: Promise<number | null>;
 }
 
-/** Starts a sidecar in which errors come that reach nobody. */
-async function start(faults: readonly Fault[], taken?: string): Promise<Started> {
-  const [backend, metrics, store] = await Promise.all([freePort(), freePort(), freePort()]);
-  const settings = {
-    ...{ cluster: 'c', instance: 's1', zone: 'z', seeds: [], peerPort: 7_100 },
-    listen: { backend: taken ?? `127.0.0.1:${backend}`, metrics: `127.0.0.1:${metrics}` },
-    store: { address: `127.0.0.1:${store}` },
-  };
-  const file = path.join(folder, `settings-${metrics}.yaml`);
+/** Starts a role in which errors may come that reach nobody. */
+function startRole(
+  role: string,
+  settings: object,
+  faults: readonly Fault[],
+): Omit<Started, 'metrics'> {
+  lastFile += 1;
+  const file = path.join(folder, `${role}-${lastFile}.yaml`);
   writeFileSync(file, JSON.stringify(settings));
   const env = { ...process.env, MAGNOLIAKEEL_NODE_FILE: file, FAULTS: JSON.stringify(faults) };
   const args = ['--import', path.resolve('test/support/faulty.mjs')];
-  const child = spawn(process.execPath, [...args, path.join(folder, 'sidecar.cjs')], { env });
+  const child = spawn(process.execPath, [...args, path.join(folder, `${role}.cjs`)], { env });
   let written = '';
   child.stdout.on('data', (chunk: Buffer) => {
     written += chunk.toString();
@@ -61,20 +64,72 @@
   const ended = new Promise<number | null>((resolve) => {
     child.on('close', resolve);
   });
-  return { child, metrics: `http://127.0.0.1:${metrics}/metrics`, lines, ended };
+  return { child, lines, ended };
+}
+
+/** Starts a sidecar in which errors may come that reach nobody. */
+async function start(faults: readonly Fault[], taken?: string): Promise<Started> {
+  const [backend, metrics, store] = await Promise.all([freePort(), freePort(), freePort()]);
+  const settings = {
+    ...{ cluster: 'c', instance: 's1', zone: 'z', seeds: [], peerPort: 7_100 },
+    listen: { backend: taken ?? `127.0.0.1:${backend}`, metrics: `127.0.0.1:${metrics}` },
+    store: { address: `127.0.0.1:${store}` },
+  };
+  const started = startRole('sidecar', settings, faults);
+  return { ...started, metrics: `http://127.0.0.1:${metrics}/metrics` };
+}
+
+/** A sidecar that has started, in which these errors come now. */
+async function failing(faults: readonly Fault[]): Promise<Started> {
+  const started = await start(faults);
+  await lineOf(started, 'the sidecar has started');
+  started.child.kill('SIGUSR2');
+  return started;
+}
+
+/** Starts an entry with a queue, and a sidecar that runs what it orders. */
+async function startEntry(faults: readonly Fault[]) {
+  const route = { name: 'q', host: '127.0.0.1', prefix: '/q/', service: 's' };
+  const value = Buffer.from(JSON.stringify({ version: 1, routes: [route] })).toString('base64');
+  const store = await HttpStandIn.open(({ path: called }) => {
+    if (called.includes('kv-watch')) return 'silence';
+    const items = called.includes('config') ? [{ key: 'op/config', value, revision: 1 }] : [];
+    return { status: 200, body: { items, at: 1, lease_id: 1, revision: 1 } };
+  });
+  const ports = await Promise.all([freePort(), freePort(), freePort(), freePort()]);
+  const [callers, readiness, peers, metrics] = ports.map((port) => `127.0.0.1:${port}`);
+  const settings = {
+    ...{ cluster: 'c', instance: 'e1', zone: 'z', seeds: [], stop: { graceSeconds: 5 } },
+    ...{ listen: { callers, readiness, peers, metrics }, store: { address: store.address } },
+  };
+  const entry = { ...startRole('entry', settings, faults), metrics: '' };
+  await lineOf(entry, 'a configuration is in force');
+  const sidecar = await StandInSidecar.linkTo(peers!);
+  onTestFinished(async () => {
+    sidecar.close();
+    await store.close();
+  });
+  const body = JSON.stringify({
+    ...{ best_effort: true, spec: '50' },
+    steps: [{ count: 2, cpu: 1_000, estimate_ms: 50 }],
+  });
+  const headers = { 'x-deadline-ms': '20000' };
+  const url = `http://${callers}/q/5c0e7a21d94b36f8`;
+  const submit = () => fetch(url, { method: 'POST', body, headers });
+  return { entry, sidecar, submit };
 }
 
 /** The first line with this message, once it is written. */
 function lineOf({ lines }: Started, message: string) {
   return vi.waitFor(() => {
-    const line = lines().find((each) => each.message === message);
+    const line = lines().find((each) => JSON.stringify(each).includes(message));
     if (!line) throw new Error(`no "${message}" in ${JSON.stringify(lines())}`);
     return line;
   }, 10_000);
 }
 
 test('an error that reaches nobody is written with its stack, its cause and what the process holds', async () => {
-  const { error, uptimeMs, ...line } = await lineOf(await start([['throw', 400, 1]]), FAULT);
+  const { error, uptimeMs, ...line } = await lineOf(await failing([['throw', 1]]), FAULT);
   const { stack, cause, ...told } = error as Record<string, unknown>;
   expect([line.level, line.origin, line.holds, told]).toMatchInlineSnapshot(`
     [
@@ -131,4 +186,44 @@
   `);
 });
 
+test('a process serves on after an error in a timer and one in a promise', async () => {
+  const started = await failing([
+    ['throw', 1],
+    ['reject', 1],
+  ]);
+  await lineOf(started, 'a fault in a promise');
+  const res = await fetch(started.metrics);
+  const text = await res.text();
+  expect(text.split('\n').filter((line) => line.startsWith('magnoliakeel_faults')))
+    .toMatchInlineSnapshot(`
+      [
+        "magnoliakeel_faults_total{origin="uncaughtException"} 1",
+        "magnoliakeel_faults_total{origin="unhandledRejection"} 1",
+      ]
+    `);
+  expect(started.child.exitCode).toBe(null);
+});
+
+test('errors that go on make an entry leave, and what it has taken is answered', async () => {
+  const { entry, sidecar, submit } = await startEntry([['throw', 80]]);
+  const answer = submit();
+  await lineOf(entry, 'starts are ordered');
+  entry.child.kill('SIGUSR2');
+  await lineOf(entry, 'leaving: open batches are finished');
+  sidecar.finish();
+  const res = await answer;
+  const code = await entry.ended;
+  const { reason, exitCode } = entry.lines().at(-1)!;
+  expect({ status: res.status, text: await res.text(), code, reason, exitCode })
+    .toMatchInlineSnapshot(`
+      {
+        "code": 1,
+        "exitCode": 1,
+        "reason": "errors came again and again",
+        "status": 200,
+        "text": "{"state":"completed"}",
+      }
+    `);
+});
+
 const FAULT = 'an error reached nobody';
