Fail what is open on the connection of a stopping peer that is lost, in place of waiting for ever

Cause: after a GOAWAY Node ends a session that is reset without an error, and its streams close with a code that the library takes for no failure; a silent one gets no pings, since Node answers them itself as cancelled. A call, or a link, was then never settled, and the address was not dialled again.

Change: the session knows its open streams and fails them when its socket fails or closes, before Node does; after a GOAWAY it asks for an acknowledgement of settings every 5 s and ends the connection when none comes for 10 s, as the keep-alive does before. The test moves the product's clock by the same times as the library's, since the watch is the product's.

Ruled out: TCP's own probes, which do not run while data is unacknowledged and do not see a stuck peer; one limit for all calls, since forwarded jobs may rightly take as long as their callers wait.

--- a/src/link/PeerSession.ts
+++ b/src/link/PeerSession.ts
@@ -29,6 +29,8 @@
 
   private socket: Socket | undefined;
 
+  private readonly streams = new Set<ClientHttp2Stream>();
+
   /** Known from the first request on. */
   private conn: Http2Session | undefined;
 
@@ -98,15 +100,17 @@
   private createConnection({ hostname, port }: URL): Socket {
     if (this.socket) throw new Error('the connection has ended');
     const host = hostname.replace(/^\[|\]$/g, '');
-    this.socket = this.tls
-      ? connectTls({
-          ...this.tls.current,
-          ...{ host, port: Number(port || DEFAULT_TLS_PORT), ALPNProtocols: ['h2'] },
-          // Processes are known by the authority of their certificates, not by addresses, which change.
-          checkServerIdentity: () => undefined,
-        })
-      : connect({ host, port: Number(port || DEFAULT_PORT) });
-    return this.socket;
+    const socket = this.tls ? secured(host, port, this.tls) : plain(host, port);
+    // When a peer that has said that it stops is lost, Node ends the session without an error, and the
+    // library would wait for ever for what is open. These listeners come before Node's own.
+    socket.on('error', (cause) => this.fail(cause));
+    socket.once('close', () => this.fail(new Error('the connection has ended')));
+    this.socket = socket;
+    return socket;
+  }
+
+  private fail(cause: Error): void {
+    this.streams.forEach((stream) => stream.destroy(cause));
   }
 
   private transport(baseUrl: string) {
@@ -133,6 +137,8 @@
   private adopt(stream: ClientHttp2Stream): void {
     const { session } = stream;
     if (!session) return;
+    this.streams.add(stream);
+    stream.once('close', () => this.streams.delete(stream));
     // A session that has failed waits to write what is queued before it closes its socket. With a peer
     // that is gone that takes until TCP gives up, so the socket is ended here.
     stream.once('error', () => {
@@ -143,8 +149,42 @@
     // The manager listens only while it holds the session for usable; an error that comes later and finds
     // no listener would end this process. The calls and the link fail by their streams.
     session.on('error', () => this.close());
+    session.once('goaway', () => this.watchEnd(session));
     widenWindow(session);
   }
+
+  /**
+   * Ends the connection of a peer that stops and then falls silent. Node sends no pings on a session that
+   * the peer is closing, so the library's keep-alive ends there; settings are acknowledged as well.
+   */
+  private watchEnd(session: Http2Session): void {
+    let askedAt: number | undefined;
+    const look = (): void => {
+      const now = this.timer.now();
+      const isSilent = askedAt !== undefined && now - askedAt >= KEEP_ALIVE.pingTimeoutMs;
+      if (isSilent || session.destroyed) this.close();
+      if (askedAt !== undefined || session.destroyed) return;
+      askedAt = now;
+      session.settings(SESSION_OPTIONS.settings, () => {
+        askedAt = undefined;
+      });
+    };
+    const watch = this.timer.every(KEEP_ALIVE.pingIntervalMs, look);
+    this.socket?.once('close', () => watch.cancel());
+  }
+}
+
+function plain(host: string, port: string): Socket {
+  return connect({ host, port: Number(port || DEFAULT_PORT) });
+}
+
+function secured(host: string, port: string, tls: TlsCredentials): Socket {
+  return connectTls({
+    ...tls.current,
+    ...{ host, port: Number(port || DEFAULT_TLS_PORT), ALPNProtocols: ['h2'] },
+    // Processes are known by the authority of their certificates, not by addresses, which change.
+    checkServerIdentity: () => undefined,
+  });
 }
 
 /** A URL leaves these ports out. */
--- a/test/link/PeerGoodbye.test.ts
+++ b/test/link/PeerGoodbye.test.ts
@@ -14,14 +14,15 @@
 const PING_INTERVAL_MS = 5000;
 const PING_TIMEOUT_MS = 10_000;
 
-describe('a peer that stops in good order and is lost before its last answer', () => {
+describe('a peer that stops in good order before its last answer', () => {
   let far: NetworkCase;
   let proxy: TcpProxy;
+  let timer: ManualTimer;
   let near: ConnectNetwork;
   let uncaught: Uncaught;
   let failure: CallError | undefined;
 
-  // A call waits for its answer, the peer has said that it stops, and then it is cut off.
+  // A call waits for its answer, and the peer has said that it stops.
   beforeEach(async () => {
     vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout'] });
     let arrived: () => void;
@@ -35,7 +36,8 @@
       },
     });
     proxy = await TcpProxy.to(far.listener.address);
-    near = ConnectNetwork.create(ManualTimer.create());
+    timer = ManualTimer.create();
+    near = ConnectNetwork.create(timer);
     uncaught = Uncaught.collect();
     failure = undefined;
     near.claim(proxy.address, create(ClaimRequestSchema)).mapErr((error) => {
@@ -45,7 +47,6 @@
     far.listener.close();
     await settle();
     expect(failure).toBeUndefined();
-    proxy.freeze();
   });
 
   afterEach(() => {
@@ -57,9 +58,16 @@
 
   const settle = () => ManualTimer.settle(TURNS);
 
+  /** Moves the library's clock and ours. */
+  async function pass(ms: number): Promise<void> {
+    await Promise.all([vi.advanceTimersByTimeAsync(ms), timer.advance(ms)]);
+    await settle();
+  }
+
   // A call waited for ever. Node ends a session without an error when its connection is reset after
   // a GOAWAY, and its streams close with the code NO_ERROR, which the library takes for no failure.
   it('fails the call when the connection is reset', async () => {
+    proxy.freeze();
     proxy.reset();
     await settle();
     expect(failure?.kind).toBe('broken');
@@ -69,10 +77,9 @@
   // A call waited for ever. Node answers the pings of a session that has got a GOAWAY itself, at once
   // and as cancelled, so the library's watch ends with the first of them and nothing times out.
   it('fails the call when the peer is silent for longer than a ping may take', async () => {
-    await vi.advanceTimersByTimeAsync(PING_INTERVAL_MS);
-    await settle();
-    await vi.advanceTimersByTimeAsync(PING_TIMEOUT_MS);
-    await settle();
+    proxy.freeze();
+    await pass(PING_INTERVAL_MS);
+    await pass(PING_TIMEOUT_MS);
     expect(failure?.kind).toBe('broken');
     expect(uncaught.errors).toEqual([]);
   });
