Go on dialling after a dial that cannot be made, and keep the process when serving a link fails

Cause: keepLinked awaited the dial and the serving of a link with nothing to handle a rejection: the task that keeps the link ended for good, and Node ended the process with all the requests it held, because the rejection was unhandled. A peer that tells one address that is none did this to every process it is linked to. Change: a dial that rejects counts as one that failed, with its reason; an error in serving closes that one link, is logged, and the address is dialled again. Ruled out: leaving out odd addresses where they are learned, since it would stay one of two ways in.

--- a/src/batches/EntryPeers.ts
+++ b/src/batches/EntryPeers.ts
@@ -44,11 +44,12 @@
   private listener: Listener | undefined;
 
   private constructor(private readonly opts: EntryPeersOptions) {
-    const { timer, random, network, seeds, listen } = opts;
+    const { timer, random, network, seeds, listen, log } = opts;
     this.keeper = LinkKeeper.create({
       ...{ timer, random, network, delays: linkDelays },
       hello: (session) => this.hello(session),
       serve: (link) => this.serve(link),
+      failed: (address, error) => log.warn('serving a link failed', { address, error }),
     });
     this.addresses = KnownAddresses.create(timer, seeds, (addresses) =>
       this.keeper.aim([...addresses].filter((address) => address !== listen)),
--- a/src/peering/LinkKeeper.ts
+++ b/src/peering/LinkKeeper.ts
@@ -1,3 +1,4 @@
+import { err, type Result } from 'neverthrow';
 import Backoff from '../core/Backoff';
 import type Random from '../core/Random';
 import type TimerService from '../core/TimerService';
@@ -16,6 +17,8 @@
   readonly serve: (link: Link) => Promise<boolean>;
   /** Told of each dial and why it failed, if it did. */
   readonly dialled?: (address: string, failure: string | undefined) => void;
+  /** Told of an error in serving a link, which is closed; its address is dialled again. */
+  readonly failed: (address: string, error: unknown) => void;
 }
 
 /** The one task that keeps a link to an address. */
@@ -82,20 +85,42 @@
     }
   }
 
+  /** One link from its dial to its end; says whether it was of use. */
   private async dial(address: string, stop: AbortSignal): Promise<boolean> {
     const session = (this.sessions.get(address) ?? 0n) + 1n;
     this.sessions.set(address, session);
-    const res = await this.opts.network.dial(address, this.opts.hello(session));
-    this.opts.dialled?.(address, res.isErr() ? res.error.reason : undefined);
+    const res = await this.open(address, session);
+    this.opts.dialled?.(address, res.isErr() ? res.error : undefined);
     if (res.isErr()) return false;
     const link = res.value;
     const close = (): void => link.close();
     stop.addEventListener('abort', close, { once: true });
     if (stop.aborted) close();
-    const isUseful = await this.opts.serve(link);
+    const isUseful = await this.serve(address, link);
     stop.removeEventListener('abort', close);
     return isUseful;
   }
+
+  /** The error says why there is no link, also where a peer told an address that is none. */
+  private async open(address: string, session: bigint): Promise<Result<Link, string>> {
+    const { network, hello } = this.opts;
+    try {
+      return (await network.dial(address, hello(session))).mapErr(({ reason }) => reason);
+    } catch (error) {
+      return err(String(error));
+    }
+  }
+
+  /** Whatever fails in one link, the others go on. */
+  private async serve(address: string, link: Link): Promise<boolean> {
+    try {
+      return await this.opts.serve(link);
+    } catch (error) {
+      this.opts.failed(address, error);
+      link.close();
+      return false;
+    }
+  }
 }
 
 function halt(upkeep: Upkeep): void {
--- a/src/runs/RunSidecar.ts
+++ b/src/runs/RunSidecar.ts
@@ -63,6 +63,7 @@
       dialled: (address, failure) => {
         if (this.choice.dialled(address, failure === undefined)) this.aim();
       },
+      failed: (address, error) => log.warn('serving a link failed', { address, error }),
     });
     this.addresses = KnownAddresses.create(timer, seeds, () => this.aim());
     this.gaps = GapWatch.start(timer, (gapMs) => this.doubt(gapMs));
--- a/src/sidecar/Dialler.ts
+++ b/src/sidecar/Dialler.ts
@@ -27,6 +27,8 @@
   readonly hello: (session: bigint) => Hello;
   /** Serves a link to its end, and says whether it was of use. */
   readonly serve: (link: Link) => Promise<boolean>;
+  /** Told of an error in serving a link. */
+  readonly failed: (address: string, error: unknown) => void;
 }
 
 /**
@@ -37,9 +39,9 @@
   private readonly keeper: LinkKeeper;
 
   private constructor(private readonly opts: DiallerOptions) {
-    const { timer, random, network, counters, hello, serve } = opts;
+    const { timer, random, network, counters, hello, serve, failed } = opts;
     this.keeper = LinkKeeper.create({
-      ...{ timer, random, network, hello, serve },
+      ...{ timer, random, network, hello, serve, failed },
       delays: { firstMs: FIRST_DELAY_MS, limitMs: LIMIT_DELAY_MS },
       dialled: () => {
         counters.dials += 1;
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -191,6 +191,8 @@
       key: incarnation,
       hello: (session) => this.hello(session),
       serve: (link) => this.serve(link),
+      failed: (address, error) =>
+        this.opts.log?.(`serving the link to ${address} failed: ${error}`),
     });
   }
 
