--- a/test/usersPlatform/CallerServer.test.ts
+++ b/test/usersPlatform/CallerServer.test.ts
@@ -1,6 +1,7 @@
 import { request } from 'node:http';
 import { expect, test } from 'vitest';
 import CallerServer from '../../platform/CallerServer';
+import type BatchEntry from '../../src/batches/BatchEntry';
 import BatchCase from '../support/BatchCase';
 
 const log = { info: () => undefined, warn: () => undefined };
@@ -141,3 +142,25 @@
 test('an entry that has gone without a configuration for long refuses at once', async () => {
   expect(await answerBeforeConfiguration(20, 3_000)).toMatch(/^503 /);
 });
+
+// A job of 10^12 tasks threw where its tasks are laid out. The line "a request broke off" was all that showed
+// it: the caller's connection was closed without an answer ("socket hang up"), which a caller can't tell from
+// an entry that has gone, and a batch that had been taken by then ran on until its time was over.
+test('a fault while a job is served is told to its caller, and what runs of it is stopped', async () => {
+  const batchCase = await BatchCase.open({ entries: 1 });
+  const [real] = batchCase.entries as [BatchEntry];
+  const submit: BatchEntry['submit'] = async (submission, gone) => {
+    real.submit(submission, gone);
+    while (batchCase.running.length === 0) await batchCase.timer.advance(20);
+    throw new Error('a fault');
+  };
+  const server = CallerServer.of(Object.create(real, { submit: { value: submit } }), log);
+  await server.listen('127.0.0.1:0');
+  const answer = await send(server.port, { body: { ...job, spec: '5000' } });
+  await batchCase.timer.advance(500);
+  server.close();
+  expect([answer, batchCase.running]).toEqual([
+    '504 {"error":"a fault of this entry; the job may have run"} keep-alive',
+    [],
+  ]);
+});
