--- a/test/usersPlatform/store.test.ts
+++ b/test/usersPlatform/store.test.ts
@@ -13,13 +13,14 @@
   return { key, value: Buffer.from(value).toString('base64'), revision };
 }
 
-/** Follows `op/config` until the wanted number of values has come, and returns them. */
+/** Follows `op/config` until the wanted number of values has come, and returns them; "bad" can't be taken. */
 async function follow(store: HttpStandIn, wanted: number): Promise<readonly string[]> {
   const stop = new AbortController();
   const values: string[] = [];
   const put = (_key: string, value: string): void => {
     values.push(value);
     if (values.length === wanted) stop.abort();
+    if (value === 'bad') throw new Error('a fault');
   };
   const calls = StoreCalls.to(timer, store.address);
   const parts = { timer, log, random: Random.fromSeed(1), store: calls, prefix: 'op/config' };
@@ -49,6 +50,17 @@
   `);
 });
 
+// An error in taking one value ended the following for good ("following the store failed"): the process went
+// on with the configuration it had, and no later one came.
+test('a value that cannot be taken is passed over, and the key is followed on', async () => {
+  const store = await HttpStandIn.open(({ path }) =>
+    path.includes('kv-range')
+      ? { status: 200, body: { items: ['bad', 'one'].map((value) => item('k', value, 4)), at: 5 } }
+      : { status: 200, body: { events: [item('k', 'two', 6)], at: 6 } },
+  );
+  expect(await follow(store, 3)).toEqual(['bad', 'one', 'two']);
+});
+
 test('a forgotten history is listed anew', async () => {
   let lists = 0;
   const store = await HttpStandIn.open(({ path }) => {
