Follow the store on after a value that cannot be taken

Cause: an error in taking one value rejected out of the task that follows a prefix, which was logged once and never begun again: an entry would have kept its configuration until its end, against CONFIG's bound. Change: each value is taken by itself; one that cannot be is logged with its key and passed over. Ruled out: beginning the task again, which would list and fail on the same value for ever.

--- a/src/membership/StoreFollower.ts
+++ b/src/membership/StoreFollower.ts
@@ -2,6 +2,7 @@
 import type Random from '../core/Random';
 import type TimerService from '../core/TimerService';
 import type EventLog from '../observe/EventLog';
+import type StoreItem from '../store/StoreItem';
 import type WatchedStore from '../store/WatchedStore';
 
 interface StoreFollowerOptions {
@@ -52,7 +53,7 @@
 
   /** One call. Returns why it failed, if it did. */
   private async step(signal: AbortSignal): Promise<string | undefined> {
-    const { store, prefix, put, timer } = this.opts;
+    const { store, prefix, timer } = this.opts;
     const isFirst = this.revision === undefined;
     // A connection may go silent without a reset, so a watch after a failure comes back sooner.
     const waitMs = this.isLost ? DOUBTED_WATCH_MS : WATCH_MS;
@@ -69,10 +70,20 @@
     }
     this.revision = res.value.revision;
     this.failedLists = 0;
-    res.value.items.forEach(({ key, value }) => put(key, value));
+    res.value.items.forEach((item) => this.take(item));
     if (isFirst && res.value.items.length === 0) await timer.sleep(EMPTY_MS, signal);
     return undefined;
   }
+
+  /** One value that cannot be taken must not end the following of all later ones. */
+  private take({ key, value }: StoreItem): void {
+    const { log, put } = this.opts;
+    try {
+      put(key, value);
+    } catch (error) {
+      log.warn('a value of the store could not be taken', { key, error });
+    }
+  }
 }
 
 /** Pauses after a failed call, ms: the store's return has to be noticed well within two seconds. */
