--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -14,6 +14,7 @@
 const settings = await readSchema('schemas/settings');
 const manifest = await readSchema('schemas/manifest');
 const batch = await readSchema('schemas/batch');
+const queues = await readSchema('schemas/queues');
 const wire = await readSchema('platform/wire');
 const { entry, sidecar } = expand(settings, settings).$defs;
 const { $defs, ...manifestRoot } = expand(manifest, manifest);
@@ -29,6 +30,8 @@
 await writeValidator('validateBatchEntrySettings', batchEntry);
 await writeValidator('validateRunSidecarSettings', runSidecar);
 
+await writeValidator('validateQueueTable', expand(queues, queues).$defs.queueTable);
+
 await mkdir('platform/gen', { recursive: true });
 const { text: nonEmpty, count, ...wireSchema } = expand(wire, wire).$defs;
 await writeConstant('wireSchema', wireSchema, 'platform/gen');
--- a/src/batches/EntryPeers.ts
+++ b/src/batches/EntryPeers.ts
@@ -207,7 +207,12 @@
   };
 
   private static readonly entryHandlers: MessageHandlers<EntryPeers> = {
-    configuration: ({ opts }, { manifest }) => opts.configured(QueueTable.fromText(manifest)),
+    configuration: ({ opts }, { version, manifest }) =>
+      QueueTable.fromText(manifest).match(
+        (table) => opts.configured(table),
+        (reason) =>
+          opts.log.warn('a configuration of another entry cannot be read', { version, reason }),
+      ),
     knownEntries: (peers, { entries }) =>
       peers.addresses.learn(entries.map(({ address }) => address)),
   };
--- a/src/batches/QueueTable.ts
+++ b/src/batches/QueueTable.ts
@@ -1,3 +1,5 @@
+import { err, ok, Result } from 'neverthrow';
+import validateQueueTable from '../gen/validateQueueTable';
 import type Queue from './Queue';
 import type RequestLimits from './RequestLimits';
 
@@ -35,9 +37,16 @@
     return new QueueTable(value);
   }
 
-  /** Reads what `text` gave. Only for texts from a process of this system. */
-  static fromText(text: string): QueueTable {
-    return new QueueTable(JSON.parse(text) as QueueTableValue);
+  /** Reads what `text` gave; the error says what is wrong with it, since another version may have sent it. */
+  static fromText(text: string): Result<QueueTable, string> {
+    return Result.fromThrowable(
+      JSON.parse,
+      String,
+    )(text).andThen((value: unknown) => {
+      if (validateQueueTable(value)) return ok(new QueueTable(value as QueueTableValue));
+      const [mistake] = validateQueueTable.errors ?? [];
+      return err(`${mistake?.instancePath}: ${mistake?.message}`);
+    });
   }
 
   get version(): number {
