Test that no heartbeat and no priority makes a number that a message cannot carry

Failing tests alone: a backend server with 16000.5 thousandths of a core, or more than 2^32 MB, is told to all entries as it is, and a queue's priority of 2^32 to all sidecars; both end the link they are written to ("invalid uint32").

--- a/test/batches/decisions.test.ts
+++ b/test/batches/decisions.test.ts
@@ -208,3 +208,12 @@
   run.task.moves = 1;
   expect(worthMoving(run, peer, 300)).toBe(false);
 });
+
+// Sidecars are told how urgently a queue waits, by a number that its priority was added to: a priority of
+// 2^32 ended each link to a sidecar as often as something waited in the queue ("invalid uint32").
+test('the lowest priorities count alike, and none of them goes behind what is late', () => {
+  const ranks = [998, 999, 1_000, 2 ** 32].map(
+    (priority) => urgencyOf(batch('a', {}, priority), 0).rank,
+  );
+  expect(ranks).toEqual([1_998, 1_999, 1_999, 1_999]);
+});
--- a/test/usersPlatform/amounts.test.ts
+++ b/test/usersPlatform/amounts.test.ts
@@ -1,7 +1,9 @@
 import { create, toBinary } from '@bufbuild/protobuf';
 import { expect, test } from 'vitest';
+import readHeartbeat from '../../platform/readHeartbeat';
 import readSubmission from '../../platform/readSubmission';
 import { RunOrderSchema } from '../../src/gen/magnoliakeel/v1/peer_pb';
+import Resources from '../../src/room/Resources';
 import amountOf from '../../src/room/amountOf';
 
 // A job whose step asked for 100.5 thousandths of a core was accepted. No order with that number can be
@@ -48,3 +50,20 @@
     'invalid: steps: more than 3200 tasks in all',
   ]);
 });
+
+// What a backend server has is told to every entry: a number that no message can carry ended each link as
+// often as it was dialled again.
+test('a heartbeat tells whole numbers that a message can carry', () => {
+  const heard = (capacity: object) =>
+    readHeartbeat('i-1', {
+      ...{ service: 's', addr: '10.0.0.1:8', state: 'ready', seq: 4, clock_ms: 9 },
+      capacity,
+    }).match(
+      (report) => report.capacity,
+      (reason) => reason,
+    );
+  expect([heard({ cpu: 16_000.5, mem_mb: 9.9 }), heard({ cpu: 1, mem_mb: 2 ** 32 })]).toEqual([
+    Resources.of({ cpuMilli: 16_000, memoryMb: 9 }),
+    'capacity.mem_mb: must be <= 4294967295',
+  ]);
+});
