--- a/src/batches/urgencyOf.ts
+++ b/src/batches/urgencyOf.ts
@@ -18,7 +18,8 @@
 export default function urgencyOf(batch: Batch, now: number): Urgency {
   const slackMs = batch.slackMs(now);
   const stage = stageOf(batch, slackMs, now);
-  const rank = stage * PRIORITIES + batch.submission.queue.priority;
+  const priority = Math.min(batch.submission.queue.priority, PRIORITIES - 1);
+  const rank = stage * PRIORITIES + priority;
   return { rank, slackMs: stage === LATE ? lateSlackMs(batch, now) : slackMs };
 }
 
@@ -42,7 +43,7 @@
 
 const CORE_MILLI = 1_000;
 
-/** More than there are priorities of queues. */
+/** Priorities told apart; all beyond count as the last, so that no message has to carry a greater number. */
 const PRIORITIES = 1_000;
 
 /** Tasks left by which a begun batch is finished first: so many that no urgent batch waits long for them. */
--- a/src/gen/validateQueueTable.ts
+++ b/src/gen/validateQueueTable.ts
@@ -5,7 +5,7 @@
 
 
 export default validate20 as unknown as ValidateFunction;
-const schema31 = {"type":"object","properties":{"version":{"type":"integer","minimum":0,"maximum":9007199254740991},"queues":{"type":"array","items":{"type":"object","properties":{"name":{"type":"string"},"host":{"type":"string"},"prefix":{"type":"string"},"service":{"type":"string"},"priority":{"type":"number","minimum":0},"maxAttempts":{"type":"number","minimum":0},"timeoutMs":{"type":"number","minimum":0},"stretch":{"type":"number","minimum":0},"targetLatencyMs":{"type":"number","minimum":0}},"required":["name","host","prefix","service","priority","maxAttempts","timeoutMs","stretch","targetLatencyMs"]}},"limits":{"type":"object","properties":{"headerBytes":{"type":"number","minimum":0},"bodyBytes":{"type":"number","minimum":0},"headerMs":{"type":"number","minimum":0},"idleMs":{"type":"number","minimum":0}},"required":["headerBytes","bodyBytes","headerMs","idleMs"]}},"required":["version","queues","limits"]};
+const schema31 = {"type":"object","properties":{"version":{"type":"integer","minimum":0,"maximum":9007199254740991},"queues":{"type":"array","items":{"type":"object","properties":{"name":{"type":"string"},"host":{"type":"string"},"prefix":{"type":"string"},"service":{"type":"string"},"priority":{"type":"integer","minimum":0},"maxAttempts":{"type":"number","minimum":0},"timeoutMs":{"type":"number","minimum":0},"stretch":{"type":"number","minimum":0},"targetLatencyMs":{"type":"number","minimum":0}},"required":["name","host","prefix","service","priority","maxAttempts","timeoutMs","stretch","targetLatencyMs"]}},"limits":{"type":"object","properties":{"headerBytes":{"type":"number","minimum":0},"bodyBytes":{"type":"number","minimum":0},"headerMs":{"type":"number","minimum":0},"idleMs":{"type":"number","minimum":0}},"required":["headerBytes","bodyBytes","headerMs","idleMs"]}},"required":["version","queues","limits"]};
 
 function validate20(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -234,9 +234,8 @@
 }
 if(data2.priority !== undefined){
 let data7 = data2.priority;
-if((typeof data7 == "number") && (isFinite(data7))){
-if(data7 < 0 || isNaN(data7)){
-const err19 = {instancePath:instancePath+"/queues/" + i0+"/priority",schemaPath:"#/properties/queues/items/properties/priority/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema31.properties.queues.items.properties.priority,data:data7};
+if(!(((typeof data7 == "number") && (!(data7 % 1) && !isNaN(data7))) && (isFinite(data7)))){
+const err19 = {instancePath:instancePath+"/queues/" + i0+"/priority",schemaPath:"#/properties/queues/items/properties/priority/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.queues.items.properties.priority.type,parentSchema:schema31.properties.queues.items.properties.priority,data:data7};
 if(vErrors === null){
 vErrors = [err19];
 }
@@ -245,9 +244,9 @@
 }
 errors++;
 }
-}
-else {
-const err20 = {instancePath:instancePath+"/queues/" + i0+"/priority",schemaPath:"#/properties/queues/items/properties/priority/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema31.properties.queues.items.properties.priority.type,parentSchema:schema31.properties.queues.items.properties.priority,data:data7};
+if((typeof data7 == "number") && (isFinite(data7))){
+if(data7 < 0 || isNaN(data7)){
+const err20 = {instancePath:instancePath+"/queues/" + i0+"/priority",schemaPath:"#/properties/queues/items/properties/priority/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema31.properties.queues.items.properties.priority,data:data7};
 if(vErrors === null){
 vErrors = [err20];
 }
@@ -257,6 +256,7 @@
 errors++;
 }
 }
+}
 if(data2.maxAttempts !== undefined){
 let data8 = data2.maxAttempts;
 if((typeof data8 == "number") && (isFinite(data8))){
