--- a/src/batches/EntryPeers.ts
+++ b/src/batches/EntryPeers.ts
@@ -53,6 +53,7 @@
       hello: (session) => this.hello(session),
       serve: (link) => this.serve(link),
       dialled: (address, failure) => dials.dialled(address, failure),
+      failed: (address, error) => log.warn('serving a link failed', { address, error }),
     });
     this.addresses = KnownAddresses.create(timer, seeds, (addresses) =>
       this.keeper.aim([...addresses].filter((address) => address !== listen)),
@@ -218,7 +219,12 @@
   };
 
   private static readonly entryHandlers: MessageHandlers<EntryPeers> = {
-    configuration: ({ opts }, { manifest }) => opts.configured(QueueTable.fromText(manifest)),
+    configuration: ({ opts }, { version, manifest }) =>
+      QueueTable.fromText(manifest).match(
+        (table) => opts.configured(table),
+        (reason) =>
+          opts.log.warn('a configuration of another entry cannot be read', { version, reason }),
+      ),
     knownEntries: (peers, { entries }) =>
       peers.addresses.learn(entries.map(({ address }) => address)),
   };
