Hold each part of a session's end by a test, and call anew after a connection that idled out unused

Now there is a test for each: the socket ends with the ping's timeout and not with the peer's return, a session opens no second connection, replaced connections are closed with the network, a connection that was opened for a caller who gave up and then idled out does not fail the next call. The last two were faults: the session counts as over when its manager has let go, and the network keeps the sessions that are ending. The listener on each session is gone: with the manager's abort not used any more, no run or test could show it to be of use.

--- a/src/link/ConnectNetwork.ts
+++ b/src/link/ConnectNetwork.ts
@@ -33,6 +33,9 @@
 export default class ConnectNetwork implements Network {
   private readonly sessions = new Map<string, PeerSession>();
 
+  /** Sessions that take no new requests and have not ended. */
+  private readonly ending = new Set<PeerSession>();
+
   private constructor(
     private readonly timer: TimerService,
     private readonly tls: TlsCredentials | undefined,
@@ -78,8 +81,9 @@
 
   /** Ends every session that this process has opened. Listeners are closed on their own. */
   close(): void {
-    this.sessions.forEach((session) => session.close());
+    [...this.sessions.values(), ...this.ending].forEach((session) => session.close());
     this.sessions.clear();
+    this.ending.clear();
   }
 
   private call<T>(
@@ -150,9 +154,14 @@
   }
 
   private forgetEnded(): void {
-    [...this.sessions]
-      .filter(([, session]) => session.isOver)
-      .forEach(([address]) => this.sessions.delete(address));
+    this.sessions.forEach((session, address) => {
+      if (!session.isOver) return;
+      this.sessions.delete(address);
+      this.ending.add(session);
+    });
+    this.ending.forEach((session) => {
+      if (session.isClosed) this.ending.delete(session);
+    });
   }
 }
 
--- a/src/link/PeerServer.ts
+++ b/src/link/PeerServer.ts
@@ -27,8 +27,10 @@
 import type TimerService from '../core/TimerService';
 import { type Frame, type Hello, Peer } from '../gen/magnoliakeel/v1/peer_pb';
 import type CallError from './CallError';
+import DEFAULT_PORT from './DEFAULT_PORT';
 import FrameQueue from './FrameQueue';
 import helloOf from './helloOf';
+import hostAndPort from './hostAndPort';
 import type Listener from './Listener';
 import MESSAGE_LIMITS from './MESSAGE_LIMITS';
 import objectionTo from './objectionTo';
@@ -38,7 +40,6 @@
 import type TlsCredentials from './TlsCredentials';
 import widenWindow from './widenWindow';
 
-const DEFAULT_PORT = 80;
 const SILENT_SESSION_MS = 120_000;
 const CLOSE_GRACE_MS = 1000;
 
@@ -100,13 +101,12 @@
   }
 
   private open(address: string): Promise<Result<Listener, CallError>> {
-    const { hostname, port } = new URL(`http://${address}`);
-    const host = hostname.replace(/^\[|\]$/g, '');
+    const place = hostAndPort(new URL(`http://${address}`), DEFAULT_PORT);
     return new Promise((resolve) => {
       const fail = (cause: Error) =>
         resolve(err({ kind: 'unreachable', reason: listenProblem(cause) }));
       this.server.once('error', fail);
-      this.server.listen({ host, port: Number(port || DEFAULT_PORT) }, () => {
+      this.server.listen(place, () => {
         this.server.off('error', fail);
         resolve(ok(this));
       });
--- a/src/link/PeerSession.ts
+++ b/src/link/PeerSession.ts
@@ -5,6 +5,8 @@
 import { connect as connectTls } from 'node:tls';
 import type TimerService from '../core/TimerService';
 import { Peer } from '../gen/magnoliakeel/v1/peer_pb';
+import DEFAULT_PORT from './DEFAULT_PORT';
+import hostAndPort from './hostAndPort';
 import MESSAGE_LIMITS from './MESSAGE_LIMITS';
 import SESSION_OPTIONS from './SESSION_OPTIONS';
 import type TlsCredentials from './TlsCredentials';
@@ -31,6 +33,9 @@
 
   private readonly streams = new Set<ClientHttp2Stream>();
 
+  /** Why the socket failed. */
+  private failure: Error | undefined;
+
   /** Known from the first request on. */
   private conn: Http2Session | undefined;
 
@@ -59,11 +64,18 @@
 
   /** True once the connection has ended or is ending, in good order or not: it takes no new requests. */
   get isOver(): boolean {
-    const { socket, conn } = this;
-    return socket?.destroyed === true || conn?.closed === true || conn?.destroyed === true;
+    const { socket, conn, manager } = this;
+    if (!socket) return false;
+    const isGivenUp = ['closed', 'error'].includes(manager.state());
+    return socket.destroyed || isGivenUp || conn?.closed === true || conn?.destroyed === true;
+  }
+
+  /** True while there is no socket, before the connection is opened and after its end. */
+  get isClosed(): boolean {
+    return this.socket?.destroyed ?? true;
   }
 
-  /** Opens the connection when there is none. Resolves to the reason when that fails, else to undefined. */
+  /** Opens the connection unless it is open. Resolves to the reason when that fails, else to undefined. */
   async open(signal?: AbortSignal): Promise<string | undefined> {
     if (signal?.aborted) return 'the caller has given up';
     const decided = new AbortController();
@@ -74,7 +86,8 @@
     if (state === 'late') return this.giveUp(signal);
     if (state !== 'error') return undefined;
     this.close();
-    return reasonOf(this.manager.error());
+    const cause = this.manager.error() ?? this.failure;
+    return cause instanceof Error ? cause.message : 'the connection has ended';
   }
 
   /**
@@ -97,10 +110,9 @@
    * would stop listening to the one before, and the error with which that ends later, when a peer that
    * was gone resets it, would end this process.
    */
-  private createConnection({ hostname, port }: URL): Socket {
+  private createConnection(url: URL): Socket {
     if (this.socket) throw new Error('the connection has ended');
-    const host = hostname.replace(/^\[|\]$/g, '');
-    const socket = this.tls ? secured(host, port, this.tls) : plain(host, port);
+    const socket = this.tls ? secured(url, this.tls) : connect(hostAndPort(url, DEFAULT_PORT));
     // When a peer that has said that it stops is lost, Node ends the session without an error, and the
     // library would wait for ever for what is open. These listeners come before Node's own.
     socket.on('error', (cause) => this.fail(cause));
@@ -110,6 +122,7 @@
   }
 
   private fail(cause: Error): void {
+    this.failure ??= cause;
     this.streams.forEach((stream) => stream.destroy(cause));
   }
 
@@ -146,9 +159,6 @@
     });
     if (this.conn) return;
     this.conn = session;
-    // The manager listens only while it holds the session for usable; an error that comes later and finds
-    // no listener would end this process. The calls and the link fail by their streams.
-    session.on('error', () => this.close());
     session.once('goaway', () => this.watchEnd(session));
     widenWindow(session);
   }
@@ -174,23 +184,15 @@
   }
 }
 
-function plain(host: string, port: string): Socket {
-  return connect({ host, port: Number(port || DEFAULT_PORT) });
-}
-
-function secured(host: string, port: string, tls: TlsCredentials): Socket {
+function secured(url: URL, tls: TlsCredentials): Socket {
   return connectTls({
     ...tls.current,
-    ...{ host, port: Number(port || DEFAULT_TLS_PORT), ALPNProtocols: ['h2'] },
+    ...hostAndPort(url, DEFAULT_TLS_PORT),
+    ALPNProtocols: ['h2'],
     // Processes are known by the authority of their certificates, not by addresses, which change.
     checkServerIdentity: () => undefined,
   });
 }
 
-/** A URL leaves these ports out. */
-const DEFAULT_PORT = 80;
+/** The port that a URL of TLS leaves out. */
 const DEFAULT_TLS_PORT = 443;
-
-function reasonOf(failure: unknown): string {
-  return failure instanceof Error ? failure.message : 'the connection was closed';
-}
--- a/test/link/PeerSession.test.ts
+++ b/test/link/PeerSession.test.ts
@@ -1,8 +1,14 @@
 import { create } from '@bufbuild/protobuf';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import { ClaimRequestSchema, HeartbeatSchema } from '../../src/gen/magnoliakeel/v1/peer_pb';
+import {
+  type ClaimRequest,
+  ClaimRequestSchema,
+  ForwardRequestSchema,
+  HeartbeatSchema,
+} from '../../src/gen/magnoliakeel/v1/peer_pb';
 import ConnectNetwork from '../../src/link/ConnectNetwork';
 import type Link from '../../src/link/Link';
+import PeerSession from '../../src/link/PeerSession';
 import ManualTimer from '../support/ManualTimer';
 import NetworkCase from '../support/NetworkCase';
 import TcpProxy from '../support/TcpProxy';
@@ -18,6 +24,7 @@
 const ENDING_TURNS = 20;
 const PING_INTERVAL_MS = 5000;
 const PING_TIMEOUT_MS = 10_000;
+const IDLE_LIMIT_MS = 60_000;
 
 describe('PeerSession', () => {
   let far: NetworkCase;
@@ -50,7 +57,22 @@
     for await (const message of link.messages()) expect(message).toBeUndefined();
   };
 
-  const claim = (job = '') => near.claim(proxy.address, create(ClaimRequestSchema, { job }));
+  const claim = (req: ClaimRequest = create(ClaimRequestSchema)) => near.claim(proxy.address, req);
+
+  /** Makes calls whose bodies the kernel does not take while the peer is silent. */
+  function fillingCalls<T>(call: (req: ClaimRequest) => T): T[] {
+    const job = 'x'.repeat(MIB);
+    return Array.from({ length: FILLING_CALLS }, () => call(create(ClaimRequestSchema, { job })));
+  }
+
+  /** Lets the time pass until a ping has timed out; `meanwhile` is done after the ping. */
+  async function passPing(meanwhile?: () => unknown): Promise<void> {
+    await settle();
+    await vi.advanceTimersByTimeAsync(PING_INTERVAL_MS + 1);
+    meanwhile?.();
+    await vi.advanceTimersByTimeAsync(PING_TIMEOUT_MS);
+    await settle();
+  }
 
   /**
    * Opens a connection to a peer that falls silent with data queued, up to when its ping times out;
@@ -59,12 +81,8 @@
   async function loseSilentPeer(meanwhile?: () => unknown): Promise<void> {
     const link = await dial();
     proxy.freeze();
-    const job = 'x'.repeat(MIB);
-    const calls = Array.from({ length: FILLING_CALLS }, () => claim(job));
-    await settle();
-    await vi.advanceTimersByTimeAsync(PING_INTERVAL_MS + 1);
-    meanwhile?.();
-    await vi.advanceTimersByTimeAsync(PING_TIMEOUT_MS);
+    const calls = fillingCalls(claim);
+    await passPing(meanwhile);
     await Promise.all([ended(link), ...calls]);
   }
 
@@ -126,7 +144,7 @@
   // pings on the second any more and does not hear its errors, while the link goes on over it. The
   // next reset ended the process with "Error: read ECONNRESET".
   it('keeps to the connection that replaced one that was being verified', async () => {
-    await loseSilentPeer(claim);
+    await loseSilentPeer(() => claim());
     await dial();
     proxy.reset();
     await settle();
@@ -135,4 +153,48 @@
     await settle();
     expect([uncaught.errors, proxy.connections]).toEqual([[], 2]);
   });
+
+  it('ends the socket of a connection whose ping has timed out, before its peer is back', async () => {
+    const session = PeerSession.to(proxy.address, ManualTimer.create(), 1_000);
+    await session.open();
+    await session.client.claim({});
+    proxy.freeze();
+    const calls = Promise.allSettled(fillingCalls(({ job }) => session.client.claim({ job })));
+    await passPing();
+    expect(session.isClosed).toBe(true);
+    await calls;
+  });
+
+  it('opens no second connection in place of one that has ended', async () => {
+    const session = PeerSession.to(proxy.address, ManualTimer.create(), 1_000);
+    expect(await session.open()).toBeUndefined();
+    proxy.break();
+    await settle();
+    await expect(session.client.claim({})).rejects.toThrow('the connection has ended');
+    expect([session.isOver, proxy.connections]).toEqual([true, 1]);
+  });
+
+  it('calls anew after a connection that was opened and never used has idled out', async () => {
+    const gone = new AbortController();
+    const given = near.forward(proxy.address, create(ForwardRequestSchema), gone.signal);
+    gone.abort();
+    await given;
+    await settle();
+    proxy.freeze();
+    await vi.advanceTimersByTimeAsync(IDLE_LIMIT_MS);
+    await settle();
+    expect([proxy.connections, (await claim()).isOk()]).toEqual([1, true]);
+  });
+
+  it('closes connections that were replaced, too', async () => {
+    const link = await dial();
+    link.send({ case: 'heartbeat', value: create(HeartbeatSchema) });
+    const end = far.listener.close();
+    await settle();
+    await claim();
+    near.close();
+    await end;
+    await settle();
+    expect(link.closed.aborted).toBe(true);
+  });
 });
