End a link between entries over which nothing was heard for 25 s

Cause: an entry looked for silence on the links of sidecars only. A link that another entry had dialled, and that was cut off without a word, stayed until its connection failed: each configuration was queued for it, it counted in entryCount, and its address was told to all sidecars every 10 s, which kept it known there. Change: entries tell each other where entries listen every 10 s already; a link that two tellings have not come over is ended, with a line. No message is added. What is not told any more is forgotten by KnownAddresses after 30 s as before, so the address of a dead entry lasts 60 s at most. Ruled out: pulses between entries, at a message each for something that costs this little.

--- a/src/batches/EntryPeers.ts
+++ b/src/batches/EntryPeers.ts
@@ -191,6 +191,16 @@
     this.sidecars.forEach((peer) => {
       if (peer.silentMs > pulseLimits.closeMs) peer.link.close(true);
     });
+    this.entries.forEach((link) => this.closeSilentEntry(link));
+  }
+
+  /** What is queued for an entry that is gone would grow, and its address be told to others. */
+  private closeSilentEntry(link: Link): void {
+    const silentMs = this.opts.timer.now() - link.lastReceivedAt;
+    if (silentMs < ENTRY_SILENT_MS) return;
+    const entry = link.peer.instance;
+    this.opts.log.warn('an entry is silent: its link is ended', { entry, silentMs });
+    link.close(true);
   }
 
   private static readonly sidecarHandlers: MessageHandlers<{
@@ -220,3 +230,6 @@
 
 /** How often all peers are told where entries listen, ms. An address lasts three rounds without being told. */
 const TELL_INTERVAL_MS = 10_000;
+
+/** After this long without a word of another entry its link is ended, ms: it tells where entries listen twice. */
+const ENTRY_SILENT_MS = 2.5 * TELL_INTERVAL_MS;
