Try a task again whose run ended with an outcome that is not known here

Cause: the name of an outcome was looked up without a check, after the run had been taken off its sidecar's list: the error left the task neither done nor waiting, and the rest of the message was passed over. Change: an outcome that is not in the table of outcomes counts as unspecified, by which the task is ready again. Ruled out: counting it as failed, which would spend the queue's attempts.

--- a/src/batches/RunEnds.ts
+++ b/src/batches/RunEnds.ts
@@ -35,8 +35,10 @@
     if (!run) return;
     const { task } = run;
     task.attempt = Math.max(task.attempt, end.attempt + 1);
-    if (end.outcome === RunOutcome.REFUSED) peer.pause();
-    this.over(run, peer, end.outcome, end.reason);
+    // A sidecar of a later version may have another word; that the run is over is certain all the same.
+    const outcome = end.outcome in RunEnds.outcomes ? end.outcome : RunOutcome.UNSPECIFIED;
+    if (outcome === RunOutcome.REFUSED) peer.pause();
+    this.over(run, peer, outcome, end.reason);
   }
 
   /** A run is certainly over. */
