Test that a caller that says it waits for years is not refused at once

A failing test alone: the time goes to the entry as the caller said it. Over real sockets and with Node's timers a job with a deadline of 10^11 ms was answered 504 at once, since a timer of more than 2^31 - 1 ms fires after 1 ms.

--- a/test/usersPlatform/CallerServer.test.ts
+++ b/test/usersPlatform/CallerServer.test.ts
@@ -13,6 +13,7 @@
   readonly path?: string;
   readonly host?: string;
   readonly body?: unknown;
+  readonly waitMs?: number;
 }
 
 /** Answers of a caller server before an entry and two sidecars in memory, whose time is moved on. */
@@ -35,9 +36,10 @@
   return answers;
 }
 
-function send(port: number, { method = 'POST', path = `/q/${ID}`, host = 'h', body }: Ask) {
+function send(port: number, what: Ask) {
+  const { method = 'POST', path = `/q/${ID}`, host = 'h', body, waitMs = 3_000 } = what;
   return new Promise<string>((resolve, reject) => {
-    const headers = { host, 'content-type': 'application/json', 'x-deadline-ms': '3000' };
+    const headers = { host, 'content-type': 'application/json', 'x-deadline-ms': waitMs };
     const req = request({ port, method, path, headers, host: '127.0.0.1' }, (res) => {
       let text = '';
       res.on('data', (chunk: Buffer) => {
@@ -164,3 +166,20 @@
     [],
   ]);
 });
+
+// Node's timers take no more than 2^31 - 1 ms and fire at once beyond: a job whose caller said that it waits
+// for 10^11 ms was answered within a few ms ("its time is over with 1 tasks not done").
+test('a caller that waits for years is taken to wait for a day', async () => {
+  const batchCase = await BatchCase.open({ entries: 1 });
+  let waitMs = 0;
+  const submit: BatchEntry['submit'] = async (submission) => {
+    waitMs = submission.waitMs;
+    return { kind: 'completed' };
+  };
+  const entry = Object.create(batchCase.entries[0]!, { submit: { value: submit } });
+  const server = CallerServer.of(entry, log);
+  await server.listen('127.0.0.1:0');
+  await send(server.port, { body: job, waitMs: 1e11 });
+  server.close();
+  expect(Math.round(waitMs / 60_000)).toBe(24 * 60);
+});
