Say once what a URL's host and port are, and what two tests of sessions share

The default port and the taking apart of a URL stood in four files; the set-up of a proxied process with clocks moved by hand in two tests.

--- a/src/link/PeerServer.ts
+++ b/src/link/PeerServer.ts
@@ -23,14 +23,14 @@
 } from 'node:http2';
 import type { AddressInfo } from 'node:net';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
+import DEFAULT_PORT from '../core/DEFAULT_PORT';
+import hostAndPort from '../core/hostAndPort';
 import listenProblem from '../core/listenProblem';
 import type TimerService from '../core/TimerService';
 import { type Frame, type Hello, Peer } from '../gen/magnoliakeel/v1/peer_pb';
 import type CallError from './CallError';
-import DEFAULT_PORT from './DEFAULT_PORT';
 import FrameQueue from './FrameQueue';
 import helloOf from './helloOf';
-import hostAndPort from './hostAndPort';
 import type Listener from './Listener';
 import MESSAGE_LIMITS from './MESSAGE_LIMITS';
 import objectionTo from './objectionTo';
--- a/src/link/PeerSession.ts
+++ b/src/link/PeerSession.ts
@@ -3,10 +3,10 @@
 import type { ClientHttp2Stream, Http2Session } from 'node:http2';
 import { connect, type Socket } from 'node:net';
 import { connect as connectTls } from 'node:tls';
+import DEFAULT_PORT from '../core/DEFAULT_PORT';
+import hostAndPort from '../core/hostAndPort';
 import type TimerService from '../core/TimerService';
 import { Peer } from '../gen/magnoliakeel/v1/peer_pb';
-import DEFAULT_PORT from './DEFAULT_PORT';
-import hostAndPort from './hostAndPort';
 import MESSAGE_LIMITS from './MESSAGE_LIMITS';
 import SESSION_OPTIONS from './SESSION_OPTIONS';
 import type TlsCredentials from './TlsCredentials';
--- a/src/operators/OperatorServer.ts
+++ b/src/operators/OperatorServer.ts
@@ -1,6 +1,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { ResultAsync } from 'neverthrow';
+import DEFAULT_PORT from '../core/DEFAULT_PORT';
+import hostAndPort from '../core/hostAndPort';
 import type OperatorReply from './OperatorReply';
 import type OperatorRoute from './OperatorRoute';
 
@@ -26,12 +28,12 @@
 
   /** Listens at "ip:port" and returns the address in use. */
   listen(address: string): ResultAsync<string, Error> {
-    const { hostname, port } = new URL(`http://${address}`);
-    const host = hostname.replace(/^\[|\]$/g, '');
+    const url = new URL(`http://${address}`);
+    const { host, port } = hostAndPort(url, DEFAULT_PORT);
     const listening = new Promise<string>((resolve, reject) => {
       this.server.once('error', reject);
-      this.server.listen(Number(port || DEFAULT_PORT), host, () => {
-        resolve(`${hostname}:${(this.server.address() as AddressInfo).port}`);
+      this.server.listen(port, host, () => {
+        resolve(`${url.hostname}:${(this.server.address() as AddressInfo).port}`);
       });
     });
     return ResultAsync.fromPromise(listening, (error) => error as Error);
@@ -76,9 +78,6 @@
 const REQUEST_LIMIT_MS = 5000;
 const MAX_CONNECTIONS = 256;
 
-/** A URL leaves this port out. */
-const DEFAULT_PORT = 80;
-
 /** The exposition format that scrapers expect; plain text to everybody else. */
 const TEXT_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
 
--- a/src/operators/reachableAddress.ts
+++ b/src/operators/reachableAddress.ts
@@ -1,3 +1,5 @@
+import DEFAULT_PORT from '../core/DEFAULT_PORT';
+
 /**
  * The address at which other machines reach a listener: one that listens on
  * all addresses of its machine takes the host of the address given instead.
@@ -11,6 +13,3 @@
 }
 
 const ALL_ADDRESSES = ['0.0.0.0', '[::]'];
-
-/** A URL leaves this port out. */
-const DEFAULT_PORT = 80;
--- a/test/link/PeerSession.test.ts
+++ b/test/link/PeerSession.test.ts
@@ -1,5 +1,5 @@
 import { create } from '@bufbuild/protobuf';
-import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import {
   type ClaimRequest,
   ClaimRequestSchema,
@@ -11,15 +11,12 @@
 import PeerSession from '../../src/link/PeerSession';
 import ManualTimer from '../support/ManualTimer';
 import NetworkCase from '../support/NetworkCase';
-import TcpProxy from '../support/TcpProxy';
-import Uncaught from '../support/Uncaught';
+import ProxiedCase from '../support/ProxiedCase';
 import valueOf from '../support/valueOf';
 
 const MIB = 1024 * 1024;
 /** One call fills the window of its stream, and these the buffers of the kernel. */
 const FILLING_CALLS = 14;
-/** Turns of the event loop after which nothing is left to be done on loopback. */
-const TURNS = 200;
 /** Turns of the event loop within which a session ends on loopback. */
 const ENDING_TURNS = 20;
 const PING_INTERVAL_MS = 5000;
@@ -27,37 +24,22 @@
 const IDLE_LIMIT_MS = 60_000;
 
 describe('PeerSession', () => {
-  let far: NetworkCase;
-  let proxy: TcpProxy;
-  let near: ConnectNetwork;
-  let uncaught: Uncaught;
+  let peers: ProxiedCase;
 
   beforeEach(async () => {
-    // The pings of a session are timed by the library; all else keeps its time.
-    vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'Date'] });
-    far = await NetworkCase.start(NetworkCase.kinds.connect!);
-    proxy = await TcpProxy.to(far.listener.address);
-    near = ConnectNetwork.create(ManualTimer.create());
-    uncaught = Uncaught.collect();
+    peers = await ProxiedCase.open();
   });
 
-  afterEach(async () => {
-    uncaught.release();
-    vi.useRealTimers();
-    near.close();
-    proxy.close();
-    await far.stop();
-  });
-
-  const settle = () => ManualTimer.settle(TURNS);
+  afterEach(() => peers.close());
 
-  const dial = async () => valueOf(await near.dial(proxy.address, NetworkCase.hello('near')));
+  const dial = async () => valueOf(await peers.near.dial(peers.address, NetworkCase.hello('near')));
 
   const ended = async (link: Link) => {
     for await (const message of link.messages()) expect(message).toBeUndefined();
   };
 
-  const claim = (req: ClaimRequest = create(ClaimRequestSchema)) => near.claim(proxy.address, req);
+  const claim = (req: ClaimRequest = create(ClaimRequestSchema)) =>
+    peers.near.claim(peers.address, req);
 
   /** Makes calls whose bodies the kernel does not take while the peer is silent. */
   function fillingCalls<T>(call: (req: ClaimRequest) => T): T[] {
@@ -67,11 +49,10 @@
 
   /** Lets the time pass until a ping has timed out; `meanwhile` is done after the ping. */
   async function passPing(meanwhile?: () => unknown): Promise<void> {
-    await settle();
-    await vi.advanceTimersByTimeAsync(PING_INTERVAL_MS + 1);
+    await peers.settle();
+    await peers.pass(PING_INTERVAL_MS + 1);
     meanwhile?.();
-    await vi.advanceTimersByTimeAsync(PING_TIMEOUT_MS);
-    await settle();
+    await peers.pass(PING_TIMEOUT_MS);
   }
 
   /**
@@ -80,7 +61,7 @@
    */
   async function loseSilentPeer(meanwhile?: () => unknown): Promise<void> {
     const link = await dial();
-    proxy.freeze();
+    peers.proxy.freeze();
     const calls = fillingCalls(claim);
     await passPing(meanwhile);
     await Promise.all([ended(link), ...calls]);
@@ -96,10 +77,10 @@
   it('survives the reset of a connection that it has replaced', async () => {
     await loseSilentPeer();
     const link = await dial();
-    proxy.reset();
-    await settle();
-    expect(uncaught.errors).toEqual([]);
-    far.served.at(-1)!.send({ case: 'heartbeat', value: create(HeartbeatSchema) });
+    peers.proxy.reset();
+    await peers.settle();
+    expect(peers.uncaught.errors).toEqual([]);
+    peers.far.served.at(-1)!.send({ case: 'heartbeat', value: create(HeartbeatSchema) });
     const { value } = await link.messages()[Symbol.asyncIterator]().next();
     expect(value?.case).toBe('heartbeat');
   });
@@ -109,10 +90,10 @@
   // not destroyed yet.
   it('survives the reset of a connection that it has closed', async () => {
     await loseSilentPeer();
-    near.close();
-    proxy.reset();
-    await settle();
-    expect(uncaught.errors).toEqual([]);
+    peers.near.close();
+    peers.proxy.reset();
+    await peers.settle();
+    expect(peers.uncaught.errors).toEqual([]);
   });
 
   // A peer that ends in good order sends GOAWAY. The library then destroys a session without streams
@@ -121,21 +102,21 @@
   // and takes the listeners off this one. As many processes as turns, each of which calls in a turn
   // of its own, meet it.
   it('survives a call in the moment in which its peer ends in good order', async () => {
-    const { address } = far.listener;
+    const { address } = peers.far.listener;
     const callers = Array.from({ length: ENDING_TURNS }, () =>
       ConnectNetwork.create(ManualTimer.create()),
     );
     const call = (caller: ConnectNetwork) => caller.claim(address, create(ClaimRequestSchema));
     await Promise.all(callers.map(call));
-    const end = far.listener.close();
+    const end = peers.far.listener.close();
     for (const caller of callers) {
       await ManualTimer.settle(1);
       call(caller);
     }
     await end;
-    await settle();
+    await peers.settle();
     callers.forEach((caller) => caller.close());
-    expect(uncaught.errors).toEqual([]);
+    expect(peers.uncaught.errors).toEqual([]);
   });
 
   // A call to a silent peer makes the library verify the connection by a ping, and it learns that this
@@ -146,19 +127,19 @@
   it('keeps to the connection that replaced one that was being verified', async () => {
     await loseSilentPeer(() => claim());
     await dial();
-    proxy.reset();
-    await settle();
-    proxy.freeze();
-    proxy.reset();
-    await settle();
-    expect([uncaught.errors, proxy.connections]).toEqual([[], 2]);
+    peers.proxy.reset();
+    await peers.settle();
+    peers.proxy.freeze();
+    peers.proxy.reset();
+    await peers.settle();
+    expect([peers.uncaught.errors, peers.proxy.connections]).toEqual([[], 2]);
   });
 
   it('ends the socket of a connection whose ping has timed out, before its peer is back', async () => {
-    const session = PeerSession.to(proxy.address, ManualTimer.create(), 1_000);
+    const session = PeerSession.to(peers.address, ManualTimer.create(), 1_000);
     await session.open();
     await session.client.claim({});
-    proxy.freeze();
+    peers.proxy.freeze();
     const calls = Promise.allSettled(fillingCalls(({ job }) => session.client.claim({ job })));
     await passPing();
     expect(session.isClosed).toBe(true);
@@ -166,35 +147,34 @@
   });
 
   it('opens no second connection in place of one that has ended', async () => {
-    const session = PeerSession.to(proxy.address, ManualTimer.create(), 1_000);
+    const session = PeerSession.to(peers.address, ManualTimer.create(), 1_000);
     expect(await session.open()).toBeUndefined();
-    proxy.break();
-    await settle();
+    peers.proxy.break();
+    await peers.settle();
     await expect(session.client.claim({})).rejects.toThrow('the connection has ended');
-    expect([session.isOver, proxy.connections]).toEqual([true, 1]);
+    expect([session.isOver, peers.proxy.connections]).toEqual([true, 1]);
   });
 
   it('calls anew after a connection that was opened and never used has idled out', async () => {
     const gone = new AbortController();
-    const given = near.forward(proxy.address, create(ForwardRequestSchema), gone.signal);
+    const given = peers.near.forward(peers.address, create(ForwardRequestSchema), gone.signal);
     gone.abort();
     await given;
-    await settle();
-    proxy.freeze();
-    await vi.advanceTimersByTimeAsync(IDLE_LIMIT_MS);
-    await settle();
-    expect([proxy.connections, (await claim()).isOk()]).toEqual([1, true]);
+    await peers.settle();
+    peers.proxy.freeze();
+    await peers.pass(IDLE_LIMIT_MS);
+    expect([peers.proxy.connections, (await claim()).isOk()]).toEqual([1, true]);
   });
 
   it('closes connections that were replaced, too', async () => {
     const link = await dial();
     link.send({ case: 'heartbeat', value: create(HeartbeatSchema) });
-    const end = far.listener.close();
-    await settle();
+    const end = peers.far.listener.close();
+    await peers.settle();
     await claim();
-    near.close();
+    peers.near.close();
     await end;
-    await settle();
+    await peers.settle();
     expect(link.closed.aborted).toBe(true);
   });
 });
