--- /dev/null
+++ b/test/batches/cancelledIds.test.ts
@@ -0,0 +1,38 @@
+import { expect, test } from 'vitest';
+import BatchCase from '../support/BatchCase';
+
+// A copy of a submission may come seconds after the answer to the first, at any entry. After its caller had
+// cancelled the batch, the copy was accepted and ran from the start, for nobody.
+test('a batch that its caller has cancelled does not run when it is submitted again', async () => {
+  const batchCase = await BatchCase.open();
+  batchCase.submit('a', { tasks: 2, ms: 5_000 });
+  await batchCase.timer.advance(50);
+  batchCase.entries[0]!.cancel('a');
+  await batchCase.timer.advance(60);
+  const copies = [0, 1].map((entry) => batchCase.submit('a', { entry, tasks: 2, ms: 5_000 }));
+  await batchCase.timer.advance(100);
+  expect([copies.map(({ answer }) => answer?.kind), batchCase.running]).toEqual([
+    ['cancelled', 'cancelled'],
+    [],
+  ]);
+});
+
+// Callers' requests are spread over the entries, the one that cancels as well: it came to an entry that did
+// not know the batch, was answered so, and the batch ran on at the other one.
+test('a batch is cancelled at whichever entry its caller asks for it', async () => {
+  const batchCase = await BatchCase.open();
+  const caller = batchCase.submit('a', { entry: 0, tasks: 2, ms: 5_000 });
+  await batchCase.timer.advance(50);
+  expect(batchCase.entries[1]!.cancel('a')).toBe(false);
+  await batchCase.timer.advance(60);
+  expect([caller.answer, batchCase.running]).toEqual([{ kind: 'cancelled' }, []]);
+});
+
+test('a cancelled id is free again when no copy of its submission is to be expected', async () => {
+  const batchCase = await BatchCase.open();
+  batchCase.entries[0]!.cancel('a');
+  await batchCase.timer.advance(120_000);
+  const caller = batchCase.submit('a', { ms: 50 });
+  await batchCase.timer.advance(200);
+  expect(caller.answer).toEqual({ kind: 'completed' });
+});
