Remember cancelled batches at all entries, so that a late copy of a submission does not run

Cause: an entry forgot a cancelled id at once, and told nobody. A copy of the submission, which the platform sends at times seconds after the first answer, ran from the start at this entry or another, though its cancelling was acknowledged; and a request to cancel that came to another entry ended nothing. A copy is answered as cancelled. Ruled out: asking the entry that has the batch before the answer; the users allow 3 s for the end.

--- a/src/batches/BatchEntry.ts
+++ b/src/batches/BatchEntry.ts
@@ -9,6 +9,7 @@
 import type BatchPolicy from './BatchPolicy';
 import type BatchEntryOptions from './BatchEntryOptions';
 import type BatchSubmission from './BatchSubmission';
+import CancelledIds from './CancelledIds';
 import EntryPeers from './EntryPeers';
 import Expectations from './Expectations';
 import LostSidecars from './LostSidecars';
@@ -33,6 +34,8 @@
 
   private readonly batches: OpenBatches;
 
+  private readonly cancelled: CancelledIds;
+
   private readonly peers: EntryPeers;
 
   private readonly scheduler: Scheduler;
@@ -57,11 +60,13 @@
     const { timer, random, log, metrics, zone, policy = standardPolicy } = opts;
     this.policy = policy;
     this.startup = Startup.begin(timer);
+    this.cancelled = CancelledIds.create(timer);
     this.expectations = Expectations.create(policy);
     this.peers = EntryPeers.create({
       ...opts,
       table: () => this.table,
       configured: (table) => this.configure(table, 'another entry'),
+      cancelled: (id) => this.endCancelled(id, 'another entry'),
       beforeMessage: () => this.gaps.check(),
       roomChanged: () => this.scheduler.wake(),
       runEnded: (peer, end) => this.ends.report(peer, end),
@@ -178,12 +183,10 @@
     return answer;
   }
 
-  /** Ends a batch at its caller's wish; false when it is not open here. */
+  /** Ends a batch at its caller's wish, at whichever entry it is open; false when that is not here. */
   cancel(id: string): boolean {
-    const batch = this.batches.find(id);
-    if (!batch) return false;
-    this.batches.finish(batch, { kind: 'cancelled' });
-    return true;
+    this.peers.tellCancelled(id);
+    return this.endCancelled(id, 'its caller');
   }
 
   /** Takes no more batches and resolves when none is open, or after the time. */
@@ -205,9 +208,21 @@
     await Promise.race([this.peers.close(), this.opts.timer.sleep(CLOSE_MS)]);
   }
 
+  private endCancelled(id: string, source: string): boolean {
+    this.cancelled.add(id);
+    const batch = this.batches.find(id);
+    this.opts.log.info('a batch is cancelled', { request: id, isOpen: Boolean(batch), source });
+    if (batch) this.batches.finish(batch, { kind: 'cancelled' });
+    return batch !== undefined;
+  }
+
   private async answerTo(submission: BatchSubmission, gone: AbortSignal): Promise<BatchAnswer> {
     this.gaps.check();
     const { id } = submission;
+    if (this.cancelled.has(id)) {
+      this.opts.log.info('a batch that was cancelled before is not run', { request: id });
+      return { kind: 'cancelled' };
+    }
     const known = this.batches.find(id);
     if (known) return this.batches.join(known, gone);
     const refusal = this.admission.refusalOf(submission);
--- a/src/batches/EntryPeers.ts
+++ b/src/batches/EntryPeers.ts
@@ -2,6 +2,7 @@
 import type { Result } from 'neverthrow';
 import type Subscription from '../core/Subscription';
 import {
+  BatchCancelledSchema,
   ConfigurationSchema,
   type Hello,
   HelloSchema,
@@ -107,6 +108,12 @@
     this.entries.forEach((link) => link.send(message));
   }
 
+  /** Tells the other entries of a batch that its caller has cancelled here. */
+  tellCancelled(batch: string): void {
+    const value = create(BatchCancelledSchema, { batch });
+    this.entries.forEach((link) => link.send({ case: 'batchCancelled', value }));
+  }
+
   /** Ends links and listening. */
   async close(): Promise<void> {
     this.beats.forEach((beat) => beat.cancel());
@@ -235,6 +242,7 @@
         (reason) =>
           opts.log.warn('a configuration of another entry cannot be read', { version, reason }),
       ),
+    batchCancelled: ({ opts }, { batch }) => opts.cancelled(batch),
     knownEntries: (peers, { entries }) =>
       peers.addresses.learn(entries.map(({ address }) => address)),
   };
--- a/src/batches/EntryPeersOptions.ts
+++ b/src/batches/EntryPeersOptions.ts
@@ -9,6 +9,8 @@
   readonly table: () => QueueTable;
   /** Told of a configuration from another entry. */
   readonly configured: (table: QueueTable) => void;
+  /** Told of a batch that its caller has cancelled at another entry. */
+  readonly cancelled: (id: string) => void;
   /** Called before anything that a peer has sent is acted upon. */
   readonly beforeMessage: () => void;
   /** Told that a sidecar has reported its room. */
