--- a/test/support/BatchCase.ts
+++ b/test/support/BatchCase.ts
@@ -1,6 +1,7 @@
 import { create } from '@bufbuild/protobuf';
 import type BatchAnswer from '../../src/batches/BatchAnswer';
 import BatchEntry from '../../src/batches/BatchEntry';
+import type BatchPolicy from '../../src/batches/BatchPolicy';
 import type BatchStep from '../../src/batches/BatchStep';
 import type Queue from '../../src/batches/Queue';
 import QueueTable from '../../src/batches/QueueTable';
@@ -22,6 +23,7 @@
   readonly entries?: number;
   readonly sidecars?: number;
   readonly work?: Work;
+  readonly policy?: BatchPolicy;
   /** Whether the entries have a configuration from the beginning. */
   readonly configured?: boolean;
 }
@@ -41,16 +43,20 @@
   /** Addresses of entries that sidecars find when they look them up. */
   lookUp: readonly string[] = [];
 
-  private constructor(private readonly work: Work) {}
+  private constructor(
+    private readonly work: Work,
+    private readonly policy: BatchPolicy | undefined,
+  ) {}
 
   /** Starts everything and waits until all are linked. Each backend server has room for four tasks. */
   static async open({
     entries = 2,
     sidecars = 2,
     work,
+    policy,
     configured = true,
   }: BatchCaseOptions = {}): Promise<BatchCase> {
-    const batchCase = new BatchCase(work);
+    const batchCase = new BatchCase(work, policy);
     for (let number = 0; number < entries; number += 1) await batchCase.addEntry(number);
     for (let number = 0; number < sidecars; number += 1) batchCase.addSidecar(number);
     await batchCase.timer.advance(300);
@@ -70,6 +76,7 @@
     const instance = `e${number}`;
     const entry = BatchEntry.create({
       ...this.partsOf(instance),
+      policy: this.policy,
       listen: `${instance}:1`,
       seeds: ['e0:1', 'e1:1'],
     });
