Give up a batch that cannot be placed, in place of keeping all that wait with it from room

Cause: one turn places all batches that wait, and an error in one batch's urgency or place left the turn; with errors that reach nobody no longer ending the process, every turn would fail until that batch's time was over. Change: the batch is given up with a line and the answer that it may have run; the others are placed in the same turn. It is given up after the orders of the turn are sent, so that what was ordered of it is stopped and not started after its stop. An answered batch's runs are noted before they are stopped, so that the same id waits for them whatever comes of the stopping. Ruled out: passing the batch over, which would have it wait in vain until its caller's time is over.

--- a/src/batches/BatchEntry.ts
+++ b/src/batches/BatchEntry.ts
@@ -78,6 +78,7 @@
       ...{ timer, zone, policy, peers: sidecars },
       waitedInVain: (batch) => this.batches.finish(batch, this.admission.refuseWaiting()),
       ordered: (batch, starts) => this.ordered(batch, starts),
+      failed: (batch, error) => this.failed(batch, error),
     });
     this.admission = Admission.create({
       ...{ random, log, peers: sidecars },
@@ -272,6 +273,12 @@
     });
   }
 
+  /** One batch that cannot be placed is given up, in place of all that wait with it. */
+  private failed(batch: Batch, error: unknown): void {
+    this.opts.log.warn('a batch could not be placed', { request: batch.id, error });
+    this.batches.finish(batch, { kind: 'unknown', reason: 'an error in placing its tasks' });
+  }
+
   /** The batch has its answer: what of it waits is forgotten, what runs is stopped. */
   private answered(batch: Batch): void {
     this.scheduler.remove(batch);
--- a/src/batches/OpenBatches.ts
+++ b/src/batches/OpenBatches.ts
@@ -87,6 +87,8 @@
     const tookMs = timer.now() - batch.arrivedAt;
     metrics?.record('batch_seconds', tookMs / SECOND_MS, batch.submission.queue.name);
     this.open.delete(id);
+    // Noted first, so that the same id submitted again waits for these runs whatever comes of stopping them.
+    if (batch.runs > 0) this.awaitEnd(batch);
     answered(batch);
     log.info('a batch is answered', {
       request: id,
@@ -95,7 +97,6 @@
       starts: batch.startsSent,
       stillRunning: batch.runs,
     });
-    if (batch.runs > 0) this.awaitEnd(batch);
   }
 
   /** Gives up all open batches. */
--- a/src/batches/Scheduler.ts
+++ b/src/batches/Scheduler.ts
@@ -18,6 +18,8 @@
   readonly waitedInVain: (batch: Batch) => void;
   /** Told of the starts of a batch that are ordered in one turn. */
   readonly ordered: (batch: Batch, starts: readonly OrderedStart[]) => void;
+  /** Told of an error in placing a batch, which is to be given up: the others are placed all the same. */
+  readonly failed: (batch: Batch, error: unknown) => void;
 }
 
 /**
@@ -33,6 +35,9 @@
 
   private found: Found | undefined;
 
+  /** Batches of this turn in whose placing there was an error. */
+  private readonly failures = new Map<Batch, unknown>();
+
   private constructor(private readonly opts: SchedulerOptions) {}
 
   /** Creates a scheduler for which nothing waits. */
@@ -82,7 +87,7 @@
     while (line.length > 0) {
       const first = line.reduce(firstOf);
       const { service } = first.batch.submission.queue;
-      const left = this.assignBatch(first.batch, place);
+      const left = this.attempt(first.batch, () => this.assignBatch(first.batch, place));
       if (left) heads.set(service, { urgency: first.urgency, needs: left.step.needs });
       // Where room of the service is short, nobody behind the first in line goes before it.
       line = line.filter(
@@ -90,9 +95,26 @@
       );
     }
     peers.forEach((peer) => peer.flush(heads.get(peer.service)));
+    this.giveUpFailures();
     if (this.backlog.length > 0) this.sweepLater();
   }
 
+  private attempt<T>(batch: Batch, action: () => T): T | undefined {
+    try {
+      return action();
+    } catch (error) {
+      this.failures.set(batch, error);
+      return undefined;
+    }
+  }
+
+  /** After the orders of the turn are sent, since what was ordered of them is then stopped. */
+  private giveUpFailures(): void {
+    const failures = [...this.failures];
+    this.failures.clear();
+    failures.forEach(([batch, error]) => this.opts.failed(batch, error));
+  }
+
   /** Looks whether what gets no room waits in vain: not each time, since a long line takes long. */
   private sweepLater(): void {
     this.sweep ??= this.opts.timer.after(SWEEP_MS, () => {
@@ -114,7 +136,10 @@
   /** The backlog, with how urgently each batch waits. */
   private line(now: number): readonly Waiting[] {
     const { urgency } = this.opts.policy;
-    return this.backlog.map((batch) => ({ batch, urgency: urgency(batch, now) }));
+    return this.backlog.flatMap((batch) => {
+      const found = this.attempt(batch, () => urgency(batch, now));
+      return found ? [{ batch, urgency: found }] : [];
+    });
   }
 
   /** What got no room now and can no longer be of use is not kept waiting. */
