Have the daemon write and survive errors that reach nobody, and tell why it ends

The daemon ended at any such error, with Node's text on standard error and nothing in its log. It now has the same part as the roles for batches: the line with what it holds, faults_total, going on, and leaving within stop.drainMs when errors go on, with exit code 1. Each end of a role has the line "the process ends" with its reason and exit code.

--- a/src/daemon/RunRole.ts
+++ b/src/daemon/RunRole.ts
@@ -1,5 +1,10 @@
 import type ExitCode from '../core/ExitCode';
+import type ProcessFaults from '../observe/ProcessFaults';
 
 /** Runs a process in one role until the signal is aborted and everything in flight is finished. */
-type RunRole<RoleSettings> = (settings: RoleSettings, signal: AbortSignal) => Promise<ExitCode>;
+type RunRole<RoleSettings> = (
+  settings: RoleSettings,
+  signal: AbortSignal,
+  faults?: ProcessFaults,
+) => Promise<ExitCode>;
 export type { RunRole as default };
--- a/src/daemon/magnoliakeeld.ts
+++ b/src/daemon/magnoliakeeld.ts
@@ -1,20 +1,35 @@
 #!/usr/bin/env node
 import exitCodes from '../core/exitCodes';
 import processTerminal from '../core/processTerminal';
+import Random from '../core/Random';
+import SystemTimer from '../core/SystemTimer';
+import createLogger from '../observe/createLogger';
+import ProcessFaults from '../observe/ProcessFaults';
+import randomSeed from './randomSeed';
 import runDaemon from './runDaemon';
+import stopReasons from './stopReasons';
 
 // The first signal stops the process in good order; a second one ends it at once.
 const stop = new AbortController();
 function stopOnce(): void {
   process.off('SIGTERM', stopOnce);
   process.off('SIGINT', stopOnce);
-  stop.abort();
+  stop.abort(stopReasons.planned);
 }
 process.on('SIGTERM', stopOnce);
 process.on('SIGINT', stopOnce);
 
+const faults = ProcessFaults.create({
+  timer: SystemTimer.create(),
+  random: Random.fromSeed(randomSeed()),
+  log: createLogger('error', process.stderr),
+  end: () => process.exit(exitCodes.internal),
+  leave: () => stop.abort(stopReasons.faults),
+});
+process.on('uncaughtException', (error, origin) => faults.take(error, origin));
+
 try {
-  process.exitCode = await runDaemon(process.argv.slice(2), processTerminal, stop.signal);
+  process.exitCode = await runDaemon(process.argv.slice(2), processTerminal, stop.signal, faults);
 } catch (error) {
   processTerminal.warn(`magnoliakeeld: internal error: ${(error as Error).stack ?? error}`);
   process.exitCode = exitCodes.internal;
--- a/src/daemon/runDaemon.ts
+++ b/src/daemon/runDaemon.ts
@@ -4,23 +4,28 @@
 import findUsageMistake from '../core/findUsageMistake';
 import type Terminal from '../core/Terminal';
 import version from '../core/version';
+import createLogger from '../observe/createLogger';
+import type ProcessFaults from '../observe/ProcessFaults';
 import formatFinding from '../settings/formatFinding';
 import loadSettings from '../settings/loadSettings';
 import readText from '../settings/readText';
 import type Settings from '../settings/Settings';
 import roles from './roles';
 import type RunRole from './RunRole';
+import stopReasons from './stopReasons';
 
 const NAME = 'magnoliakeeld';
 
 /**
  * Runs the daemon as its command line says. Aborting the signal stops it in good order.
  * @param argv the arguments after the program's name
+ * @param faults the process's errors that reach nobody, when it looks for them
  */
 export default async function runDaemon(
   argv: readonly string[],
   terminal: Terminal,
   signal: AbortSignal,
+  faults?: ProcessFaults,
 ): Promise<ExitCode> {
   const cli = createCli();
   const { options } = cli.parse(['node', NAME, ...argv], { run: false });
@@ -40,12 +45,12 @@
     terminal.print(`${file}: settings of role ${loaded.value.role}, no mistakes found`);
     return exitCodes.ok;
   }
-  return startRole(loaded.value, terminal, signal);
+  return startRole(loaded.value, terminal, signal, faults);
 }
 
 const HELP_EXIT_CODES = [
   `  ${exitCodes.ok}  stopped as asked, or --check found no mistakes`,
-  `  ${exitCodes.internal}  internal error`,
+  `  ${exitCodes.internal}  internal error, or errors came again and again`,
   `  ${exitCodes.usage}  wrong command line`,
   `  ${exitCodes.badFile}  the settings cannot be read or have mistakes`,
   `  ${exitCodes.cannotListen}  an address cannot be listened on`,
@@ -78,9 +83,27 @@
   settings: Settings,
   terminal: Terminal,
   signal: AbortSignal,
+  faults?: ProcessFaults,
 ): Promise<ExitCode> {
   const run = roles[settings.role] as RunRole<Settings> | undefined;
-  if (run) return run(settings, signal);
-  terminal.warn(`${NAME}: this build cannot run the role ${settings.role}`);
-  return exitCodes.internal;
+  if (!run) {
+    terminal.warn(`${NAME}: this build cannot run the role ${settings.role}`);
+    return exitCodes.internal;
+  }
+  const ended = await run(settings, signal, faults);
+  const hasFaults = signal.reason === stopReasons.faults;
+  const exitCode = hasFaults ? exitCodes.internal : ended;
+  const reason = hasFaults ? stopReasons.faults : endReasons[ended];
+  const log = createLogger(settings.log.level);
+  const write = exitCode === exitCodes.ok ? log.info : log.error;
+  write('the process ends', { reason, exitCode });
+  return exitCode;
 }
+
+/** Why a role ends by itself, by its exit code. */
+const endReasons: Readonly<Partial<Record<ExitCode, string>>> = {
+  [exitCodes.ok]: stopReasons.planned,
+  [exitCodes.badFile]: 'the certificates are not usable',
+  [exitCodes.cannotListen]: 'an address is not to be had',
+  [exitCodes.removed]: 'the other entries removed this one',
+};
--- a/src/daemon/runEntry.ts
+++ b/src/daemon/runEntry.ts
@@ -11,6 +11,7 @@
 import MeteredNetwork from '../observe/MeteredNetwork';
 import MeteredStore from '../observe/MeteredStore';
 import Metrics from '../observe/Metrics';
+import type ProcessFaults from '../observe/ProcessFaults';
 import Traces from '../observe/Traces';
 import commonRoutes from '../operators/commonRoutes';
 import entryRoutes from '../operators/entryRoutes';
@@ -26,6 +27,7 @@
 export default async function runEntry(
   settings: EntrySettings,
   signal: AbortSignal,
+  faults?: ProcessFaults,
 ): Promise<ExitCode> {
   const log = createLogger(settings.log.level);
   const timer = SystemTimer.create();
@@ -60,6 +62,7 @@
     operators: () => operators,
   });
   exposeEntry(entry, metrics);
+  faults?.expose(metrics);
   const server = OperatorServer.create([
     ...commonRoutes({
       isReady: () => entry.isReady,
@@ -83,9 +86,20 @@
   log.info(`entry ${settings.instance} listens for callers on ${callers}, for peers on ${peers}`);
   log.info(`listening for operators on ${opened.value}`);
   if (!tls.value) log.info('connections are without TLS: the settings name no certificates');
+  faults?.contain(() => holdingsOf(entry), log);
   const ended = await entry.run(AbortSignal.any([signal, drained.signal]));
   await traces?.close();
   await server.close();
   log.info(`entry ${settings.instance} has ${ended === 'removed' ? 'been removed' : 'stopped'}`);
   return ended === 'removed' ? exitCodes.removed : exitCodes.ok;
 }
+
+/** What an entry holds, for the line of an error. */
+function holdingsOf({ jobs, dispatcher, entryLinks, sidecarLinks }: Entry) {
+  return {
+    jobs: jobs.open,
+    tasksRunning: dispatcher.inFlight,
+    entryLinks: entryLinks.linked().length,
+    sidecars: sidecarLinks.all().filter(({ link }) => link).length,
+  };
+}
--- a/src/daemon/runSidecar.ts
+++ b/src/daemon/runSidecar.ts
@@ -7,6 +7,7 @@
 import createLogger from '../observe/createLogger';
 import MeteredNetwork from '../observe/MeteredNetwork';
 import Metrics from '../observe/Metrics';
+import type ProcessFaults from '../observe/ProcessFaults';
 import Traces from '../observe/Traces';
 import commonRoutes from '../operators/commonRoutes';
 import OperatorServer from '../operators/OperatorServer';
@@ -25,6 +26,7 @@
 export default async function runSidecar(
   settings: SidecarSettings,
   signal: AbortSignal,
+  faults?: ProcessFaults,
 ): Promise<ExitCode> {
   const { cluster, instance, zone, entries, links, heartbeat } = settings;
   const log = createLogger(settings.log.level);
@@ -54,6 +56,7 @@
     log: (line) => log.info(line),
   });
   exposeSidecar(sidecar, counters, metrics);
+  faults?.expose(metrics);
   const server = OperatorServer.create(
     commonRoutes({
       isReady: () => sidecar.isReady,
@@ -80,6 +83,10 @@
     return exitCodes.cannotListen;
   }
   if (!tls.value) log.info('connections are without TLS: the settings name no certificates');
+  faults?.contain(
+    () => ({ tasksRunning: sidecar.runningCount, entryLinks: sidecar.linkCount }),
+    log,
+  );
   await sidecar.run(AbortSignal.any([signal, drained.signal]));
   await desk.close();
   await traces?.close();
--- a/src/observe/ProcessFaults.ts
+++ b/src/observe/ProcessFaults.ts
@@ -9,10 +9,13 @@
 /** How many of each kind of thing a process holds, such as open batches. */
 type Holdings = Readonly<Record<string, unknown>>;
 
+/** Where the lines go. */
+type FaultLog = Pick<ConsolaInstance, 'error' | 'info'>;
+
 interface ProcessFaultsOptions {
   readonly timer: TimerService;
   readonly random: Random;
-  readonly log: Pick<ConsolaInstance, 'error' | 'info'>;
+  readonly log: FaultLog;
   /** Ends the process at once: it serves nobody yet. */
   readonly end: () => void;
   /** Has the process leave as for a planned stop, with its exit code for faults. */
@@ -39,7 +42,10 @@
   /** Errors that were only counted since the last line. */
   private unwritten = 0;
 
+  private log: FaultLog;
+
   private constructor(private readonly opts: ProcessFaultsOptions) {
+    this.log = opts.log;
     this.startedAt = opts.timer.now();
   }
 
@@ -48,9 +54,10 @@
     return new ProcessFaults(opts);
   }
 
-  /** The process serves others: from now on it goes on after an error. */
-  contain(holdings: () => Holdings): void {
+  /** The process serves others: from now on it goes on after an error, and writes to this log if one is given. */
+  contain(holdings: () => Holdings, log = this.log): void {
     this.holdings = holdings;
+    this.log = log;
   }
 
   /** Has the count shown with the metrics of the process. */
@@ -71,8 +78,8 @@
   }
 
   private write(error: unknown, origin: string): void {
-    const { timer, log } = this.opts;
-    log.error('an error reached nobody', {
+    const { timer } = this.opts;
+    this.log.error('an error reached nobody', {
       origin,
       error: describeError(error),
       uptimeMs: Math.round(timer.now() - this.startedAt),
@@ -93,10 +100,10 @@
 
   /** Other processes may meet the same errors at the same moment: each leaves after a pause of its own. */
   private pause(): void {
-    const { timer, random, log } = this.opts;
+    const { timer, random } = this.opts;
     const pauseMs = Math.round(random.unit() * faultLimits.pauseMs);
     this.isLeaving = true;
-    log.error('errors come again and again: the process leaves after a pause', { pauseMs });
+    this.log.error('errors come again and again: the process leaves after a pause', { pauseMs });
     timer.after(pauseMs, () => {
       if (this.rate.isTooOften(timer.now())) this.opts.leave();
       else this.stay();
@@ -105,6 +112,6 @@
 
   private stay(): void {
     this.isLeaving = false;
-    this.opts.log.info('the errors have stopped: the process goes on', {});
+    this.log.info('the errors have stopped: the process goes on', {});
   }
 }
--- a/test/daemon/startAndStop.test.ts
+++ b/test/daemon/startAndStop.test.ts
@@ -28,7 +28,7 @@
   return { code, lines };
 }
 
-test('a port that is taken is one line and an exit code', async () => {
+test('a port that is taken is told in a line before that of the end, and by the exit code', async () => {
   const taken = createServer().listen(0, '127.0.0.1');
   await once(taken, 'listening');
   onTestFinished(() => {
@@ -50,12 +50,14 @@
         "code": 4,
         "lines": [
           "cannot listen: ADDRESS: the port is taken by another process",
+          "the process ends",
         ],
       },
       {
         "code": 4,
         "lines": [
           "cannot listen: ADDRESS: the port is taken by another process",
+          "the process ends",
         ],
       },
     ]
@@ -73,6 +75,7 @@
         "store ADDRESS cannot be reached: connect ECONNREFUSED ADDRESS; going on with what is known",
         "leaving",
         "entry e has stopped",
+        "the process ends",
       ],
     }
   `);
