Ask that one value that cannot be taken does not end the following of the store

An error thrown while a value of the store is taken ended the follower for good: the line "following the store failed" was its last, and no later configuration of the process's life was seen, in every entry that met the value.

--- a/test/usersPlatform/store.test.ts
+++ b/test/usersPlatform/store.test.ts
@@ -49,6 +49,27 @@
   `);
 });
 
+test('an error over one value does not end the following', async () => {
+  const store = await HttpStandIn.open(({ path }) =>
+    path.includes('kv-range')
+      ? { status: 200, body: { items: [item('k/1', 'bad', 4), item('k/2', 'good', 4)], at: 5 } }
+      : { status: 200, body: { events: [item('k/1', 'mended', 6)], at: 6 } },
+  );
+  const stop = new AbortController();
+  const seen: string[] = [];
+  const put = (_key: string, value: string): void => {
+    if (value === 'bad') throw new Error('a bad value');
+    seen.push(value);
+    if (value === 'mended') stop.abort();
+  };
+  const warn = (message: string): number => seen.push(message);
+  const parts = { timer, log: { ...log, warn }, random: Random.fromSeed(1), prefix: 'k/' };
+  const calls = StoreCalls.to(timer, store.address);
+  await StoreFollower.of({ ...parts, store: calls, put }).run(stop.signal);
+  await store.close();
+  expect(seen).toEqual(['a value of the store could not be taken', 'good', 'mended']);
+});
+
 test('a forgotten history is listed anew', async () => {
   let lists = 0;
   const store = await HttpStandIn.open(({ path }) => {
