Go on following the store after an error over one of its values

Cause: the value was handed over without a catch, so an error ended the loop, and the process went on with the configuration that it had, without a sign but one line. Change: the line "a value of the store could not be taken" names the key, with the error's stack; the loop goes on with the next value. The configuration before stays in force. Ruled out: to follow again from the list, which would meet the same value again at once.

--- a/src/membership/StoreFollower.ts
+++ b/src/membership/StoreFollower.ts
@@ -1,6 +1,7 @@
 import Backoff from '../core/Backoff';
 import type Random from '../core/Random';
 import type TimerService from '../core/TimerService';
+import describeError from '../observe/describeError';
 import type EventLog from '../observe/EventLog';
 import type WatchedStore from '../store/WatchedStore';
 
@@ -52,7 +53,7 @@
 
   /** One call. Returns why it failed, if it did. */
   private async step(signal: AbortSignal): Promise<string | undefined> {
-    const { store, prefix, put, timer } = this.opts;
+    const { store, prefix, timer } = this.opts;
     const isFirst = this.revision === undefined;
     // A connection may go silent without a reset, so a watch after a failure comes back sooner.
     const waitMs = this.isLost ? DOUBTED_WATCH_MS : WATCH_MS;
@@ -69,10 +70,22 @@
     }
     this.revision = res.value.revision;
     this.failedLists = 0;
-    res.value.items.forEach(({ key, value }) => put(key, value));
+    res.value.items.forEach(({ key, value }) => this.take(key, value));
     if (isFirst && res.value.items.length === 0) await timer.sleep(EMPTY_MS, signal);
     return undefined;
   }
+
+  /** An error over one value must not end the following: all processes that follow would stop at it. */
+  private take(key: string, value: string): void {
+    try {
+      this.opts.put(key, value);
+    } catch (error) {
+      this.opts.log.warn('a value of the store could not be taken', {
+        key,
+        error: describeError(error),
+      });
+    }
+  }
 }
 
 /** Pauses after a failed call, ms: the store's return has to be noticed well within two seconds. */
