Show faults of processes among the causes of requests without a result

A process that ends writes nothing of the requests it held, so `causes` showed nothing of the moment at which two entries ended. It now has a row for errors that reached nobody, by process, and for each end with an exit code that is not 0, among the requests without a result and in order of time; 0 stands for their requests.

--- a/test/ctl/causes.test.ts
+++ b/test/ctl/causes.test.ts
@@ -17,6 +17,15 @@
     lineOf(2_010, 'a request is refused: there is no configuration yet', { path: '/q/' }),
   ];
   await writeFile(path.join(folder, 'e1.log'), ['no JSON', ...lines].join('\n'));
+  const faults = [
+    lineOf(0, 'a batch is answered', { request: 'b', ...unknown(3) }),
+    lineOf(20, 'an error reached nobody', {
+      error: { name: 'ConnectError', message: 'timed out' },
+    }),
+    lineOf(40, 'the process ends', { reason: 'a planned stop', exitCode: 0 }),
+    lineOf(2_040, 'the process ends', { reason: 'errors came again and again', exitCode: 1 }),
+  ];
+  await writeFile(path.join(folder, 'e2.log'), faults.join('\n'));
   await writeFile(path.join(folder, 'calm.log'), lines[0]!);
 });
 
@@ -47,6 +56,16 @@
   `);
 });
 
+test('faults of processes stand among them', async () => {
+  expect(await causes('e2.log')).toMatchInlineSnapshot(`
+    "0
+    out: from  requests  one of them  reason
+    out: 0 s          1  b            unknown: its time is over with N tasks not done
+    out: 0 s          0               e2: an error reached nobody: ConnectError: timed out
+    out: 2 s          0               e2 ends: errors came again and again"
+  `);
+});
+
 test('files without such requests are told apart', async () => {
   expect(await causes('calm.log')).toMatchInlineSnapshot(`
     "8
