Ask that the errors that nobody foresaw are told with their stack wherever they are caught

"a message could not be handled", "a request broke off" and the like have the error's message only, which does not tell where it comes from.

--- a/test/observe/createLogger.test.ts
+++ b/test/observe/createLogger.test.ts
@@ -42,3 +42,15 @@
   });
   expect(lines).toHaveLength(12);
 });
+
+test('an error that nobody foresaw, the field "error", is told with its stack and causes', () => {
+  const [line] = logged((logger) =>
+    logger.warn('a message could not be handled', {
+      error: new TypeError('no number', { cause: new Error('what was behind it') }),
+    }),
+  ) as { error: { stack: string; cause: { message: string } } }[];
+  expect([line!.error.stack, line!.error.cause.message]).toEqual([
+    expect.stringContaining('createLogger.test.ts'),
+    'what was behind it',
+  ]);
+});
