Tell errors that nobody foresaw with their stack and causes wherever they are caught

Cause: the reporter wrote of any error in a field its message only. Change: the field "error", which such lines use, has name, message, code, stack and causes; other fields, such as a store's "cause", keep the message. Ruled out: all of it for every error, since a refused connection needs no stack.

--- a/src/observe/JsonReporter.ts
+++ b/src/observe/JsonReporter.ts
@@ -1,4 +1,5 @@
 import type { ConsolaReporter, LogObject } from 'consola';
+import describeError from './describeError';
 
 /** Makes each log line one JSON object: time, level, message and the line's own fields. */
 export default class JsonReporter implements ConsolaReporter {
@@ -30,7 +31,9 @@
   return arg instanceof Error ? (arg.stack ?? arg.message) : String(arg);
 }
 
-function encode(_key: string, value: unknown): unknown {
+/** The field "error" is of an error that nobody foresaw, of which all is told; others are reasons. */
+function encode(key: string, value: unknown): unknown {
   if (typeof value === 'bigint') return value.toString();
-  return value instanceof Error ? value.message : value;
+  if (!(value instanceof Error)) return value;
+  return key === 'error' ? describeError(value) : value.message;
 }
