Write the last lines of a process after those on their way, and not through the middle of them

Cause: lines are written in a thread, so that they hold nothing up, and what was left at the end of the process was written at once beside it. With a reader behind, the two went through each other: of 302 lines 2 were no JSON, the line that says why the process ends among them. Change: the end writes its line and waits up to 200 ms until all is written; a process that ends without this writes nothing while lines are on their way.

--- a/src/observe/LineBuffer.ts
+++ b/src/observe/LineBuffer.ts
@@ -40,21 +40,32 @@
     this.timer.after(FLUSH_MS, () => this.flush());
   }
 
-  /** Writes what is left, for the end of the process; a reader that is behind has a moment to catch up. */
+  /** Writes what is left and resolves when all is written, or after the time: the reader may be behind. */
+  async drain(limitMs: number): Promise<void> {
+    const until = this.timer.now() + limitMs;
+    this.flush();
+    while (this.isBusy && this.timer.now() < until) await this.timer.sleep(DRAIN_POLL_MS);
+  }
+
+  /**
+   * Writes what is left, for a process that ends without a drain. What is on its way already goes first
+   * and cannot be waited for here: nothing is written through the middle of it.
+   */
   end(): void {
-    const until = this.timer.now() + END_MS;
-    let rest = Buffer.from(this.take());
-    while (rest.length > 0) {
-      try {
-        rest = rest.subarray(writeSync(this.fd, rest));
-      } catch (error) {
-        // There is nobody left to tell that the reader of the log is gone, or too far behind.
-        const isFull = (error as NodeJS.ErrnoException).code === 'EAGAIN';
-        if (!isFull || this.timer.now() >= until) return;
-      }
+    if (this.isWriting) return;
+    const text = this.take();
+    if (text === '') return;
+    try {
+      writeSync(this.fd, text);
+    } catch {
+      // There is nobody left to tell that the reader of the log is gone, or too far behind.
     }
   }
 
+  private get isBusy(): boolean {
+    return this.isWriting || this.lines.length > 0;
+  }
+
   private flush(): void {
     this.isDue = false;
     if (this.isWriting) return;
@@ -84,8 +95,8 @@
 /** How long a line waits for others, ms: a reader notices no delay, and a busy process saves most writes. */
 const FLUSH_MS = 250;
 
-/** How long a pipe that is full is tried again at the end of a process, ms: a reader that lives needs less. */
-const END_MS = 100;
+/** How often it is looked whether all is written, ms. */
+const DRAIN_POLL_MS = 5;
 
 /** Text that may wait, in characters: some seconds of a busy process. */
 const MAX_BYTES = 512 * 1024;
--- a/src/observe/createLineLogger.ts
+++ b/src/observe/createLineLogger.ts
@@ -3,15 +3,25 @@
 import JsonReporter from './JsonReporter';
 import LineBuffer from './LineBuffer';
 
+/** A logger, and the way to see its lines written. */
+interface LineLogger {
+  readonly log: ConsolaInstance;
+  /** Resolves when all lines are written, or after this time in ms. */
+  readonly drain: (limitMs: number) => Promise<void>;
+}
+
 /**
  * Creates the logger of a process whose standard output is collected: JSON lines only, which never
  * hold the process up.
  */
-export default function createLineLogger(timer: TimerService): ConsolaInstance {
+export default function createLineLogger(timer: TimerService): LineLogger {
   const buffer = LineBuffer.to(STANDARD_OUTPUT, timer);
   process.on('exit', () => buffer.end());
   const reporter = JsonReporter.with((line) => buffer.write(line));
-  return createConsola({ throttle: 0, reporters: [reporter] });
+  return {
+    log: createConsola({ throttle: 0, reporters: [reporter] }),
+    drain: (limitMs) => buffer.drain(limitMs),
+  };
 }
 
 const STANDARD_OUTPUT = 1;
--- a/test/observe/LineBuffer.test.ts
+++ b/test/observe/LineBuffer.test.ts
@@ -28,8 +28,7 @@
 }
 
 // A process ended while its reader was behind and lines were on their way: the last lines were written
-// through the middle of those ("2 of 302 lines no JSON", the last among them), and the end waited for the
-// reader, 1.5 s as long as that paused.
+// through the middle of those (2 of 302 lines were no JSON, the last among them).
 test('the last lines wait for those that are on their way', async () => {
   const { timer, buffer, written, read } = await behind();
   let isDrained = false;
@@ -45,7 +44,7 @@
   expect([written, isDrained]).toEqual([['first\n', 'last\n'], true]);
 });
 
-test('a process whose reader takes nothing ends all the same', async () => {
+test('a reader that takes nothing is waited for no longer, and nothing is written through what it was sent', async () => {
   const { timer, buffer } = await behind();
   let isDrained = false;
   buffer.drain(200).then(() => {
