--- a/test/usersPlatform/RunnerCalls.test.ts
+++ b/test/usersPlatform/RunnerCalls.test.ts
@@ -10,11 +10,14 @@
 
 async function open(reply: Parameters<typeof HttpStandIn.open>[0]) {
   const runner = await HttpStandIn.open(reply);
-  const calls = RunnerCalls.to(SystemTimer.create(), {
-    ...{ id: 'i-1', address: runner.address, service: 's', labels: [], draining: false },
+  return { runner, calls: callsTo(runner.address) };
+}
+
+function callsTo(address: string): RunnerCalls {
+  return RunnerCalls.to(SystemTimer.create(), {
+    ...{ id: 'i-1', address, service: 's', labels: [], draining: false },
     ...{ capacity: Resources.none, clockMs: 0, sequence: 1 },
   });
-  return { runner, calls };
 }
 
 test('a start names the task, its attempt, the lease and the life it is meant for', async () => {
@@ -131,3 +134,11 @@
   const res = await calls.stop(run, 1, 100);
   expect(errorOf(res).kind).toBe('closed');
 });
+
+// A heartbeat may name an address that no connection can be made to. The call rejected instead of having a
+// result ("Port should be >= 0 and < 65536. Received type string ('99999')"): the life that sent it was
+// never looked at again, and a task of this process that awaits such a call would have ended for good.
+test('a call to an address that is none has a result like one to a closed port', async () => {
+  const res = await callsTo('10.0.0.1:99999').hold(0, 1, 0, 100);
+  expect(errorOf(res).kind).toBe('closed');
+});
