Go on when a connection cannot be accepted, and write a line

Cause: the listener for a server's errors was there only until its address was open. Whoever calls the operators' address or a backend server's desk asks again anyway, so these two stay without a line.

--- a/src/batches/EntryPeers.ts
+++ b/src/batches/EntryPeers.ts
@@ -67,10 +67,11 @@
 
   /** Opens the address for other processes and dials the entries of the settings. */
   async start(): Promise<Result<string, string>> {
-    const { network, listen } = this.opts;
+    const { network, listen, log } = this.opts;
     const handlers = {
       ...noPeerCalls,
       link: (link: Link) => this.serve(link).then(() => undefined),
+      failed: (error: unknown) => log.warn('a link could not be accepted or served', { error }),
     };
     const res = await network.listen(listen, () => this.hello(0n), handlers);
     this.addresses.aim();
--- a/src/callers/CallerServer.ts
+++ b/src/callers/CallerServer.ts
@@ -78,6 +78,9 @@
     const listening = new Promise<string>((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(Number(port), host, () => {
+        this.server.off('error', reject);
+        // A connection that can't be accepted concerns none of those there are.
+        this.server.on('error', this.options.failed);
         const bound = this.server.address();
         resolve(typeof bound === 'object' && bound ? `${bound.address}:${bound.port}` : address);
       });
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -149,8 +149,11 @@
   /** Opens the address for other processes only; for callers in this process, who use `submit`. */
   async listenToPeers(): Promise<Result<string, string>> {
     const { peers } = this.options.settings.listen;
-    const { network } = this.options;
-    const listener = await network.listen(peers, () => this.identity.hello(), peerHandlersOf(this));
+    const { network, log } = this.options;
+    const failed = (error: unknown): void =>
+      log.error(`a link could not be accepted or served: ${error}`);
+    const handlers = { ...peerHandlersOf(this), failed };
+    const listener = await network.listen(peers, () => this.identity.hello(), handlers);
     if (listener.isErr()) return err(`${peers}: ${listener.error.reason}`);
     this.listener = listener.value;
     return ok(listener.value.address);
--- a/src/link/PeerHandlers.ts
+++ b/src/link/PeerHandlers.ts
@@ -18,4 +18,6 @@
   claim(req: ClaimRequest): Promise<ClaimResponse>;
   handover(req: HandoverRequest): Promise<HandoverResponse>;
   inspect(req: InspectRequest): Promise<InspectResponse>;
+  /** Told of a connection that could not be accepted, or of an error in serving a link; all else goes on. */
+  failed?(error: unknown): void;
 }
--- a/src/link/PeerServer.ts
+++ b/src/link/PeerServer.ts
@@ -108,6 +108,8 @@
       this.server.once('error', fail);
       this.server.listen({ host, port: Number(port || DEFAULT_PORT) }, () => {
         this.server.off('error', fail);
+        // A connection that can't be accepted concerns none of those there are.
+        this.server.on('error', (error: Error) => this.handlers.failed?.(error));
         resolve(ok(this));
       });
     });
@@ -173,7 +175,10 @@
     link.closed.addEventListener('abort', () => this.links.delete(link), { once: true });
     this.handlers.link(link).then(
       () => link.close(),
-      () => link.close(),
+      (error: unknown) => {
+        this.handlers.failed?.(error);
+        link.close();
+      },
     );
   }
 }
--- a/src/operators/OperatorServer.ts
+++ b/src/operators/OperatorServer.ts
@@ -29,7 +29,8 @@
     const { hostname, port } = new URL(`http://${address}`);
     const host = hostname.replace(/^\[|\]$/g, '');
     const listening = new Promise<string>((resolve, reject) => {
-      this.server.once('error', reject);
+      // Later it is a connection that could not be accepted: whoever asked there asks again.
+      this.server.on('error', reject);
       this.server.listen(Number(port || DEFAULT_PORT), host, () => {
         resolve(`${hostname}:${(this.server.address() as AddressInfo).port}`);
       });
--- a/src/sidecar/BackendDesk.ts
+++ b/src/sidecar/BackendDesk.ts
@@ -49,7 +49,8 @@
   async listen(address: string): Promise<string> {
     const { host, port } = split(address);
     await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
+      // Later it is a connection that could not be accepted: the backend server announces itself again.
+      this.server.on('error', reject);
       this.server.listen(port, host, resolve);
     });
     return `${host}:${(this.server.address() as AddressInfo).port}`;
