Pass over a message that an entry that keeps jobs cannot handle

Cause: three loops read links by themselves, so an error in one message rejected out of serving the link: on a dialled link to an entry or a seed that was unhandled and would have ended the process, on an accepted one the dispatcher was never told that the link had ended, so that tasks went on being sent to it. Change: they read by readLink, as the roles for batches do, which passes over that message and writes a line.

--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -16,6 +16,7 @@
   GoodbyeSchema,
   type Heartbeat,
   HeartbeatSchema,
+  type Hello,
   type InspectRequest,
   type InspectResponse,
   Outcome,
@@ -287,6 +288,11 @@
     link.send({ case: 'heartbeat', value: this.heartbeat() });
   }
 
+  /** One message that cannot be handled, as of a later version, ends neither its link nor this process. */
+  private unhandled({ instance }: Hello, message: PeerMessage, error: unknown): void {
+    this.options.log.warn(`a ${message.case} of ${instance} could not be handled: ${error}`);
+  }
+
   /** A heartbeat with the loads of every service, or with those that concern the receiver. */
   private heartbeat(loads = this.dispatcher.serviceLoads()): Heartbeat {
     return create(HeartbeatSchema, {
@@ -416,6 +422,7 @@
           log.info(`sidecar ${peer.instance} linked`);
           this.sightings.linked(peer);
         },
+        failed: (...what) => this.unhandled(...what),
         ended: (peer) => {
           log.info(`sidecar ${peer.instance} ended`);
           this.sightings.ended(peer);
@@ -438,6 +445,7 @@
       keepAlive: settings.heartbeat,
       heartbeat: () => this.heartbeat(),
       greet: (link) => this.greet(link),
+      failed: (...what) => this.unhandled(...what),
       receive: (from, message) => {
         const { views, configurations, dispatcher, recovery, entryLinks, sightings } = this;
         const heartbeat = (): PeerMessage => ({ case: 'heartbeat', value: this.heartbeat() });
@@ -462,6 +470,7 @@
       keepAlive: settings.heartbeat,
       views: this.views,
       configurations: this.configurations,
+      failed: (...what) => this.unhandled(...what),
       isNeeded: () => !this.leaving && !this.isMember && this.entryLinks.linked().length === 0,
     });
   }
--- a/src/entry/EntryLinks.ts
+++ b/src/entry/EntryLinks.ts
@@ -3,6 +3,7 @@
 import KeepAlive from '../link/KeepAlive';
 import type Link from '../link/Link';
 import type PeerMessage from '../link/PeerMessage';
+import readLink from '../peering/readLink';
 import type EntryLinksOptions from './EntryLinksOptions';
 import type EntryPeer from './EntryPeer';
 
@@ -79,10 +80,10 @@
       heartbeat: () => ({ case: 'heartbeat', value: this.options.heartbeat() }),
       suspected: (suspected) => this.suspect(peer, suspected),
     });
-    for await (const message of link.messages()) {
-      if (peer.link !== link) break;
-      this.options.receive(peer.incarnation, message);
-    }
+    await readLink(link, {
+      handle: (message) => this.options.receive(peer.incarnation, message),
+      failed: (message, error) => this.options.failed(link.peer, message, error),
+    });
     keepAlive.stop();
     this.end(peer, link);
   }
--- a/src/entry/EntryLinksOptions.ts
+++ b/src/entry/EntryLinksOptions.ts
@@ -21,6 +21,8 @@
   readonly greet: (link: Link) => void;
   /** Handles a message from an entry. */
   readonly receive: (incarnation: string, message: PeerMessage) => void;
+  /** Told of a message that could not be handled; the link goes on with the next. */
+  readonly failed: (peer: Hello, message: PeerMessage, error: unknown) => void;
   /** Told when an entry's link has ended. */
   readonly unlinked: (incarnation: string) => void;
   /** Told when an entry's suspicion has changed. */
--- a/src/entry/SeedLinks.ts
+++ b/src/entry/SeedLinks.ts
@@ -18,6 +18,7 @@
 import type MessageHandlers from '../link/MessageHandlers';
 import type Network from '../link/Network';
 import type PeerMessage from '../link/PeerMessage';
+import readLink from '../peering/readLink';
 
 interface SeedLinksOptions {
   readonly timer: TimerService;
@@ -30,6 +31,8 @@
   readonly keepAlive: KeepAliveLimits;
   readonly views: Versioned<View>;
   readonly configurations: Versioned<Configuration>;
+  /** Told of a message that could not be handled; the link goes on with the next. */
+  readonly failed: (peer: Hello, message: PeerMessage, error: unknown) => void;
   /** Whether this entry is cut off from the members: not one of them, and linked to none. */
   readonly isNeeded: () => boolean;
 }
@@ -96,15 +99,17 @@
       heartbeat: () => ({ case: 'heartbeat', value: this.heartbeat() }),
       suspected: () => undefined,
     });
-    for await (const message of link.messages()) {
-      handleMessage(handlers, this.options, message);
-      // A greeting ends with a heartbeat; before it, something may be missing.
-      if (message.case !== 'heartbeat') continue;
-      this.hear(address, message.value, link);
-      if (!isNeeded()) link.close();
-    }
+    await readLink(link, {
+      handle: (message) => {
+        handleMessage(handlers, this.options, message);
+        // A greeting ends with a heartbeat; before it, something may be missing.
+        if (message.case !== 'heartbeat') return;
+        this.hear(address, message.value, link);
+        if (!isNeeded()) link.close();
+      },
+      failed: (message, error) => this.options.failed(link.peer, message, error),
+    });
     signal.removeEventListener('abort', close);
-    link.close();
   }
 
   private hear(address: string, heartbeat: Heartbeat, link: Link): void {
--- a/src/entry/SidecarLinks.ts
+++ b/src/entry/SidecarLinks.ts
@@ -14,6 +14,7 @@
 import type MessageHandlers from '../link/MessageHandlers';
 import type PeerMessage from '../link/PeerMessage';
 import catchUp from '../membership/catchUp';
+import readLink from '../peering/readLink';
 import type Recovery from '../recovery/Recovery';
 import type SidecarLinksOptions from './SidecarLinksOptions';
 
@@ -91,10 +92,10 @@
         if (suspected) this.options.metrics?.suspected('sidecar');
       },
     });
-    for await (const message of link.messages()) {
-      if (peer.link !== link) break;
-      this.receive(peer, message);
-    }
+    await readLink(link, {
+      handle: (message) => this.receive(peer, message),
+      failed: (message, error) => this.options.failed(link.peer, message, error),
+    });
     keepAlive.stop();
     this.end(peer, link);
   }
--- a/src/entry/SidecarLinksOptions.ts
+++ b/src/entry/SidecarLinksOptions.ts
@@ -1,9 +1,10 @@
 import type TimerService from '../core/TimerService';
 import type SidecarPeer from '../dispatch/SidecarPeer';
 import type Versioned from '../core/Versioned';
-import type { Configuration, Heartbeat, View } from '../gen/magnoliakeel/v1/peer_pb';
+import type { Configuration, Heartbeat, Hello, View } from '../gen/magnoliakeel/v1/peer_pb';
 import type KeepAliveLimits from '../link/KeepAliveLimits';
 import type Link from '../link/Link';
+import type PeerMessage from '../link/PeerMessage';
 import type EntryMetrics from '../observe/EntryMetrics';
 
 /** What the links to sidecars need from the entry around them. */
@@ -21,6 +22,8 @@
   readonly configurations: Versioned<Configuration>;
   /** Sends what a newly linked process has to know. */
   readonly greet: (link: Link) => void;
+  /** Told of a message that could not be handled; the link goes on with the next. */
+  readonly failed: (peer: Hello, message: PeerMessage, error: unknown) => void;
   /** Told when a sidecar has linked. */
   readonly linked: (peer: SidecarPeer) => void;
   /** Told when a sidecar has ended and its tasks are settled. */
--- a/test/entry/seedLinks.test.ts
+++ b/test/entry/seedLinks.test.ts
@@ -41,6 +41,7 @@
     ...{ addresses: ['none:1', 'b:1'], self: 'a.1', hello: hello('a') },
     keepAlive: { intervalMs: 1000, suspectMs: 3000, closeMs: 10_000 },
     isNeeded: () => views.number < 9n,
+    failed: () => undefined,
   });
   seeds.run(new AbortController().signal).catch(() => undefined);
   const before = seeds.hasAsked;
