Test that an estimate leaves room for what is learned of its queue

A failing test alone: what tasks of a queue take is learned, and estimates are corrected by up to eight times, so that one of 2^32 - 1 ms, which is accepted, becomes an order that no link carries. The limit asked for is stricter than the one that the test had.

--- a/test/usersPlatform/amounts.test.ts
+++ b/test/usersPlatform/amounts.test.ts
@@ -2,6 +2,7 @@
 import { expect, test } from 'vitest';
 import readHeartbeat from '../../platform/readHeartbeat';
 import readSubmission from '../../platform/readSubmission';
+import DurationModel from '../../src/batches/DurationModel';
 import { RunOrderSchema } from '../../src/gen/magnoliakeel/v1/peer_pb';
 import Resources from '../../src/room/Resources';
 import amountOf from '../../src/room/amountOf';
@@ -31,12 +32,20 @@
     'invalid: steps.0.cpu: must be at most 4294967295',
     'invalid: steps.0.mem_mb: must be at most 4294967295',
     'invalid: steps.0.gpu: must be at most 4294967295',
-    'invalid: steps.0.estimate_ms: must be at most 4294967295',
+    'invalid: steps.0.estimate_ms: must be at most 86400000',
     'invalid: steps.0.anti_affinity: must be at most 4294967295',
     'invalid: steps.0.anti_affinity: must be a whole number',
   ]);
 });
 
+test('the longest estimate is carried also where the queue was learned to be slow', () => {
+  const model = DurationModel.create();
+  for (let done = 0; done < 500; done += 1) model.learn('q', 100, 100_000);
+  const expected = model.expect('q', 86_400_000);
+  const order = create(RunOrderSchema, { estimateMs: expected });
+  expect([expected > 86_400_000, toBinary(RunOrderSchema, order).length > 0]).toEqual([true, true]);
+});
+
 test('a part of a unit that a task needs counts as a whole one', () => {
   const changes = [{ cpu: 100.5 }, { mem_mb: 0.1 }, { estimate_ms: 19.5 }];
   expect(read(...changes)).toEqual(['101,10,20,0', '100,1,20,0', '100,10,20,0']);
