--- a/test/link/ConnectNetwork.test.ts
+++ b/test/link/ConnectNetwork.test.ts
@@ -5,6 +5,7 @@
   ClaimResponseSchema,
   GrantSchema,
 } from '../../src/gen/magnoliakeel/v1/peer_pb';
+import type Link from '../../src/link/Link';
 import ConnectNetwork from '../../src/link/ConnectNetwork';
 import errorOf from '../support/errorOf';
 import ManualTimer from '../support/ManualTimer';
@@ -42,6 +43,10 @@
   const call = () => near.claim(proxy.address, create(ClaimRequestSchema));
   const dial = () => near.dial(proxy.address, NetworkCase.hello('near'));
 
+  async function ended(link: Link): Promise<void> {
+    for await (const message of link.messages()) expect(message).toBeUndefined();
+  }
+
   function hangClaim(): Promise<never> {
     claimed();
     return never();
@@ -66,6 +71,22 @@
     expect((await call()).isOk()).toBe(true);
   });
 
+  // "The link to an entry has ended" stood in the logs of both sides without a word of why: the error that
+  // ended its stream was swallowed.
+  it('keeps why a link has ended, on both sides, and nothing when it was closed', async () => {
+    const links = [valueOf(await dial()), far.served[0]!];
+    proxy.break();
+    await Promise.all(links.map(ended));
+    const closed = valueOf(await dial());
+    closed.close();
+    await ended(closed);
+    expect([...links, closed].map(({ failure }) => failure)).toEqual([
+      'ConnectError: [canceled] http/2 stream closed with error code CANCEL (0x8)',
+      'Error [ERR_STREAM_PREMATURE_CLOSE]: Premature close',
+      undefined,
+    ]);
+  });
+
   it('says broken when the connection breaks under a call', async () => {
     const arrived = hangClaims();
     const pending = call();
