--- a/test/peering/LinkKeeper.test.ts
+++ b/test/peering/LinkKeeper.test.ts
@@ -1,5 +1,5 @@
 import { create } from '@bufbuild/protobuf';
-import { okAsync, ResultAsync } from 'neverthrow';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 import { expect, test } from 'vitest';
 import Random from '../../src/core/Random';
 import { HelloSchema } from '../../src/gen/magnoliakeel/v1/peer_pb';
@@ -18,6 +18,7 @@
     delays: { firstMs: 50, limitMs: 200 },
     hello: () => create(HelloSchema),
     dialled: (address, failure) => seen.push(`dialled ${address}: ${failure}`),
+    reachChanged: (address, failure) => seen.push(`reach ${address}: ${failure}`),
     failed: (address, error) => seen.push(`failed ${address}: ${error}`),
   });
   keeper.aim(['e1:1']);
@@ -34,7 +35,7 @@
 test('an address that cannot be dialled at all is tried again like one that does not answer', async () => {
   const dial = () => ResultAsync.fromSafePromise<Link>(Promise.reject(new Error('no URL')));
   expect(await keep(dial, async () => true)).toEqual({
-    events: ['dialled e1:1: Error: no URL'],
+    events: ['dialled e1:1: Error: no URL', 'reach e1:1: Error: no URL'],
     isRepeated: true,
   });
 });
@@ -50,3 +51,19 @@
   });
   expect(closed.length).toBeGreaterThan(1);
 });
+
+// While an entry was away nobody's lines said so, or why a dial of it failed.
+test('it is told once that an address is out of reach, and once that it is back', async () => {
+  const link = { close: () => undefined } as unknown as Link;
+  let dials = 0;
+  const dial = () => {
+    dials += 1;
+    if (dials <= 3) return errAsync({ kind: 'unreachable', reason: 'refused' } as const);
+    return okAsync(link);
+  };
+  const { events } = await keep(dial, async () => true);
+  expect(events.filter((event) => event.startsWith('reach'))).toEqual([
+    'reach e1:1: refused',
+    'reach e1:1: undefined',
+  ]);
+});
