Write when an entry comes out of reach, why, and when it is reached again

Change: the keeper of links tells when the outcome of an address's dials changes; entries for batches and sidecars for leased runs write one line then, none for each of the dials that are made twice a second.

--- a/src/batches/EntryPeers.ts
+++ b/src/batches/EntryPeers.ts
@@ -49,6 +49,8 @@
       ...{ timer, random, network, delays: linkDelays },
       hello: (session) => this.hello(session),
       serve: (link) => this.serve(link),
+      reachChanged: (address, failure) =>
+        log.info('whether an entry is reached has changed', { address, failure }),
       failed: (address, error) => log.warn('serving a link failed', { address, error }),
     });
     this.addresses = KnownAddresses.create(timer, seeds, (addresses) =>
--- a/src/peering/LinkKeeper.ts
+++ b/src/peering/LinkKeeper.ts
@@ -17,6 +17,8 @@
   readonly serve: (link: Link) => Promise<boolean>;
   /** Told of each dial and why it failed, if it did. */
   readonly dialled?: (address: string, failure: string | undefined) => void;
+  /** Told when an address has come out of reach, and why, or is reached again. */
+  readonly reachChanged?: (address: string, failure: string | undefined) => void;
   /** Told of an error in serving a link, which is closed; its address is dialled again. */
   readonly failed: (address: string, error: unknown) => void;
 }
@@ -35,6 +37,9 @@
 
   private readonly sessions = new Map<string, bigint>();
 
+  /** Addresses whose last dial failed. */
+  private readonly outOfReach = new Set<string>();
+
   private constructor(private readonly opts: LinkKeeperOptions) {}
 
   /** Creates a keeper that dials nothing before the first `aim`. */
@@ -46,7 +51,9 @@
   aim(addresses: Iterable<string>): void {
     const wanted = new Set(addresses);
     this.upkeeps.forEach((upkeep, address) => {
-      if (!wanted.has(address)) halt(upkeep);
+      if (wanted.has(address)) return;
+      halt(upkeep);
+      this.outOfReach.delete(address);
     });
     wanted.forEach((address) => this.ensure(address));
   }
@@ -90,7 +97,7 @@
     const session = (this.sessions.get(address) ?? 0n) + 1n;
     this.sessions.set(address, session);
     const res = await this.open(address, session);
-    this.opts.dialled?.(address, res.isErr() ? res.error : undefined);
+    this.dialled(address, res.isErr() ? res.error : undefined);
     if (res.isErr()) return false;
     const link = res.value;
     const close = (): void => link.close();
@@ -101,6 +108,15 @@
     return isUseful;
   }
 
+  private dialled(address: string, failure: string | undefined): void {
+    const { dialled, reachChanged } = this.opts;
+    dialled?.(address, failure);
+    if ((failure !== undefined) === this.outOfReach.has(address)) return;
+    if (failure === undefined) this.outOfReach.delete(address);
+    else this.outOfReach.add(address);
+    reachChanged?.(address, failure);
+  }
+
   /** The error says why there is no link, also where a peer told an address that is none. */
   private async open(address: string, session: bigint): Promise<Result<Link, string>> {
     const { network, hello } = this.opts;
--- a/src/runs/RunSidecar.ts
+++ b/src/runs/RunSidecar.ts
@@ -63,6 +63,8 @@
       dialled: (address, failure) => {
         if (this.choice.dialled(address, failure === undefined)) this.aim();
       },
+      reachChanged: (address, failure) =>
+        log.info('whether an entry is reached has changed', { address, failure }),
       failed: (address, error) => log.warn('serving a link failed', { address, error }),
     });
     this.addresses = KnownAddresses.create(timer, seeds, () => this.aim());
