--- a/test/dispatch/policies.test.ts
+++ b/test/dispatch/policies.test.ts
@@ -1,5 +1,7 @@
+import { create } from '@bufbuild/protobuf';
 import { expect, it } from 'vitest';
 import type PolicyName from '../../src/dispatch/PolicyName';
+import { type RefusalCause, RefuseSchema } from '../../src/gen/magnoliakeel/v1/peer_pb';
 import DispatcherCase from '../support/DispatcherCase';
 
 function startsBy(policy: PolicyName): string {
@@ -40,3 +42,17 @@
   run.grant('x', 1);
   expect(run.take()).toMatchInlineSnapshot(`"x: start j/0"`);
 });
+
+// A sidecar of a later version may refuse for a cause that this entry has no word for. The task was taken
+// off the list of running ones and then an error came ("Cannot read properties of undefined (reading
+// 'toLowerCase')"): it was neither started again nor settled, and its job hung until its time was over.
+it('starts a task again that was refused for a cause that is not known here', () => {
+  const run = DispatcherCase.of();
+  run.link('x');
+  run.grant('x', 1);
+  run.enqueue('j');
+  const task = { job: 'j', index: 0 };
+  run.dispatcher.refused(run.peer('x'), create(RefuseSchema, { task, cause: 77 as RefusalCause }));
+  run.grant('x', 1);
+  expect(run.take()).toBe('x: start j/0\nx: start j/0');
+});
