Start a task again that was refused for a cause that is not known here

Cause: the name of the cause was looked up without a check after the task had been taken off the running ones. Change: an unknown cause is named by its number; that the task was not run is certain whatever the cause. The test fails before and passes after; those of dispatching stand as they were.

--- a/src/dispatch/Dispatcher.ts
+++ b/src/dispatch/Dispatcher.ts
@@ -182,7 +182,9 @@
       this.attemptLost(entry.task, 'the sidecar had started this task before');
       return;
     }
-    this.startAgain(entry.task, `refused: ${RefusalCause[refuse.cause].toLowerCase()}`);
+    // A sidecar of a later version may name a cause that is not in the table here.
+    const cause = RefusalCause[refuse.cause] ?? `cause ${refuse.cause}`;
+    this.startAgain(entry.task, `refused: ${cause.toLowerCase()}`);
   }
 
   /** Queues the tasks again that a sidecar never started and, after its new link, never will. */
