--- a/src/link/StreamLink.ts
+++ b/src/link/StreamLink.ts
@@ -102,7 +102,7 @@
       }
     } catch (cause) {
       // A stream that fails ends like one that is closed; the dialling side opens the next link.
-      this.failure ??= ConnectError.from(cause).rawMessage;
+      if (!this.closed.aborted) this.failure ??= ConnectError.from(cause).rawMessage;
     } finally {
       this.streamEnded = true;
       this.grace?.cancel();
--- a/src/observe/LineBuffer.ts
+++ b/src/observe/LineBuffer.ts
@@ -17,6 +17,8 @@
 
   private isDue = false;
 
+  private isClosed = false;
+
   private constructor(
     private readonly fd: number,
     private readonly timer: TimerService,
@@ -29,6 +31,7 @@
 
   /** Takes a line without its end. */
   write(line: string): void {
+    if (this.isClosed) return;
     if (this.bytes > MAX_BYTES) {
       this.dropped += 1;
       return;
@@ -40,8 +43,12 @@
     this.timer.after(FLUSH_MS, () => this.flush());
   }
 
-  /** Writes what is left and resolves when all is written, or after the time: the reader may be behind. */
+  /**
+   * Takes no more lines, writes what is left and resolves when all is written, or after the time: the
+   * reader may be behind. The line that says why a process ends is so the last.
+   */
   async drain(limitMs: number): Promise<void> {
+    this.isClosed = true;
     const until = this.timer.now() + limitMs;
     this.flush();
     while (this.isBusy && this.timer.now() < until) await this.timer.sleep(DRAIN_POLL_MS);
--- a/test/observe/LineBuffer.test.ts
+++ b/test/observe/LineBuffer.test.ts
@@ -29,12 +29,13 @@
 
 // A process ended while its reader was behind and lines were on their way: the last lines were written
 // through the middle of those (2 of 302 lines were no JSON, the last among them).
-test('the last lines wait for those that are on their way', async () => {
+test('the last lines wait for those that are on their way, and none comes after them', async () => {
   const { timer, buffer, written, read } = await behind();
   let isDrained = false;
   buffer.drain(200).then(() => {
     isDrained = true;
   });
+  buffer.write('later');
   await timer.advance(50);
   read();
   await timer.advance(50);
