Test that a dial or call to an address that is none has a result

A failing test alone: on the code as it is the dial rejects with "Invalid URL", and whoever waits for a result does not expect that. An address may come from a peer's hello.

--- a/test/link/ConnectNetwork.test.ts
+++ b/test/link/ConnectNetwork.test.ts
@@ -113,6 +113,17 @@
     expect(link.closed.aborted).toBe(true);
   });
 
+  // A peer's hello or its list of entries may hold any text as an address. The dial rejected ("Invalid URL"),
+  // which those who wait for a result do not expect: unhandled, it ended the process.
+  it('has a result for an address that is none', async () => {
+    const addresses = ['', 'a b', '10.0.0.1:99999', '256.0.0.1:4', ':::1'];
+    const dials = addresses.map((address) => near.dial(address, NetworkCase.hello('near')));
+    const calls = addresses.map((address) => near.claim(address, create(ClaimRequestSchema)));
+    const results = [...(await Promise.all(dials)), ...(await Promise.all(calls))];
+    const failures = results.map((res) => res.isErr() && res.error.kind);
+    expect(failures).toEqual(Array(failures.length).fill('unreachable'));
+  });
+
   it('leaves no open connection', async () => {
     await dial();
     await call();
