--- a/src/link/ConnectNetwork.ts
+++ b/src/link/ConnectNetwork.ts
@@ -1,5 +1,5 @@
 import { type Client, ConnectError } from '@connectrpc/connect';
-import { err, ok, type Result, ResultAsync } from 'neverthrow';
+import { err, ok, Result, ResultAsync } from 'neverthrow';
 import type TimerService from '../core/TimerService';
 import type {
   ClaimRequest,
@@ -91,27 +91,26 @@
     send: (client: Client<typeof Peer>) => Promise<T>,
     signal?: AbortSignal,
   ): ResultAsync<T, CallError> {
-    return new ResultAsync(this.callSession(this.sessionTo(address), send, signal));
+    const session = new ResultAsync(this.openSession(address, signal));
+    return session.andThen(({ client }) => ResultAsync.fromPromise(send(client), broken));
   }
 
-  private async callSession<T>(
-    session: PeerSession,
-    send: (client: Client<typeof Peer>) => Promise<T>,
+  /** The session to an address, opened. An address may come from a peer and be none at all. */
+  private async openSession(
+    address: string,
     signal?: AbortSignal,
-  ): Promise<Result<T, CallError>> {
+  ): Promise<Result<PeerSession, CallError>> {
+    const found = Result.fromThrowable(() => this.sessionTo(address), String)();
+    if (found.isErr()) return err({ kind: 'unreachable', reason: found.error });
+    const session = found.value;
     const failure = await session.open(signal);
-    if (failure !== undefined) return err({ kind: 'unreachable', reason: failure });
-    try {
-      return ok(await send(session.client));
-    } catch (cause) {
-      return err(broken(cause));
-    }
+    return failure === undefined ? ok(session) : err({ kind: 'unreachable', reason: failure });
   }
 
   private async openLink(address: string, hello: Hello): Promise<Result<Link, CallError>> {
-    const session = this.sessionTo(address);
-    const failure = await session.open();
-    if (failure !== undefined) return err({ kind: 'unreachable', reason: failure });
+    const opened = await this.openSession(address);
+    if (opened.isErr()) return err(opened.error);
+    const session = opened.value;
     const stop = new AbortController();
     const outgoing = FrameQueue.create(() => stop.abort());
     outgoing.send({ case: 'hello', value: hello });
