--- a/test/usersPlatform/processEnds.test.ts
+++ b/test/usersPlatform/processEnds.test.ts
@@ -1,5 +1,6 @@
 import { type ChildProcess, execFileSync, spawn } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { open } from 'node:fs/promises';
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
@@ -46,6 +47,11 @@
   lastFile += 1;
   const file = path.join(folder, `${role}-${lastFile}.yaml`);
   writeFileSync(file, JSON.stringify(settings));
+  return startFrom(role, file, faults);
+}
+
+/** Starts a role that reads its settings from a file. */
+function startFrom(role: string, file: string, faults: readonly Fault[]): Omit<Started, 'metrics'> {
   const env = { ...process.env, MAGNOLIAKEEL_NODE_FILE: file, FAULTS: JSON.stringify(faults) };
   const args = ['--import', path.resolve('test/support/faulty.mjs')];
   const child = spawn(process.execPath, [...args, path.join(folder, `${role}.cjs`)], { env });
@@ -67,16 +73,21 @@
   return { child, lines, ended };
 }
 
-/** Starts a sidecar in which errors may come that reach nobody. */
-async function start(faults: readonly Fault[], taken?: string): Promise<Started> {
+/** Settings of a sidecar; `taken` is an address that is not to be had. */
+async function sidecarSettings(taken?: string) {
   const [backend, metrics, store] = await Promise.all([freePort(), freePort(), freePort()]);
-  const settings = {
+  return {
     ...{ cluster: 'c', instance: 's1', zone: 'z', seeds: [], peerPort: 7_100 },
     listen: { backend: taken ?? `127.0.0.1:${backend}`, metrics: `127.0.0.1:${metrics}` },
     store: { address: `127.0.0.1:${store}` },
   };
+}
+
+/** Starts a sidecar in which errors may come that reach nobody. */
+async function start(faults: readonly Fault[], taken?: string): Promise<Started> {
+  const settings = await sidecarSettings(taken);
   const started = startRole('sidecar', settings, faults);
-  return { ...started, metrics: `http://127.0.0.1:${metrics}/metrics` };
+  return { ...started, metrics: `http://${settings.listen.metrics}/metrics` };
 }
 
 /** A sidecar that has started, in which these errors come now. */
@@ -226,4 +237,23 @@
     `);
 });
 
+// A sidecar that was told to read its settings again 237 ms after its start ended by that signal: nothing
+// listened for it before the settings had been read for the first time. The settings come through a pipe
+// here, so that the process is held where it reads them.
+test('a process that is told to read its settings while it starts does so once it has started', async () => {
+  const settings = JSON.stringify(await sidecarSettings());
+  const pipe = path.join(folder, 'settings.pipe');
+  execFileSync('mkfifo', [pipe]);
+  const started = startFrom('sidecar', pipe, []);
+  const first = await open(pipe, 'w');
+  started.child.kill('SIGHUP');
+  await first.writeFile(settings);
+  await first.close();
+  const second = await open(pipe, 'w');
+  await second.writeFile(settings);
+  await second.close();
+  await lineOf({ ...started, metrics: '' }, 'the settings were read again');
+  expect(started.child.exitCode).toBe(null);
+});
+
 const FAULT = 'an error reached nobody';
