Test that an entry asked to stop twice answers what it has taken

A failing test alone, from a run of real processes under signals in series: the second SIGTERM ends the entry at once.

--- a/test/usersPlatform/processEnds.test.ts
+++ b/test/usersPlatform/processEnds.test.ts
@@ -256,4 +256,22 @@
   expect(started.child.exitCode).toBe(null);
 });
 
+// Stops came in series: an entry that was leaving got a second SIGTERM, for which nothing listened any more,
+// and ended by it with what it still held.
+test('an entry that is asked to stop twice answers what it has taken', async () => {
+  const { entry, sidecar, submit } = await startEntry([]);
+  const answer = submit();
+  await lineOf(entry, 'starts are ordered');
+  entry.child.kill('SIGTERM');
+  await lineOf(entry, 'leaving: open batches are finished');
+  entry.child.kill('SIGTERM');
+  sidecar.finish();
+  const { status } = await answer;
+  expect({ status, code: await entry.ended, last: entry.lines().at(-1)!.reason }).toEqual({
+    status: 200,
+    code: 0,
+    last: 'a planned stop',
+  });
+});
+
 const FAULT = 'an error reached nobody';
