--- a/test/link/ConnectNetwork.test.ts
+++ b/test/link/ConnectNetwork.test.ts
@@ -10,7 +10,7 @@
 import ManualTimer from '../support/ManualTimer';
 import NetworkCase from '../support/NetworkCase';
 import never from '../support/never';
-import TcpProxy from '../support/TcpProxy';
+import TcpProxy from '../../tools/harness/TcpProxy';
 import valueOf from '../support/valueOf';
 
 const MIB = 1024 * 1024;
--- a/test/link/PeerGoodbye.test.ts
+++ b/test/link/PeerGoodbye.test.ts
@@ -6,7 +6,7 @@
 import ManualTimer from '../support/ManualTimer';
 import NetworkCase from '../support/NetworkCase';
 import never from '../support/never';
-import TcpProxy from '../support/TcpProxy';
+import TcpProxy from '../../tools/harness/TcpProxy';
 import Uncaught from '../support/Uncaught';
 
 /** Turns of the event loop after which nothing is left to be done on loopback. */
--- a/test/link/PeerSession.test.ts
+++ b/test/link/PeerSession.test.ts
@@ -11,7 +11,7 @@
 import PeerSession from '../../src/link/PeerSession';
 import ManualTimer from '../support/ManualTimer';
 import NetworkCase from '../support/NetworkCase';
-import TcpProxy from '../support/TcpProxy';
+import TcpProxy from '../../tools/harness/TcpProxy';
 import Uncaught from '../support/Uncaught';
 import valueOf from '../support/valueOf';
 
--- a/tools/harness/Processes.ts
+++ b/tools/harness/Processes.ts
@@ -34,9 +34,15 @@
 
   /** Starts one of the built programs of `dist`. A name stands for one process at a time. */
   start(name: string, program: string, args: readonly string[]): void {
+    this.spawn(name, [`dist/${program}.js`, ...args]);
+  }
+
+  /** Starts Node with these arguments, and with these variables besides the own ones. */
+  spawn(name: string, args: readonly string[], env: Readonly<Record<string, string>> = {}): void {
     if (this.children.has(name)) throw new Error(`${name} runs already`);
-    const child = spawn(process.execPath, [`dist/${program}.js`, ...args], {
+    const child = spawn(process.execPath, args, {
       stdio: ['ignore', 'pipe', 'pipe'],
+      env: { ...process.env, ...env },
     });
     this.children.set(name, child);
     const lines: string[] = [];
--- a/tools/leasedBackend/LeasedBackend.ts
+++ b/tools/leasedBackend/LeasedBackend.ts
@@ -26,6 +26,8 @@
   readonly labels?: readonly string[];
   /** How a task's work goes: how long it takes and whether it fails. The spec says, unless this does. */
   readonly work?: (run: RunName, spec: string) => { readonly ms: number; readonly fails: boolean };
+  /** Told of each start that was carried out, and of the end of each run, also by a crash. */
+  readonly ran?: (what: 'started' | 'done' | 'failed' | 'lost', run: RunName) => void;
 }
 
 interface Running {
@@ -221,6 +223,7 @@
     const running: Running = { run, ms, startedAt, end };
     this.running.set(key, running);
     this.busiest = Math.max(this.busiest, this.running.size);
+    this.opts.ran?.('started', run);
     return 'started';
   }
 
@@ -238,6 +241,7 @@
     if (this.running.get(key) !== running) return;
     running.end.cancel();
     this.running.delete(key);
+    this.opts.ran?.(how, running.run);
     this.endCount += 1;
     this.ends.push({ number: this.endCount, run: running.run, how, reason });
     this.waiters.forEach((wake) => wake());
@@ -259,7 +263,10 @@
   }
 
   private killAll(): void {
-    this.running.forEach(({ end }) => end.cancel());
+    this.running.forEach(({ run, end }) => {
+      end.cancel();
+      this.opts.ran?.('lost', run);
+    });
     this.running.clear();
     this.lease?.cancel();
   }
--- a/tools/platform/PlatformServer.ts
+++ b/tools/platform/PlatformServer.ts
@@ -3,18 +3,20 @@
 import { text } from 'node:stream/consumers';
 import type Engine from './Engine';
 import type PlatformCall from './PlatformCall';
-import routes from './routes';
+import type Route from './Route';
+import ownRoutes from './routes';
 
 /** Serves the stand-in's engine over HTTP with JSON bodies. */
 export default class PlatformServer {
   private constructor(
     private readonly engine: Engine,
     private readonly server: Server,
+    private readonly routes: readonly Route[],
   ) {}
 
-  /** Creates a server that does not listen yet. */
-  static of(engine: Engine): PlatformServer {
-    const platform = new PlatformServer(engine, createServer());
+  /** Creates a server that does not listen yet; other routes serve the same store by other calls. */
+  static of(engine: Engine, routes = ownRoutes): PlatformServer {
+    const platform = new PlatformServer(engine, createServer(), routes);
     platform.server.on('request', (req, res) => {
       platform.serve(req, res).catch((cause: unknown) => send(res, 400, { reason: String(cause) }));
     });
@@ -54,7 +56,7 @@
       body: body === '' ? {} : (JSON.parse(body) as PlatformCall['body']),
       signal: gone.signal,
     };
-    const route = routes.find(
+    const route = this.routes.find(
       ({ method, path }) => method === req.method && path.test(url.pathname),
     );
     if (!route) return send(res, 405, { reason: 'no such call' });
