Add the soak: real processes of both roles under faults from outside them

No run of ours had the real bundles as separate processes while the connections between them fell silent with much queued, were replaced, and were reset half a minute later. `npm run soak` starts entries and sidecars beside stand-ins of the store, backend servers and callers, draws faults from a seed, and a checker holds the promises from what callers, backend servers and the processes' lines show.

--- a/tools/harness/TcpProxy.ts
+++ b/tools/harness/TcpProxy.ts
@@ -22,7 +22,7 @@
   /** What each side's bytes are passed to. */
   readonly onto: Readonly<Record<Side, Duplex>>;
   readonly from: string;
-  readonly frozen: Set<Side>;
+  readonly frozen: Map<Fault, readonly Side[]>;
 }
 
 /** Stands between processes on TCP: counts their connections and can delay, freeze, cut or break them. */
@@ -75,20 +75,22 @@
     this.pairs.forEach((pair) => this.apply(fault, pair));
   }
 
-  /** What was held back goes on, on connections that are still there. */
-  thaw(): void {
-    this.faults.clear();
+  /** What one fault held back goes on, on connections that are still there. */
+  thaw(fault: Fault): void {
+    this.faults.delete(fault);
     this.pairs.forEach((pair) => {
-      pair.frozen.forEach((side) => this.pass(pair, side));
-      pair.frozen.clear();
+      const sides = pair.frozen.get(fault) ?? [];
+      pair.frozen.delete(fault);
+      const others = [...pair.frozen.values()].flat();
+      sides.filter((side) => !others.includes(side)).forEach((side) => this.pass(pair, side));
     });
   }
 
-  /** Resets the frozen connections, as a host does that has forgotten them. */
-  reset(): void {
-    this.faults.clear();
+  /** Resets the connections that this fault froze, or any did, as a host does that has forgotten them. */
+  reset(fault?: Fault): void {
+    if (fault) this.faults.delete(fault);
     [...this.pairs]
-      .filter(({ frozen }) => frozen.size > 0)
+      .filter(({ frozen }) => (fault ? frozen.has(fault) : frozen.size > 0))
       .forEach(({ near, far }) => [near, far].forEach((socket) => socket.resetAndDestroy()));
   }
 
@@ -99,15 +101,15 @@
       .forEach(({ near, far }) => [near, far].forEach((socket) => socket.destroy()));
   }
 
-  /** Breaks connections and makes none until `mend`. */
-  cut(from?: string): void {
-    this.cuts.add({ from });
-    this.break(from);
+  /** Breaks connections and makes none until they are mended. */
+  cut(fault: Fault): void {
+    this.cuts.add(fault);
+    this.break(fault.from);
   }
 
   /** Makes connections again. */
-  mend(): void {
-    this.cuts.clear();
+  mend(fault: Fault): void {
+    this.cuts.delete(fault);
   }
 
   /** Resolves when every connection has ended. */
@@ -136,7 +138,7 @@
     const far = connect(Number(port), hostname);
     far.on('error', () => far.destroy());
     const onto = { near: this.delayed(far), far: this.delayed(near) };
-    const pair: Pair = { near, far, onto, from, frozen: new Set() };
+    const pair: Pair = { near, far, onto, from, frozen: new Map() };
     this.pairs.add(pair);
     BOTH.forEach((side) => this.pass(pair, side));
     this.faults.forEach((fault) => this.apply(fault, pair));
@@ -151,10 +153,9 @@
 
   private apply(fault: Fault, pair: Pair): void {
     if (!concerns(fault, pair.from)) return;
-    (fault.sides ?? BOTH).forEach((side) => {
-      pair.frozen.add(side);
-      pair[side].unpipe().pause();
-    });
+    const sides = fault.sides ?? BOTH;
+    pair.frozen.set(fault, sides);
+    sides.forEach((side) => pair[side].unpipe().pause());
   }
 
   private pass(pair: Pair, side: Side): void {
--- a/tools/platform/PlatformServer.ts
+++ b/tools/platform/PlatformServer.ts
@@ -4,19 +4,19 @@
 import type Engine from './Engine';
 import type PlatformCall from './PlatformCall';
 import type Route from './Route';
-import ownRoutes from './routes';
+import routes from './routes';
 
 /** Serves the stand-in's engine over HTTP with JSON bodies. */
 export default class PlatformServer {
   private constructor(
     private readonly engine: Engine,
     private readonly server: Server,
-    private readonly routes: readonly Route[],
+    private readonly served: readonly Route[],
   ) {}
 
   /** Creates a server that does not listen yet; other routes serve the same store by other calls. */
-  static of(engine: Engine, routes = ownRoutes): PlatformServer {
-    const platform = new PlatformServer(engine, createServer(), routes);
+  static of(engine: Engine, served = routes): PlatformServer {
+    const platform = new PlatformServer(engine, createServer(), served);
     platform.server.on('request', (req, res) => {
       platform.serve(req, res).catch((cause: unknown) => send(res, 400, { reason: String(cause) }));
     });
@@ -56,7 +56,7 @@
       body: body === '' ? {} : (JSON.parse(body) as PlatformCall['body']),
       signal: gone.signal,
     };
-    const route = this.routes.find(
+    const route = this.served.find(
       ({ method, path }) => method === req.method && path.test(url.pathname),
     );
     if (!route) return send(res, 405, { reason: 'no such call' });
--- /dev/null
+++ b/tools/soak/main.ts
@@ -0,0 +1,48 @@
+import { readFileSync } from 'node:fs';
+import { cac } from 'cac';
+import type Fault from './Fault';
+import runSoak from './runSoak';
+
+interface Flags {
+  readonly seed: number;
+  readonly seconds: number;
+  readonly entries: number;
+  readonly sidecars: number;
+  readonly callers: number;
+  readonly faults?: string;
+  readonly bundles?: string;
+  readonly out?: string;
+}
+
+const cli = cac('soak');
+cli
+  .command('', 'Run the real processes of both roles under faults and check what was promised')
+  .option('--seed <number>', 'Seed of the faults and of the jobs', { default: 1 })
+  .option('--seconds <number>', 'How long faults go on', { default: 60 })
+  .option('--entries <number>', 'Entries', { default: 3 })
+  .option('--sidecars <number>', 'Sidecars, each with its backend server', { default: 6 })
+  .option('--callers <number>', 'Callers at once', { default: 12 })
+  .option('--faults <file>', 'A JSON list of faults instead of those of the seed')
+  .option('--bundles <folder>', 'Bundles that were built before, such as those of older code')
+  .option('--out <folder>', 'Keep lines, faults and findings here when a promise was broken')
+  .action(run);
+cli.help();
+cli.parse();
+
+async function run({ faults: file, ...flags }: Flags): Promise<void> {
+  const faults =
+    file === undefined ? undefined : (JSON.parse(readFileSync(file, 'utf8')) as Fault[]);
+  const { findings, counts } = await runSoak({ ...flags, faults });
+  const print = (line: string): boolean => process.stdout.write(`${line}\n`);
+  print(
+    `seed ${flags.seed}: ${flags.seconds} s, ${flags.entries} entries, ${flags.sidecars} sidecars`,
+  );
+  Object.keys(counts)
+    .sort()
+    .forEach((what) => print(`  ${what}: ${counts[what]}`));
+  findings.forEach(({ atMs, kind, what }) =>
+    print(`  at ${atMs} ms: ${kind}: ${what.slice(0, 400)}`),
+  );
+  print(findings.length === 0 ? 'All promises were kept.' : 'A promise was broken.');
+  process.exit(findings.length === 0 ? 0 : 1);
+}
