--- a/tools/soak/Checker.ts
+++ b/tools/soak/Checker.ts
@@ -100,7 +100,8 @@
   /** What became of one sending of a job that an entry had taken up. */
   answered(answer: Answer): void {
     const { id, entry, status, text } = answer;
-    this.count(status === 0 ? 'no answer' : `status ${status}`);
+    const { error = '' } = bodyOf(text);
+    this.count(status === 0 ? 'no answer' : `status ${status} ${String(error)}`);
     this.jobs.get(id)?.statuses.push(status);
     if (status === 0) this.checkSilence(answer);
     else (checks[status] ?? checks.other)!(this, answer, bodyOf(text));
--- a/tools/soak/Fault.ts
+++ b/tools/soak/Fault.ts
@@ -10,6 +10,7 @@
     | 'stop'
     | 'reload'
     | 'crash'
+    | 'flood'
     | 'store-down'
     | 'store-slow'
     | 'store-loses-answers'
--- a/tools/soak/World.ts
+++ b/tools/soak/World.ts
@@ -50,6 +50,9 @@
 
   readonly processes: Processes;
 
+  /** Causes for a flood of large configurations, now. */
+  floods = 0;
+
   private readonly places = new Map<string, Place>();
 
   /** Processes that were told to end, with the pause until they start again, ms. */
@@ -135,18 +138,17 @@
     };
   }
 
-  /** Changes the configuration again and again, in stretches of the same pace, until the signal. */
+  /** Changes the configuration again and again until the signal, fast and large while it floods. */
   async changeConfiguration(stop: AbortSignal): Promise<void> {
     const { timer, random } = this.opts;
     let version = 1;
+    let pauseMs = PAUSES_MS[0]!;
     while (!stop.aborted) {
-      const pauseMs = PAUSES_MS[random.below(PAUSES_MS.length)]!;
-      const until = timer.now() + STRETCH_MS;
-      while (!stop.aborted && timer.now() < until) {
-        await timer.sleep(pauseMs, stop);
-        version += 1 + random.below(3);
-        this.configure(version, random.below(10) === 0 ? MANY_ROUTES : FEW_ROUTES);
-      }
+      if (random.below(20) === 0) pauseMs = PAUSES_MS[random.below(PAUSES_MS.length)]!;
+      await timer.sleep(this.floods > 0 ? PAUSES_MS[0]! : pauseMs, stop);
+      version += 1 + random.below(3);
+      const isLarge = this.floods > 0 || random.below(10) === 0;
+      this.configure(version, isLarge ? MANY_ROUTES : FEW_ROUTES);
     }
   }
 
@@ -284,11 +286,9 @@
 /** Until a process that ended by itself is started again, ms. */
 const LEAST_PAUSE_MS = 500;
 
-/** Pauses between changes of the configuration, ms, and how long each pace lasts. */
+/** Pauses between changes of the configuration, ms. */
 const PAUSES_MS = [60, 250, 1_000];
 
-const STRETCH_MS = 5_000;
-
 /** Routes that nobody uses; many make a configuration of some 70 kB. */
 const FEW_ROUTES = 10;
 
--- a/tools/soak/planFaults.ts
+++ b/tools/soak/planFaults.ts
@@ -71,6 +71,7 @@
   stop: [300, 2_000],
   reload: [100, 200],
   crash: [100, 3_000],
+  flood: [3_000, 15_000],
   'store-down': [500, 8_000],
   'store-slow': [500, 8_000],
   'store-loses-answers': [500, 5_000],
--- a/tools/soak/runSoak.ts
+++ b/tools/soak/runSoak.ts
@@ -64,9 +64,14 @@
   const stop = new AbortController();
   setMaxListeners(0, stop.signal);
   const { entries } = world;
-  const callers = [...Array(opts.callers).keys()].map((number) => {
+  // Callers keep to the entry they reach, so each entry has one that knows no other.
+  const reached = [
+    ...Array<typeof world.callers>(opts.callers).fill(world.callers),
+    ...[...world.callers].map((each) => new Map([each])),
+  ];
+  const callers = reached.map((known, number) => {
     const own = Random.fromSeed(opts.seed * 1_000 + number);
-    return SoakCaller.run({ timer, random: own, checker, entries: world.callers }, stop.signal);
+    return SoakCaller.run({ timer, random: own, checker, entries: known }, stop.signal);
   });
   const changes = world.changeConfiguration(stop.signal);
   const strikes = faults.map(async (fault) => {
--- a/tools/soak/strike.ts
+++ b/tools/soak/strike.ts
@@ -67,6 +67,12 @@
     world.backends.get(target)!.crash(forMs);
     return undefined;
   },
+  flood: (world) => {
+    world.floods += 1;
+    return () => {
+      world.floods -= 1;
+    };
+  },
   'store-down': (world) => world.disturbStore({ down: true }),
   'store-slow': (world, { ms = 800 }) => world.disturbStore({ slowMs: ms }),
   'store-loses-answers': (world) => world.disturbStore({ answerLost: true }),
