--- a/tools/soak/BackendServer.ts
+++ b/tools/soak/BackendServer.ts
@@ -1,6 +1,7 @@
 import { createServer, request, type IncomingMessage, type ServerResponse } from 'node:http';
 import { json } from 'node:stream/consumers';
 import type TimerService from '../../src/core/TimerService';
+import type Subscription from '../../src/core/Subscription';
 import type BackendRefusal from '../../src/runs/BackendRefusal';
 import Resources from '../../src/room/Resources';
 import parseTaskName from '../../platform/parseTaskName';
@@ -45,6 +46,10 @@
 
   private isUp = false;
 
+  private isOver = false;
+
+  private beats: Subscription | undefined;
+
   private readonly server = createServer((req, res) => {
     this.serve(req, res).catch((error: unknown) => {
       this.opts.checker.find('the soak failed', `${this.opts.name}: ${String(error)}`);
@@ -55,28 +60,41 @@
   private constructor(private readonly opts: BackendServerOptions) {}
 
   /** Starts a backend server that announces itself. */
-  static async start(opts: BackendServerOptions): Promise<BackendServer> {
+  static start(opts: BackendServerOptions): BackendServer {
     const backend = new BackendServer(opts);
-    const [host, port] = opts.address.split(':');
-    await new Promise<void>((resolve) => {
-      backend.server.listen(Number(port), host, resolve);
-    });
     backend.begin();
-    opts.timer.every(BEAT_MS, () => backend.beat());
+    backend.beats = opts.timer.every(BEAT_MS, () => backend.beat());
     return backend;
   }
 
   /** Ends this life with all that runs; another begins at the address after the pause, ms. */
   crash(pauseMs: number): void {
     if (!this.isUp) return;
+    this.end();
+    this.opts.timer.after(pauseMs, () => {
+      if (!this.isOver) this.begin();
+    });
+  }
+
+  /** Ends it for good. */
+  close(): void {
+    this.isOver = true;
+    this.beats?.cancel();
+    if (this.isUp) this.end();
+  }
+
+  /** Its process is gone: nothing listens and nothing runs. */
+  private end(): void {
     this.isUp = false;
-    this.life.crash();
+    this.server.close();
     this.server.closeAllConnections();
-    this.opts.timer.after(pauseMs, () => this.begin());
+    this.life.crash();
   }
 
   private begin(): void {
-    const { timer, checker, name } = this.opts;
+    const { timer, checker, name, address } = this.opts;
+    const [host, port] = address.split(':');
+    this.server.listen(Number(port), host);
     this.lives += 1;
     this.id = `${name}-${this.lives}`;
     const { id } = this;
--- a/tools/soak/SoakCaller.ts
+++ b/tools/soak/SoakCaller.ts
@@ -42,7 +42,7 @@
     const { timer, random } = opts;
     while (!stop.aborted) {
       await timer.sleep(random.jitter(GAP_MS), stop);
-      if (!stop.aborted) await caller.submit(caller.makeJob());
+      if (!stop.aborted) await caller.submit(caller.makeJob(), stop);
     }
     caller.agent.destroy();
   }
@@ -63,12 +63,12 @@
       [...Array(count).keys()].map((index) => taskName({ batch: id, step, index })),
     );
     const spec = JSON.stringify({ ms, cpu, fails: random.below(40) === 0 });
-    const deadlineMs = 2_000 + random.below(6_000);
+    const deadlineMs = 1_500 + random.below(5_000);
     return { id, tasks, deadlineMs, body: JSON.stringify({ best_effort: true, spec, steps }) };
   }
 
-  /** Sends a job until it is answered or refused, a few times at most. */
-  private async submit(job: Job): Promise<void> {
+  /** Sends a job until it is answered or refused, a few times at most and not again after the signal. */
+  private async submit(job: Job, stop: AbortSignal): Promise<void> {
     const { timer, checker } = this.opts;
     let left = MOST_SENDINGS;
     while (left > 0) {
@@ -82,7 +82,7 @@
         continue;
       }
       checker.answered({ id: job.id, entry, sentAt, status, text });
-      if (!AGAIN.has(status)) return;
+      if (!AGAIN.has(status) || stop.aborted) return;
       if (status === 0) this.reconnect();
       left -= 1;
       await timer.sleep(RESEND_MS);
--- a/tools/soak/World.ts
+++ b/tools/soak/World.ts
@@ -62,6 +62,8 @@
 
   private readonly engine: Engine;
 
+  private readonly store: PlatformServer;
+
   private isOver = false;
 
   private constructor(
@@ -69,6 +71,7 @@
     private readonly net: string,
   ) {
     this.engine = Engine.create(opts.timer);
+    this.store = PlatformServer.of(this.engine, kvRoutes);
     this.processes = Processes.create({
       printed: (name, line) => {
         this.note(`${name} ${line}`);
@@ -81,7 +84,7 @@
   /** Starts everything; resolves once all entries have a configuration. */
   static async start(opts: WorldOptions): Promise<World> {
     const world = new World(opts, await claimNet());
-    const store = await PlatformServer.of(world.engine, kvRoutes).listen(`${world.net}.5.1`, PORT);
+    const store = await world.store.listen(`${world.net}.5.1`, PORT);
     world.configure(1);
     for (let one = 1; one <= opts.entries; one += 1) await world.addEntry(one, store);
     for (let one = 1; one <= opts.sidecars; one += 1) await world.addSidecar(one, store);
@@ -159,11 +162,14 @@
     while (timer.now() < until && !this.isWhole) await timer.sleep(50);
   }
 
-  /** Ends all processes. */
+  /** Ends everything. */
   async close(): Promise<void> {
     this.isOver = true;
     this.processes.names.forEach((name) => this.processes.signal(name, 'SIGCONT'));
     await this.processes.stopAll(GRACE_MS);
+    [...this.links.values(), ...this.stores.values()].forEach((proxy) => proxy.close());
+    this.backends.forEach((backend) => backend.close());
+    await this.store.close();
   }
 
   private get isWhole(): boolean {
@@ -195,7 +201,7 @@
     });
     const address = `${this.net}.4.${number}:${PORT}`;
     const backend = { timer, checker, name: `backend-${number}`, address, control };
-    this.backends.set(name, await BackendServer.start(backend));
+    this.backends.set(name, BackendServer.start(backend));
   }
 
   private async add(
@@ -232,7 +238,10 @@
     const how = `with ${signal ?? `code ${code}`}`;
     this.note(`${name} has ended ${how}`);
     if (this.isOver) return;
-    const wasAsked = this.ending.has(name) && (code === 0 || signal === 'SIGKILL');
+    // A process that has not started yet holds nothing, and may end at once.
+    const hasStarted = this.processes.output(name).some((line) => line.includes('has started'));
+    const isInOrder = code === 0 || signal === 'SIGKILL' || (signal === 'SIGTERM' && !hasStarted);
+    const wasAsked = this.ending.has(name) && isInOrder;
     checker.exited(name, how, wasAsked);
     if (!wasAsked) checker.disturbed(name, 'hard');
     timer.after(this.ending.get(name) ?? LEAST_PAUSE_MS, () => {
