--- a/tools/soak/SoakCaller.ts
+++ b/tools/soak/SoakCaller.ts
@@ -1,4 +1,4 @@
-import { Agent, request } from 'node:http';
+import { Client } from 'undici';
 import type Random from '../../src/core/Random';
 import type TimerService from '../../src/core/TimerService';
 import taskName from '../../platform/taskName';
@@ -30,10 +30,11 @@
 export default class SoakCaller {
   private entry: string;
 
-  private agent = newAgent();
+  private client: Client;
 
   private constructor(private readonly opts: SoakCallerOptions) {
     this.entry = this.anyEntry();
+    this.client = this.connection();
   }
 
   /** Submits until the signal aborts, and resolves once the last job has its end. */
@@ -44,7 +45,7 @@
       await timer.sleep(random.jitter(GAP_MS), stop);
       if (!stop.aborted) await caller.submit(caller.makeJob(), stop);
     }
-    caller.agent.destroy();
+    await caller.client.destroy();
   }
 
   private makeJob(): Job {
@@ -77,22 +78,26 @@
       checker.sent(job.id, job.tasks);
       const { status, text, isUnsent } = await this.send(job);
       if (isUnsent) {
-        this.reconnect();
+        await this.reconnect();
         await timer.sleep(REFUSED_MS);
         continue;
       }
       checker.answered({ id: job.id, entry, sentAt, status, text });
       if (!AGAIN.has(status) || stop.aborted) return;
-      if (status === 0) this.reconnect();
+      if (status === 0) await this.reconnect();
       left -= 1;
       await timer.sleep(RESEND_MS);
     }
   }
 
-  private reconnect(): void {
-    this.agent.destroy();
-    this.agent = newAgent();
+  private async reconnect(): Promise<void> {
+    await this.client.destroy();
     this.entry = this.anyEntry();
+    this.client = this.connection();
+  }
+
+  private connection(): Client {
+    return new Client(`http://${this.opts.entries.get(this.entry)}`);
   }
 
   private anyEntry(): string {
@@ -100,45 +105,27 @@
     return [...entries.keys()][random.below(entries.size)]!;
   }
 
-  private send({ id, body, deadlineMs }: Job): Promise<Sending> {
-    const { agent } = this;
-    const [host, port] = this.opts.entries.get(this.entry)!.split(':');
-    return new Promise((resolve) => {
-      const headers = {
-        'content-type': 'application/json',
-        'content-length': Buffer.byteLength(body),
-        'x-deadline-ms': deadlineMs,
-        host: 'soak.example',
-      };
-      const req = request({ host, port, agent, headers, method: 'POST', path: `/jobs/${id}` });
-      const finish = (sending: Sending): void => {
-        limit.cancel();
-        resolve(sending);
-        if (sending.status === 0) req.destroy();
-      };
-      const limit = this.opts.timer.after(deadlineMs + LATE_MS, () =>
-        finish({ status: 0, text: 'silence', isUnsent: false }),
-      );
-      req.on('error', (error: NodeJS.ErrnoException) =>
-        finish({ status: 0, text: error.message, isUnsent: error.code === 'ECONNREFUSED' }),
-      );
-      req.on('response', (res) => {
-        let text = '';
-        res.on('data', (chunk: Buffer) => {
-          text += chunk.toString();
-        });
-        res.on('error', (error) => finish({ status: 0, text: error.message, isUnsent: false }));
-        res.on('end', () => finish({ status: res.statusCode ?? 0, text, isUnsent: false }));
-      });
-      req.end(body);
-    });
+  private async send({ id, body, deadlineMs }: Job): Promise<Sending> {
+    const late = new AbortController();
+    const limit = this.opts.timer.after(deadlineMs + LATE_MS, () => late.abort('silence'));
+    const headers = {
+      ...{ host: 'soak.example', 'content-type': 'application/json' },
+      'x-deadline-ms': String(deadlineMs),
+    };
+    const { signal } = late;
+    try {
+      const path = `/jobs/${id}`;
+      const res = await this.client.request({ path, headers, body, signal, method: 'POST' });
+      return { status: res.statusCode, text: await res.body.text(), isUnsent: false };
+    } catch (error) {
+      const { code } = error as NodeJS.ErrnoException;
+      return { status: 0, text: String(error), isUnsent: code === 'ECONNREFUSED' };
+    } finally {
+      limit.cancel();
+    }
   }
 }
 
-function newAgent(): Agent {
-  return new Agent({ keepAlive: true, maxSockets: 1 });
-}
-
 /** Answers after which a job is sent again; 0 is none. */
 const AGAIN: ReadonlySet<number> = new Set([0, 502, 504]);
 
