--- a/tools/platform/PlatformServer.ts
+++ b/tools/platform/PlatformServer.ts
@@ -3,6 +3,7 @@
 import { text } from 'node:stream/consumers';
 import type Engine from './Engine';
 import type PlatformCall from './PlatformCall';
+import type Route from './Route';
 import routes from './routes';
 
 /** Serves the stand-in's engine over HTTP with JSON bodies. */
@@ -10,11 +11,12 @@
   private constructor(
     private readonly engine: Engine,
     private readonly server: Server,
+    private readonly served: readonly Route[],
   ) {}
 
-  /** Creates a server that does not listen yet. */
-  static of(engine: Engine): PlatformServer {
-    const platform = new PlatformServer(engine, createServer());
+  /** Creates a server that does not listen yet; other routes serve the same store by other calls. */
+  static of(engine: Engine, served = routes): PlatformServer {
+    const platform = new PlatformServer(engine, createServer(), served);
     platform.server.on('request', (req, res) => {
       platform.serve(req, res).catch((cause: unknown) => send(res, 400, { reason: String(cause) }));
     });
@@ -54,7 +56,7 @@
       body: body === '' ? {} : (JSON.parse(body) as PlatformCall['body']),
       signal: gone.signal,
     };
-    const route = routes.find(
+    const route = this.served.find(
       ({ method, path }) => method === req.method && path.test(url.pathname),
     );
     if (!route) return send(res, 405, { reason: 'no such call' });
