Renew a lease after a pause when the renewal failed at once

Cause: a renewal that was not answered was made again at once, since it had waited for its answer; but a connection that the backend server breaks fails without any waiting. Until the backend server counted as silent, 0.5 s, the sidecar did nothing else: some 1,600 calls and as many lines in 0.7 s with real processes. Change: whatever is left of 30 ms since the call is waited first, for refused connections as before.

--- a/src/runs/BackendLooks.ts
+++ b/src/runs/BackendLooks.ts
@@ -106,10 +106,13 @@
     const isDoubtful = isSilent || this.unanswered >= runLimits.silentAfter;
     const until = isDoubtful ? undefined : lease.renew();
     const timeoutMs = times.timeoutMs(this.unanswered);
+    const askedAt = timer.now();
     const res = await backend.hold(seen, lease.token, waitMs, timeoutMs, until);
     if (presence.isOver) return;
     if (res.isErr()) {
       await this.missed(res.error);
+      // A call that failed by its time has waited already; one whose connection breaks has not.
+      await timer.sleep(Math.max(0, runLimits.retryMs - (timer.now() - askedAt)));
       return;
     }
     this.unanswered = 0;
@@ -139,10 +142,7 @@
     const { changed, held, lease, log, presence, timer } = this.opts;
     if (presence.isEndedBy(failure)) return;
     const { kind, reason } = failure;
-    if (kind === 'closed') {
-      await timer.sleep(runLimits.retryMs);
-      return;
-    }
+    if (kind === 'closed') return;
     this.unanswered += 1;
     log.warn('a renewal was not answered', { kind, reason, unanswered: this.unanswered });
     const isSilent =
