Have the soak count the requests that go with a process that ended by itself

Its entry was taken as disturbed from its end on, so that requests whose connections closed a moment later were excused: a run on the code that loses entries named their ends and none of the 7 requests that went with them.

--- a/tools/soak/World.ts
+++ b/tools/soak/World.ts
@@ -243,7 +243,6 @@
     const isInOrder = code === 0 || signal === 'SIGKILL' || (signal === 'SIGTERM' && !hasStarted);
     const wasAsked = this.ending.has(name) && isInOrder;
     checker.exited(name, how, wasAsked);
-    if (!wasAsked) checker.disturbed(name, 'hard');
     timer.after(this.ending.get(name) ?? LEAST_PAUSE_MS, () => {
       this.ending.delete(name);
       if (this.isOver) return;
