Have each entry complete five jobs after the last fault, not one, before the soak says that it serves

The short run among the tests asked for more than 20 completed jobs in all and once had 14, beside the whole suite at a load of 46 on 16 cores, with no promise broken: the number measured the machine.

--- a/test/soak/Checker.test.ts
+++ b/test/soak/Checker.test.ts
@@ -76,7 +76,12 @@
   [
     'an entry that serves no more',
     ['not served again after the last fault'],
-    () => checker.finish(['e1'], 0),
+    () => [
+      run('a.0.0.0'),
+      checker.runEnded('b1', 'a.0.0.0', 'done'),
+      [0, 1, 2, 3, 4].forEach((sentAt) => answer(200, COMPLETED, sentAt)),
+      checker.finish(['e1'], 0),
+    ],
   ],
   [
     'a run that nobody ends',
@@ -111,7 +116,7 @@
   run('a.0.0.0', 'b2');
   checker.runEnded('b2', 'a.0.0.0', 'done');
   await timer.advance(100);
-  answer(200, COMPLETED, 50);
+  [50, 51, 52, 53, 54].forEach((sentAt) => answer(200, COMPLETED, sentAt));
   checker.disturbed('e1', 'hard');
   answer(0, 'socket hang up', 90);
   checker.exited('e1', 'with SIGKILL', true);
--- a/test/soak/runSoak.test.ts
+++ b/test/soak/runSoak.test.ts
@@ -23,5 +23,4 @@
   const { findings, counts } = await runSoak({ ...size, seed: 5, seconds: 4, faults });
   expect(findings).toEqual([]);
   expect(counts['starts of processes']).toBe(size.entries + size.sidecars + 3);
-  expect(counts['status 200 ']).toBeGreaterThan(20);
 });
--- a/tools/soak/Checker.ts
+++ b/tools/soak/Checker.ts
@@ -53,7 +53,8 @@
 
   private readonly versions = new Map<string, number>();
 
-  private readonly servedAt = new Map<string, number>();
+  /** When the jobs were sent that an entry has answered with 200. */
+  private readonly served = new Map<string, number[]>();
 
   private readonly beganAt: number;
 
@@ -105,8 +106,9 @@
     this.jobs.get(id)?.statuses.push(status);
     if (status === 0) this.checkSilence(answer);
     else (checks[status] ?? checks.other)!(this, answer, bodyOf(text));
-    if (status === 200)
-      this.servedAt.set(entry, Math.max(answer.sentAt, this.servedAt.get(entry) ?? 0));
+    if (status !== 200) return;
+    const served = this.served.get(entry) ?? [];
+    this.served.set(entry, [...served, answer.sentAt]);
   }
 
   /** A process is treated in a way that excuses it: `stop` asks it to leave, `hard` is anything worse. */
@@ -148,9 +150,12 @@
     this.versions.set(process, Math.max(version, before));
   }
 
-  /** Whether each of the entries has completed a job that was sent after the time. */
+  /** Whether each of the entries has completed some jobs that were sent after the time. */
   servesSince(entries: readonly string[], since: number): boolean {
-    return entries.every((entry) => (this.servedAt.get(entry) ?? 0) > since);
+    return entries.every((entry) => {
+      const after = (this.served.get(entry) ?? []).filter((sentAt) => sentAt > since);
+      return after.length >= SERVED_JOBS;
+    });
   }
 
   /** The last checks, once all callers have ended. */
@@ -193,6 +198,9 @@
   }
 }
 
+/** An entry serves again once it has completed this many jobs. */
+const SERVED_JOBS = 5;
+
 /** After it goes on, a process may be late for this long, ms: it has to read what has piled up. */
 const RECOVERY_MS = 1_500;
 
