--- a/src/observe/LineBuffer.ts
+++ b/src/observe/LineBuffer.ts
@@ -40,14 +40,18 @@
     this.timer.after(FLUSH_MS, () => this.flush());
   }
 
-  /** Writes what is left, for the end of the process. */
+  /** Writes what is left, for the end of the process; a reader that is behind has a moment to catch up. */
   end(): void {
-    const text = this.take();
-    if (text === '') return;
-    try {
-      writeSync(this.fd, text);
-    } catch {
-      // There is nobody left to tell that the reader of the log is gone.
+    const until = this.timer.now() + END_MS;
+    let rest = Buffer.from(this.take());
+    while (rest.length > 0) {
+      try {
+        rest = rest.subarray(writeSync(this.fd, rest));
+      } catch (error) {
+        // There is nobody left to tell that the reader of the log is gone, or too far behind.
+        const isFull = (error as NodeJS.ErrnoException).code === 'EAGAIN';
+        if (!isFull || this.timer.now() >= until) return;
+      }
     }
   }
 
@@ -80,5 +84,8 @@
 /** How long a line waits for others, ms: a reader notices no delay, and a busy process saves most writes. */
 const FLUSH_MS = 250;
 
+/** How long a pipe that is full is tried again at the end of a process, ms: a reader that lives needs less. */
+const END_MS = 100;
+
 /** Text that may wait, in characters: some seconds of a busy process. */
 const MAX_BYTES = 512 * 1024;
