--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -16,6 +16,7 @@
   GoodbyeSchema,
   type Heartbeat,
   HeartbeatSchema,
+  type Hello,
   type InspectRequest,
   type InspectResponse,
   Outcome,
@@ -149,8 +150,11 @@
   /** Opens the address for other processes only; for callers in this process, who use `submit`. */
   async listenToPeers(): Promise<Result<string, string>> {
     const { peers } = this.options.settings.listen;
-    const { network } = this.options;
-    const listener = await network.listen(peers, () => this.identity.hello(), peerHandlersOf(this));
+    const { network, log } = this.options;
+    const failed = (error: unknown): void =>
+      log.error(`a link could not be accepted or served: ${error}`);
+    const handlers = { ...peerHandlersOf(this), failed };
+    const listener = await network.listen(peers, () => this.identity.hello(), handlers);
     if (listener.isErr()) return err(`${peers}: ${listener.error.reason}`);
     this.listener = listener.value;
     return ok(listener.value.address);
@@ -284,6 +288,11 @@
     link.send({ case: 'heartbeat', value: this.heartbeat() });
   }
 
+  /** One message that cannot be handled, as of a later version, ends neither its link nor this process. */
+  private unhandled({ instance }: Hello, message: PeerMessage, error: unknown): void {
+    this.options.log.warn(`a ${message.case} of ${instance} could not be handled: ${error}`);
+  }
+
   /** A heartbeat with the loads of every service, or with those that concern the receiver. */
   private heartbeat(loads = this.dispatcher.serviceLoads()): Heartbeat {
     return create(HeartbeatSchema, {
@@ -413,6 +422,7 @@
           log.info(`sidecar ${peer.instance} linked`);
           this.sightings.linked(peer);
         },
+        failed: (...what) => this.unhandled(...what),
         ended: (peer) => {
           log.info(`sidecar ${peer.instance} ended`);
           this.sightings.ended(peer);
@@ -435,6 +445,7 @@
       keepAlive: settings.heartbeat,
       heartbeat: () => this.heartbeat(),
       greet: (link) => this.greet(link),
+      failed: (...what) => this.unhandled(...what),
       receive: (from, message) => {
         const { views, configurations, dispatcher, recovery, entryLinks, sightings } = this;
         const heartbeat = (): PeerMessage => ({ case: 'heartbeat', value: this.heartbeat() });
@@ -459,6 +470,7 @@
       keepAlive: settings.heartbeat,
       views: this.views,
       configurations: this.configurations,
+      failed: (...what) => this.unhandled(...what),
       isNeeded: () => !this.leaving && !this.isMember && this.entryLinks.linked().length === 0,
     });
   }
--- a/src/operators/OperatorServer.ts
+++ b/src/operators/OperatorServer.ts
@@ -31,7 +31,8 @@
     const url = new URL(`http://${address}`);
     const { host, port } = hostAndPort(url, DEFAULT_PORT);
     const listening = new Promise<string>((resolve, reject) => {
-      this.server.once('error', reject);
+      // Later it is a connection that could not be accepted: whoever asked there asks again.
+      this.server.on('error', reject);
       this.server.listen(port, host, () => {
         resolve(`${url.hostname}:${(this.server.address() as AddressInfo).port}`);
       });
--- a/test/link/ConnectNetwork.test.ts
+++ b/test/link/ConnectNetwork.test.ts
@@ -5,6 +5,7 @@
   ClaimResponseSchema,
   GrantSchema,
 } from '../../src/gen/magnoliakeel/v1/peer_pb';
+import type Link from '../../src/link/Link';
 import ConnectNetwork from '../../src/link/ConnectNetwork';
 import errorOf from '../support/errorOf';
 import ManualTimer from '../support/ManualTimer';
@@ -42,6 +43,10 @@
   const call = () => near.claim(proxy.address, create(ClaimRequestSchema));
   const dial = () => near.dial(proxy.address, NetworkCase.hello('near'));
 
+  async function ended(link: Link): Promise<void> {
+    for await (const message of link.messages()) expect(message).toBeUndefined();
+  }
+
   function hangClaim(): Promise<never> {
     claimed();
     return never();
@@ -66,6 +71,22 @@
     expect((await call()).isOk()).toBe(true);
   });
 
+  // "The link to an entry has ended" stood in the logs of both sides without a word of why: the error that
+  // ended its stream was swallowed.
+  it('keeps why a link has ended, on both sides, and nothing when it was closed', async () => {
+    const links = [valueOf(await dial()), far.served[0]!];
+    proxy.break();
+    await Promise.all(links.map(ended));
+    const closed = valueOf(await dial());
+    closed.close();
+    await ended(closed);
+    expect([...links, closed].map(({ failure }) => failure)).toEqual([
+      'the connection has ended',
+      'Premature close',
+      undefined,
+    ]);
+  });
+
   it('says broken when the connection breaks under a call', async () => {
     const arrived = hangClaims();
     const pending = call();
@@ -92,6 +113,17 @@
     expect(link.closed.aborted).toBe(true);
   });
 
+  // A peer's hello or its list of entries may hold any text as an address. The dial rejected ("Invalid URL"),
+  // which those who wait for a result do not expect: unhandled, it ended the process.
+  it('has a result for an address that is none', async () => {
+    const addresses = ['', 'a b', '10.0.0.1:99999', '256.0.0.1:4', ':::1'];
+    const dials = addresses.map((address) => near.dial(address, NetworkCase.hello('near')));
+    const calls = addresses.map((address) => near.claim(address, create(ClaimRequestSchema)));
+    const results = [...(await Promise.all(dials)), ...(await Promise.all(calls))];
+    const failures = results.map((res) => res.isErr() && res.error.kind);
+    expect(failures).toEqual(Array(failures.length).fill('unreachable'));
+  });
+
   it('leaves no open connection', async () => {
     await dial();
     await call();
