--- a/test/support/ProxiedCase.ts
+++ b/test/support/ProxiedCase.ts
@@ -2,7 +2,7 @@
 import ConnectNetwork from '../../src/link/ConnectNetwork';
 import ManualTimer from './ManualTimer';
 import NetworkCase from './NetworkCase';
-import TcpProxy from './TcpProxy';
+import TcpProxy from '../../tools/harness/TcpProxy';
 import Uncaught from './Uncaught';
 
 type Handlers = Parameters<typeof NetworkCase.start>[1];
