Hold the settings of a starting process by a pipe that only its first reading sees

Change: the second reading finds a file under the same name, put there before the pipe is closed. What is asked for is as before.

--- a/test/usersPlatform/processEnds.test.ts
+++ b/test/usersPlatform/processEnds.test.ts
@@ -1,6 +1,6 @@
 import { type ChildProcess, execFileSync, spawn } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { open } from 'node:fs/promises';
+import { open, rename } from 'node:fs/promises';
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
@@ -242,16 +242,16 @@
 // here, so that the process is held where it reads them.
 test('a process that is told to read its settings while it starts does so once it has started', async () => {
   const settings = JSON.stringify(await sidecarSettings());
-  const pipe = path.join(folder, 'settings.pipe');
-  execFileSync('mkfifo', [pipe]);
-  const started = startFrom('sidecar', pipe, []);
-  const first = await open(pipe, 'w');
+  const [pipe, changed] = ['settings.pipe', 'settings.yaml'].map((name) => path.join(folder, name));
+  writeFileSync(changed!, settings);
+  execFileSync('mkfifo', [pipe!]);
+  const started = startFrom('sidecar', pipe!, []);
+  const first = await open(pipe!, 'w');
   started.child.kill('SIGHUP');
   await first.writeFile(settings);
+  // What is read next, under the same name, is the file; the process still reads from the pipe.
+  await rename(changed!, pipe!);
   await first.close();
-  const second = await open(pipe, 'w');
-  await second.writeFile(settings);
-  await second.close();
   await lineOf({ ...started, metrics: '' }, 'the settings were read again');
   expect(started.child.exitCode).toBe(null);
 });
