Open all servers by one function, which keeps listening for connections that cannot be accepted

The watch of a session that ends reads in one order. Nothing is decided differently; an address with a port that is none is told as unreachable by the peers' listener too, where it rejected.

--- a/src/callers/CallerServer.ts
+++ b/src/callers/CallerServer.ts
@@ -4,6 +4,7 @@
 import type { Duplex } from 'node:stream';
 import { create } from '@bufbuild/protobuf';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
+import openServer from '../core/openServer';
 import { type Answer, AnswerSchema, Outcome } from '../gen/magnoliakeel/v1/peer_pb';
 import ByteBudget from './ByteBudget';
 import type CallerServerOptions from './CallerServerOptions';
@@ -75,17 +76,11 @@
   /** Listens at "ip:port" and returns the address in use. */
   listen(address: string): ResultAsync<string, Error> {
     const [host, port] = address.split(':');
-    const listening = new Promise<string>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(Number(port), host, () => {
-        this.server.off('error', reject);
-        // A connection that can't be accepted concerns none of those there are.
-        this.server.on('error', this.options.failed);
-        const bound = this.server.address();
-        resolve(typeof bound === 'object' && bound ? `${bound.address}:${bound.port}` : address);
-      });
+    const listening = openServer(this.server, { host, port: Number(port) }, this.options.failed);
+    return ResultAsync.fromPromise(listening, (error) => error as Error).map(() => {
+      const bound = this.server.address();
+      return typeof bound === 'object' && bound ? `${bound.address}:${bound.port}` : address;
     });
-    return ResultAsync.fromPromise(listening, (error) => error as Error);
   }
 
   /**
--- a/src/link/PeerServer.ts
+++ b/src/link/PeerServer.ts
@@ -26,6 +26,7 @@
 import DEFAULT_PORT from '../core/DEFAULT_PORT';
 import hostAndPort from '../core/hostAndPort';
 import listenProblem from '../core/listenProblem';
+import openServer from '../core/openServer';
 import type TimerService from '../core/TimerService';
 import { type Frame, type Hello, Peer } from '../gen/magnoliakeel/v1/peer_pb';
 import type CallError from './CallError';
@@ -102,17 +103,10 @@
 
   private open(address: string): Promise<Result<Listener, CallError>> {
     const place = hostAndPort(new URL(`http://${address}`), DEFAULT_PORT);
-    return new Promise((resolve) => {
-      const fail = (cause: Error) =>
-        resolve(err({ kind: 'unreachable', reason: listenProblem(cause) }));
-      this.server.once('error', fail);
-      this.server.listen(place, () => {
-        this.server.off('error', fail);
-        // A connection that can't be accepted concerns none of those there are.
-        this.server.on('error', (error: Error) => this.handlers.failed?.(error));
-        resolve(ok(this));
-      });
-    });
+    return openServer(this.server, place, (error) => this.handlers.failed?.(error)).then(
+      () => ok(this),
+      (cause: Error) => err({ kind: 'unreachable', reason: listenProblem(cause) }),
+    );
   }
 
   private track(session: ServerHttp2Session): void {
--- a/src/link/PeerSession.ts
+++ b/src/link/PeerSession.ts
@@ -172,8 +172,11 @@
     const look = (): void => {
       const now = this.timer.now();
       const isSilent = askedAt !== undefined && now - askedAt >= KEEP_ALIVE.pingTimeoutMs;
-      if (isSilent || session.destroyed) this.close();
-      if (askedAt !== undefined || session.destroyed) return;
+      if (isSilent || session.destroyed) {
+        this.close();
+        return;
+      }
+      if (askedAt !== undefined) return;
       askedAt = now;
       session.settings(SESSION_OPTIONS.settings, () => {
         askedAt = undefined;
--- a/src/operators/OperatorServer.ts
+++ b/src/operators/OperatorServer.ts
@@ -3,6 +3,7 @@
 import { ResultAsync } from 'neverthrow';
 import DEFAULT_PORT from '../core/DEFAULT_PORT';
 import hostAndPort from '../core/hostAndPort';
+import openServer from '../core/openServer';
 import type OperatorReply from './OperatorReply';
 import type OperatorRoute from './OperatorRoute';
 
@@ -29,15 +30,11 @@
   /** Listens at "ip:port" and returns the address in use. */
   listen(address: string): ResultAsync<string, Error> {
     const url = new URL(`http://${address}`);
-    const { host, port } = hostAndPort(url, DEFAULT_PORT);
-    const listening = new Promise<string>((resolve, reject) => {
-      // Later it is a connection that could not be accepted: whoever asked there asks again.
-      this.server.on('error', reject);
-      this.server.listen(port, host, () => {
-        resolve(`${url.hostname}:${(this.server.address() as AddressInfo).port}`);
-      });
-    });
-    return ResultAsync.fromPromise(listening, (error) => error as Error);
+    // Whoever asked over a connection that could not be accepted asks again.
+    const listening = openServer(this.server, hostAndPort(url, DEFAULT_PORT), () => undefined);
+    return ResultAsync.fromPromise(listening, (error) => error as Error).map(
+      () => `${url.hostname}:${(this.server.address() as AddressInfo).port}`,
+    );
   }
 
   /** Stops listening and ends all connections. */
--- a/src/sidecar/BackendDesk.ts
+++ b/src/sidecar/BackendDesk.ts
@@ -2,6 +2,7 @@
 import { isIP, type AddressInfo } from 'node:net';
 import { Ajv } from 'ajv';
 import { err, ok, type Result } from 'neverthrow';
+import openServer from '../core/openServer';
 import type Announcement from './Announcement';
 import announcementSchema from './announcementSchema';
 
@@ -48,11 +49,8 @@
   /** Listens at "ip:port" and returns the address in use. Rejects when the address cannot be had. */
   async listen(address: string): Promise<string> {
     const { host, port } = split(address);
-    await new Promise<void>((resolve, reject) => {
-      // Later it is a connection that could not be accepted: the backend server announces itself again.
-      this.server.on('error', reject);
-      this.server.listen(port, host, resolve);
-    });
+    // A backend server whose connection could not be accepted announces itself again.
+    await openServer(this.server, { host, port }, () => undefined);
     return `${host}:${(this.server.address() as AddressInfo).port}`;
   }
 
