Replay entries short of processor time, which do not come back after a burst

A recording may say what an entry has of a processor; messages, requests and timers then wait for it, one after the other. The draw 'starved' has five entries with 0.12 of a core each, 1.2 ms a request and 0.12 ms a message, at three quarters of the room, and four seconds of a burst. Without a processor in the recording nothing changes.

--- a/test/support/MemoryNetwork.ts
+++ b/test/support/MemoryNetwork.ts
@@ -4,6 +4,7 @@
 import HeldMessages from './HeldMessages';
 import MemoryEndpoint from './MemoryEndpoint';
 import MemoryProcess from './MemoryProcess';
+import type Processor from './Processor';
 
 /**
  * A network in memory whose faults a test controls. Each process gets its own
@@ -33,6 +34,11 @@
     return MemoryEndpoint.of(process, this.faults, this.addresses);
   }
 
+  /** From now on what an instance sends and is sent takes processor time, ms each. */
+  employ(instance: string, processor: Processor, messageMs: number): void {
+    this.processOf(instance).work = { processor, messageMs };
+  }
+
   /** Ends all connections between two instances and refuses new ones until they are joined again. */
   cut(one: string, other: string): void {
     this.faults.setCut(one, other, true);
--- a/test/support/Pipe.ts
+++ b/test/support/Pipe.ts
@@ -32,6 +32,7 @@
   send(kind: string, deliver: () => void): void {
     if (this.ended || !this.from.alive) return;
     this.faults.count(kind);
+    this.from.sent();
     if (this.faults.hold(this, kind, () => this.enqueue(deliver))) return;
     this.enqueue(deliver);
   }
@@ -71,7 +72,7 @@
   drain(): void {
     for (let item = this.ready(); item; item = this.ready()) {
       this.queue.shift();
-      item.deliver();
+      this.to.take(item.deliver);
     }
     if (this.ended && this.queue.length === 0) this.faults.pipes.delete(this);
   }
--- /dev/null
+++ b/test/support/Processor.ts
@@ -0,0 +1,63 @@
+import type Subscription from '../../src/core/Subscription';
+import type TimerService from '../../src/core/TimerService';
+
+/**
+ * The share of a processor that a simulated process has. What the process does takes time, one thing after
+ * the other, so a process that is given more than it can do falls behind. Its timers wait their turn too.
+ */
+export default class Processor implements TimerService {
+  private freeAt = 0;
+
+  private constructor(
+    private readonly base: TimerService,
+    private readonly share: number,
+  ) {}
+
+  /** Creates a processor on which nothing runs; a share of 1 is a whole core. */
+  static of(base: TimerService, share: number): Processor {
+    return new Processor(base, share);
+  }
+
+  /** Does something that takes this much processor time, ms, once all before it is done. */
+  run(costMs: number, action: () => void): void {
+    this.spend(costMs);
+    this.base.after(this.freeAt - this.now(), action);
+  }
+
+  /** Processor time that goes with what is being done, ms. */
+  spend(costMs: number): void {
+    this.freeAt = Math.max(this.now(), this.freeAt) + costMs / this.share;
+  }
+
+  now(): number {
+    return this.base.now();
+  }
+
+  wall(): number {
+    return this.base.wall();
+  }
+
+  after(delayMs: number, handler: () => void): Subscription {
+    let isCancelled = false;
+    const due = this.base.after(delayMs, () => this.run(0, () => isCancelled || handler()));
+    const cancel = (): void => {
+      isCancelled = true;
+      due.cancel();
+    };
+    return { cancel };
+  }
+
+  every(intervalMs: number, handler: () => void): Subscription {
+    let next: Subscription;
+    const again = (): void => {
+      next = this.after(intervalMs, again);
+      handler();
+    };
+    next = this.after(intervalMs, again);
+    return { cancel: () => next.cancel() };
+  }
+
+  sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
+    return this.base.sleep(delayMs, signal);
+  }
+}
--- a/tools/replay/Draw.ts
+++ b/tools/replay/Draw.ts
@@ -11,4 +11,5 @@
   readonly troubles: Recording['troubles'];
   /** Times the load of one queue from the third second on, for four seconds. */
   readonly bursts: readonly number[];
+  readonly processor?: Recording['processor'];
 }
--- a/tools/replay/Recording.ts
+++ b/tools/replay/Recording.ts
@@ -23,6 +23,16 @@
   readonly times: number;
 }
 
+/** What an entry has of a processor, and what its work takes of that. */
+interface RecordedProcessor {
+  /** Its share of a core. */
+  readonly share: number;
+  /** Processor time of a caller's request, from its arrival to its answer, ms. */
+  readonly requestMs: number;
+  /** Processor time of one message to or from a sidecar, ms. */
+  readonly messageMs: number;
+}
+
 /** One batch as it arrived, with how long its tasks take on a sound backend server. */
 interface RecordedBatch {
   readonly atMs: number;
@@ -42,6 +52,8 @@
   readonly zones: number;
   /** One way between zones, ms. */
   readonly zoneMs: number;
+  /** The processor of an entry; where it is left out, its work takes no time. */
+  readonly processor?: RecordedProcessor;
   readonly backends: readonly { readonly zone: number; readonly cpuMilli: number }[];
   readonly queues: readonly RecordedQueue[];
   readonly troubles: readonly RecordedTrouble[];
--- a/tools/replay/Replay.ts
+++ b/tools/replay/Replay.ts
@@ -8,6 +8,7 @@
 import RunSidecar from '../../src/runs/RunSidecar';
 import ManualTimer from '../../test/support/ManualTimer';
 import MemoryNetwork from '../../test/support/MemoryNetwork';
+import Processor from '../../test/support/Processor';
 import LeasedBackend from '../leasedBackend/LeasedBackend';
 import type Outcome from './Outcome';
 import type Recording from './Recording';
@@ -16,6 +17,8 @@
 /** What a replay came to. */
 interface ReplayResult {
   readonly outcomes: readonly Outcome[];
+  /** Each batch by itself, in the order of the answers. */
+  readonly answers: Tally['answers'];
   /** Core-seconds of starts that gave no result. */
   readonly wastedCoreSeconds: number;
   readonly servedCoreSeconds: number;
@@ -26,7 +29,8 @@
 /**
  * Replays a recording through the real entries and sidecars over a network in memory, with stand-ins
  * for the backend servers and a clock that is moved by hand: the same recording and policy give the
- * same result. Processor time is not modelled, so differences are those of the decisions.
+ * same result. Where the recording says what an entry has of a processor, its work takes time; else
+ * differences are those of the decisions alone.
  */
 export default class Replay {
   private readonly timer = ManualTimer.create(2);
@@ -39,6 +43,8 @@
 
   private readonly backends: LeasedBackend[] = [];
 
+  private readonly processors: Processor[] = [];
+
   private readonly tally: Tally;
 
   private readonly queues: readonly Queue[];
@@ -103,6 +109,7 @@
     const sent = Object.values(this.network.counts()).reduce((sum, count) => sum + count, 0);
     return {
       outcomes: this.tally.outcomes,
+      answers: this.tally.answers,
       servedCoreSeconds: this.doneWork / CORE_SECOND,
       wastedCoreSeconds: (this.startedWork - this.doneWork) / CORE_SECOND,
       messagesATask: sent / Math.max(1, this.starts),
@@ -123,7 +130,9 @@
     const id = String(number);
     const submission = { id, queue, spec: '', waitMs, steps: [step] };
     const entry = this.entries[batch.entry % recording.entries]!;
-    entry.submit(submission, new AbortController().signal).then(({ kind }) => {
+    this.spend(batch.entry % recording.entries, () =>
+      entry.submit(submission, new AbortController().signal),
+    ).then(({ kind }) => {
       this.open -= 1;
       const ending = endings[kind] ?? 'other';
       this.tally.add(batch, ending, timer.now() - arrivedAt);
@@ -133,11 +142,31 @@
     });
   }
 
+  /** Has an entry take a request when its processor comes to it. */
+  private async spend<T>(entry: number, take: () => Promise<T>): Promise<T> {
+    const processor = this.processors[entry];
+    if (processor) {
+      const { requestMs } = this.recording.processor!;
+      await new Promise<void>((resolve) => {
+        processor.run(requestMs, resolve);
+      });
+    }
+    return take();
+  }
+
   private async addEntry(number: number): Promise<void> {
     const instance = `e${number}`;
     const zone = `z${number % this.recording.zones}`;
+    const parts = this.partsOf(instance, zone);
+    const { processor: has } = this.recording;
+    if (has) {
+      const processor = Processor.of(this.timer, has.share);
+      this.processors[number] = processor;
+      this.network.employ(instance, processor, has.messageMs);
+    }
     const entry = BatchEntry.create({
-      ...this.partsOf(instance, zone),
+      ...parts,
+      timer: this.processors[number] ?? this.timer,
       listen: `${instance}:1`,
       seeds: this.entryAddresses(),
       policy: this.policy,
--- a/tools/replay/Tally.ts
+++ b/tools/replay/Tally.ts
@@ -9,6 +9,14 @@
 
 type Ending = 'completed' | 'refused' | 'other';
 
+/** What became of one batch. */
+interface Answer {
+  /** When it arrived, ms from the start of the load. */
+  readonly atMs: number;
+  readonly ending: Ending;
+  readonly isInAim: boolean;
+}
+
 /** Adds up what answers were worth, as the users' pages tell it: by their aim and the work in them. */
 export default class Tally {
   private readonly counts: {
@@ -20,6 +28,9 @@
     owed: number;
   }[];
 
+  /** Every batch that was counted, in the order of the answers. */
+  readonly answers: Answer[] = [];
+
   private constructor(private readonly recording: Recording) {
     this.counts = recording.queues.map(() => ({
       ...{ inAim: 0, late: 0, refused: 0, rest: 0, earned: 0, owed: 0 },
@@ -37,9 +48,11 @@
     const count = this.counts[batch.queue]!;
     const size = Tally.sizeOf(batch, queue);
     const aimMs = Tally.aimOf(batch, queue);
+    const isInAim = ending === 'completed' && tookMs <= aimMs;
+    this.answers.push({ atMs: batch.atMs, ending, isInAim });
     count.owed += size * queue.worth;
     if (ending === 'refused') count.refused += 1;
-    else if (ending === 'completed' && tookMs <= aimMs) {
+    else if (isInAim) {
       count.inAim += 1;
       count.earned += size * queue.worth;
     } else if (ending === 'completed' && tookMs <= aimMs * USELESS) {
--- a/tools/replay/drawRecording.ts
+++ b/tools/replay/drawRecording.ts
@@ -18,6 +18,7 @@
     entries,
     zones: ZONES,
     zoneMs: 0.5,
+    ...(draw.processor && { processor: draw.processor }),
     backends: Array.from({ length: backends }, (_, number) => ({
       zone: number % ZONES,
       cpuMilli: number % 3 === 2 ? 48_000 : 32_000,
--- a/tools/replay/draws.ts
+++ b/tools/replay/draws.ts
@@ -34,6 +34,12 @@
   },
   /** The calm load on as many processes as the larger deployments have. */
   wide: { ...base, seconds: 4, load: 5, entries: 12, backends: 66 },
+  /** Entries with little processor time, at three quarters of the room and a burst above all of it. */
+  starved: {
+    ...base,
+    ...{ seconds: 14, load: 1, entries: 5, backends: 15, bursts: [1, 1, 2.5] },
+    processor: { share: 0.12, requestMs: 1.2, messageMs: 0.12 },
+  },
 };
 
 export default draws;
