Tell sidecars and entries of room only what decides something

Cause: an entry that got no room told all its sidecars so, and again that it waits for nothing, many times a second; each sidecar told all its entries of each turn, and of each task that came or went. At three quarters of the room, 4 entries, 12 sidecars and 15 requests/s an entry: 229 demands, 73 orders, 48 pulses sent and 356 reports of room received by each entry a second, 40 messages a request, most of its processor time. What waited for the processor then made it late with its pulses. Change: few sidecars are asked at first, more while the line stands (RoomSearch); while entries wait for room only the one whose turn it is hears of it; a belief may be wrong by one large task, and a refused order or a used offer ends it on both sides, so nothing is ordered on it again.

--- a/src/batches/RunEnds.ts
+++ b/src/batches/RunEnds.ts
@@ -37,7 +37,7 @@
     task.attempt = Math.max(task.attempt, end.attempt + 1);
     // A sidecar of a later version may have another word; that the run is over is certain all the same.
     const outcome = end.outcome in RunEnds.outcomes ? end.outcome : RunOutcome.UNSPECIFIED;
-    if (outcome === RunOutcome.REFUSED) peer.pause();
+    if (outcome === RunOutcome.REFUSED) peer.refused();
     this.over(run, peer, outcome, end.reason);
   }
 
--- a/src/batches/Scheduler.ts
+++ b/src/batches/Scheduler.ts
@@ -5,6 +5,7 @@
 import type BatchTask from './BatchTask';
 import compareUrgencies from './compareUrgencies';
 import type OrderedStart from './OrderedStart';
+import RoomSearch from './RoomSearch';
 import type SidecarPeer from './SidecarPeer';
 import type Urgency from './Urgency';
 import type WaitingHead from './WaitingHead';
@@ -35,6 +36,8 @@
 
   private found: Found | undefined;
 
+  private readonly search = RoomSearch.create();
+
   /** Batches of this turn in whose placing there was an error. */
   private readonly failures = new Map<Batch, unknown>();
 
@@ -94,7 +97,8 @@
         (waiting) => waiting !== first && !heads.has(waiting.batch.submission.queue.service),
       );
     }
-    peers.forEach((peer) => peer.flush(heads.get(peer.service)));
+    const asked = this.search.ask(peers, heads, now);
+    peers.forEach((peer) => peer.flush(asked.has(peer) ? heads.get(peer.service) : undefined));
     this.giveUpFailures();
     if (this.backlog.length > 0) this.sweepLater();
   }
--- a/src/batches/SidecarPeer.ts
+++ b/src/batches/SidecarPeer.ts
@@ -40,6 +40,9 @@
 
   private reportedAt = 0;
 
+  /** Whether what was reported is for one use, as an offer to this entry or nothing at all. */
+  private isForOneUse = false;
+
   /** What was reported without what was ordered since; asked for often, so it is kept. */
   private left = Resources.none;
 
@@ -122,6 +125,11 @@
     );
   }
 
+  /** Whether it was told that something waits here. */
+  get isAsked(): boolean {
+    return this.toldHead !== undefined;
+  }
+
   /** How long nothing was heard of it, ms. */
   get silentMs(): number {
     return this.timer.now() - this.heardAt;
@@ -149,6 +157,7 @@
     this.total = Resources.of(room.total ?? {});
     this.reported = Resources.of(room.free ?? {});
     this.reportedAt = this.timer.now();
+    this.isForOneUse = room.inTurns;
     this.reckonLeft();
   }
 
@@ -179,10 +188,15 @@
     return run;
   }
 
-  /** Sends the orders of this turn, and what is first in line for the service's room if that is news. */
+  /**
+   * Sends the orders of this turn, and what is first in line for the service's room if that is news; without
+   * `head` nothing is asked for here.
+   */
   flush(head: WaitingHead | undefined): void {
     const isOrdering = this.outbox.size > 0;
-    const demand = isOrdering || this.isNews(head) ? this.demandOf(head) : undefined;
+    const isAsking = head !== undefined || this.isAsked;
+    const isDue = (isOrdering && isAsking) || this.isNews(head);
+    const demand = isDue ? this.demandOf(head) : undefined;
     this.outbox.forEach((runs, { id, submission }) => {
       const { queue, spec } = submission;
       const { service } = queue;
@@ -190,6 +204,7 @@
       this.link.send({ case: 'startRuns', value });
     });
     this.outbox.clear();
+    if (isOrdering && this.isForOneUse) this.forgetRoom();
     if (demand && !isOrdering) this.link.send({ case: 'demand', value: demand });
   }
 
@@ -234,7 +249,7 @@
     const run = this.runs.get(number);
     this.runs.delete(number);
     // The last report counted it as taken; the next one will not.
-    const isCounted = !this.room.inTurns && number <= this.room.newestOrder;
+    const isCounted = !this.isForOneUse && number <= this.room.newestOrder;
     if (run && isCounted) this.reported = this.reported.plus(run.task.step.needs);
     if (run) this.reckonLeft();
     return run;
@@ -249,19 +264,27 @@
     this.left = left;
   }
 
-  /** Gives it no orders for a moment, since it has refused one. */
-  pause(): void {
+  /** It has refused an order: what was known of its room is wrong, and it tells when there is some. */
+  refused(): void {
     this.pausedUntil = this.timer.now() + REFUSED_PAUSE_MS;
+    this.forgetRoom();
+  }
+
+  /** From here on there is no room until the next report. The sidecar reckons with that. */
+  private forgetRoom(): void {
+    this.isForOneUse = true;
+    this.reported = Resources.none;
+    this.left = Resources.none;
   }
 }
 
 const THOUSAND = 1000;
 
-/** A head whose time to start differs by less is told only with the next order, ms. */
-const SAME_SLACK_MS = 10;
+/** A head whose time to start differs by less is told only with the next order, ms: it decides little. */
+const SAME_SLACK_MS = 40;
 
 /** Shortest time between two messages about what waits, ms; that nothing waits is told at once. */
-const HEAD_INTERVAL_MS = 10;
+const HEAD_INTERVAL_MS = 20;
 
 /** A round trip and some more, in which whatever the reason was may pass, ms. */
 const REFUSED_PAUSE_MS = 10;
--- a/src/runs/OwnerLink.ts
+++ b/src/runs/OwnerLink.ts
@@ -22,6 +22,8 @@
   readonly host: RunHost;
   readonly link: Link;
   readonly log: EventLog;
+  /** Told of each order that was refused. */
+  readonly refused: () => void;
   /** Counts orders that are over, by outcome. */
   readonly outcomes: Map<string, number>;
 }
@@ -176,5 +178,6 @@
       });
     }
     link.send({ case: 'runsEnded', value: create(RunsEndedSchema, { ends: [end] }) });
+    if (end.outcome === RunOutcome.REFUSED) this.opts.refused();
   }
 }
--- a/src/runs/RoomReports.ts
+++ b/src/runs/RoomReports.ts
@@ -12,14 +12,17 @@
 interface Told {
   readonly room: Room;
   readonly held: Resources;
+  /** The offer that it was told of. */
+  readonly offer: number | undefined;
 }
 
 /**
  * Tells the entries what room there is. An entry knows what its own orders take and give back, so a
- * report is only about what the others do: one is sent when what an entry believes is wrong by more
- * than matters. While there is plenty that is a good part of the whole; when room is short, tasks are
- * waiting for it somewhere, and every change is told with the same turn of the event loop. So reports
- * cost little at a calm backend server, however many entries are linked.
+ * report is only about what the others do: one is sent when what an entry believes is wrong by more than a
+ * task or so. An entry that believes in too little room asks for some when it needs it, and gets it by
+ * offers; one that believes in too much has an order refused, and believes in none from then on. While
+ * entries wait for room, only those hear of it, in their turn. So reports cost little however many
+ * entries are linked, and most when nothing waits.
  */
 export default class RoomReports {
   private readonly told = new Map<OwnerLink, Told>();
@@ -58,15 +61,29 @@
     this.turns.forget(owner);
   }
 
+  /** The owner has ordered something: an offer that it had is used. */
+  used(owner: OwnerLink): void {
+    if (this.told.get(owner)?.room.inTurns) this.refused(owner);
+  }
+
+  /** An order of the owner was refused, after which it believes that there is no room. */
+  refused(owner: OwnerLink): void {
+    const before = this.told.get(owner);
+    if (!before) return;
+    const room = { ...before.room, inTurns: true, free: amountOf(Resources.none) };
+    this.told.set(owner, { room, held: this.host.heldBy(owner), offer: undefined });
+    this.changed();
+  }
+
   private tell(): void {
     this.isDue = false;
     const room = this.describe();
     const turn = this.turns.next(Resources.of(room.free ?? {}));
-    const inTurns = turn !== 'anybody';
-    const withoutRoom = { ...room, inTurns, free: amountOf(Resources.none) };
+    const withheld = { ...room, inTurns: true, free: amountOf(Resources.none) };
     [...this.owners()].forEach((owner) => {
-      const mayUse = !inTurns || turn === owner;
-      this.tellOwner(owner, mayUse ? { ...room, inTurns } : withoutRoom);
+      if (turn === owner) this.tellOffer(owner, { ...room, inTurns: true });
+      else if (turn === 'anybody') this.tellOwner(owner, room, isOff);
+      else this.tellOwner(owner, withheld, isTooHigh);
     });
     if (this.turns.offeredUntil !== undefined) this.awaitOffer(this.turns.offeredUntil);
   }
@@ -77,12 +94,18 @@
     this.offer = this.timer.after(untilMs - this.timer.now(), () => this.changed());
   }
 
-  private tellOwner(owner: OwnerLink, room: Room): void {
+  private tellOffer(owner: OwnerLink, room: Room): void {
+    const offer = this.turns.offerNumber;
+    const isNew = this.told.get(owner)?.offer !== offer;
+    this.tellOwner(owner, room, isNew ? () => true : isOff, offer);
+  }
+
+  private tellOwner(owner: OwnerLink, room: Room, isWrong: IsWrong, offer?: number): void {
     const held = this.host.heldBy(owner);
     const before = this.told.get(owner);
-    if (before && !isNews(room, held, before)) return;
+    if (before && !isNews(room, before, held, isWrong)) return;
     const value = create(RoomSchema, { ...room, newestOrder: owner.newestOrder });
-    this.told.set(owner, { room: value, held });
+    this.told.set(owner, { room: value, held, offer });
     owner.link.send({ case: 'room', value });
   }
 
@@ -103,26 +126,30 @@
   }
 }
 
-/** Whether an entry that was told `before` should hear of the room as it is now. */
-function isNews(room: Room, held: Resources, { room: before, held: heldThen }: Told): boolean {
-  if (tellings.some((field) => room[field] !== before[field])) return true;
-  if (room.labels.join() !== before.labels.join()) return true;
+/** Whether an entry's belief about one kind of resource is wrong enough to be told, by what may go unsaid. */
+type IsWrong = (actual: number, believed: number, unsaid: number) => boolean;
+
+const isOff: IsWrong = (actual, believed, unsaid) => Math.abs(actual - believed) > unsaid;
+
+const isTooHigh: IsWrong = (actual, believed, unsaid) => believed - actual > unsaid;
+
+/** Whether an entry that was told `before` and has `held` here now should hear of the room as it is. */
+function isNews(room: Room, before: Told, held: Resources, isWrong: IsWrong): boolean {
+  if (tellings.some((field) => room[field] !== before.room[field])) return true;
+  if (room.labels.join() !== before.room.labels.join()) return true;
   const total = Resources.of(room.total ?? {});
-  const toldTotal = Resources.of(before.total ?? {});
+  const toldTotal = Resources.of(before.room.total ?? {});
   const actual = Resources.of(room.free ?? {});
-  const told = Resources.of(before.free ?? {});
+  const told = Resources.of(before.room.free ?? {});
   return kinds.some((kind) => {
     if (total[kind] !== toldTotal[kind]) return true;
-    // An order that was refused changes nothing here: to tell of it would have it sent again at once.
-    if (room.inTurns) return actual[kind] !== told[kind];
-    const believed = told[kind] + heldThen[kind] - held[kind];
-    const isPlenty = Math.min(believed, actual[kind]) >= total[kind] * SHORT_SHARE;
-    return Math.abs(actual[kind] - believed) > (isPlenty ? total[kind] * PLENTY_DRIFT : 0);
+    const own = before.room.inTurns ? 0 : before.held[kind] - held[kind];
+    return isWrong(actual[kind], told[kind] + own, total[kind] * UNSAID_SHARE);
   });
 }
 
 /** What a report tells besides amounts and labels. */
-const tellings = ['backend', 'service', 'accepting', 'inTurns', 'slowness', 'failing'] as const;
+const tellings = ['backend', 'service', 'accepting', 'slowness', 'failing'] as const;
 
 const kinds = ['cpuMilli', 'memoryMb', 'accelerators'] as const;
 
@@ -141,8 +168,5 @@
 /** Share of failures from which a backend server is called failing; a failing one soon has all. */
 const FAILING = 0.5;
 
-/** Room is short below this share of the whole: about three tasks of ten. */
-const SHORT_SHARE = 0.3;
-
-/** While there is plenty, an entry's belief may be wrong by this share of the whole: one or two tasks. */
-const PLENTY_DRIFT = 0.15;
+/** By how much of the whole an entry's belief may be wrong: one large task. */
+const UNSAID_SHARE = 0.2;
--- a/src/runs/RoomTurns.ts
+++ b/src/runs/RoomTurns.ts
@@ -13,6 +13,13 @@
   readonly passedUntil: number;
 }
 
+/** Room that is kept for one entry for a moment. */
+interface Offer {
+  readonly owner: OwnerLink;
+  readonly number: number;
+  readonly untilMs: number;
+}
+
 /**
  * Whose turn it is to use the room that is left. It answers the load in which several entries wait:
  * told of the same room at the same moment, all of them would order it, all but one in vain, and the
@@ -22,7 +29,9 @@
 export default class RoomTurns {
   private readonly wishes = new Map<OwnerLink, Wish>();
 
-  private offer: { readonly owner: OwnerLink; readonly untilMs: number } | undefined;
+  private offer: Offer | undefined;
+
+  private offers = 0;
 
   private constructor(private readonly timer: TimerService) {}
 
@@ -31,6 +40,11 @@
     return new RoomTurns(timer);
   }
 
+  /** The number of the offer that is open now. */
+  get offerNumber(): number | undefined {
+    return this.offer?.number;
+  }
+
   /** When the offer that is open now passes on, by the timer service. */
   get offeredUntil(): number | undefined {
     return this.offer?.untilMs;
@@ -69,7 +83,8 @@
     const [first] = able;
     if (!first) return 'nobody';
     const [owner] = first;
-    this.offer = { owner, untilMs: now + OFFER_MS };
+    this.offers += 1;
+    this.offer = { owner, number: this.offers, untilMs: now + OFFER_MS };
     return owner;
   }
 
--- a/src/runs/RunSidecar.ts
+++ b/src/runs/RunSidecar.ts
@@ -151,7 +151,10 @@
     const { timer, log } = this.opts;
     const entry = link.peer.instance;
     const openedAt = timer.now();
-    const owner = OwnerLink.open({ timer, host: this.host, link, log, outcomes: this.outcomes });
+    const owner: OwnerLink = OwnerLink.open({
+      ...{ timer, host: this.host, link, log, outcomes: this.outcomes },
+      refused: () => this.reports.refused(owner),
+    });
     log.info('linked to an entry', { entry, incarnation: link.peer.incarnation });
     this.owners.add(owner);
     this.uncleared.add(owner);
@@ -227,6 +230,7 @@
     startRuns: ({ sidecar, owner }, orders) => {
       owner.start(orders);
       sidecar.turns.used(owner);
+      sidecar.reports.used(owner);
       if (orders.demand) sidecar.turns.hear(owner, orders.demand);
       sidecar.reports.changed();
     },
