--- a/src/batches/EntryPeers.ts
+++ b/src/batches/EntryPeers.ts
@@ -255,7 +255,8 @@
   private broadcastEntries(): void {
     const message = this.knownEntries();
     this.toldAddresses = this.linkedAddresses;
-    this.eachEntry((link) => link.send(message));
+    // Over every link, since it is also the sign that the link works.
+    this.entries.forEach((link) => link.send(message));
     this.sidecars.forEach(({ link }) => link.send(message));
   }
 
--- a/test/batches/manyEntries.test.ts
+++ b/test/batches/manyEntries.test.ts
@@ -38,6 +38,15 @@
   expect(batchCase.network.counts().knownEntries! / MANY).toBeLessThanOrEqual(6 * MANY);
 });
 
+test('no link between entries is taken for silent while both sides are there', async () => {
+  const batchCase = await BatchCase.open({ entries: 3, sidecars: 0 });
+  await batchCase.timer.advance(2_000);
+  batchCase.network.resetCounts();
+  await batchCase.timer.advance(60_000);
+  expect(batchCase.entries.map((entry) => entry.entryLinkCount)).toEqual([4, 4, 4]);
+  expect(batchCase.network.counts().dial ?? 0).toBe(0);
+});
+
 test('the next in a ring go round its end', () => {
   const names = ['a', 'b', 'c', 'd', 'e'];
   expect([...nextInRing('d', names, 3)]).toEqual(['e', 'a', 'b']);
