--- a/src/batches/Admission.ts
+++ b/src/batches/Admission.ts
@@ -86,4 +86,4 @@
  * its callers; and from twice as much on its sidecars would take it for dead and stop all that it has
  * ordered.
  */
-const MOST_LATE_MS = 100;
+const MOST_LATE_MS = 150;
--- a/src/core/Lateness.ts
+++ b/src/core/Lateness.ts
@@ -8,9 +8,11 @@
 export default class Lateness {
   private dueAt: number;
 
-  /** How late the timer's last call was, ms. */
+  /** How late the timer's last call was, ms, and the one before it. */
   private lastMs = 0;
 
+  private beforeMs = 0;
+
   private readonly ticks: Subscription;
 
   private constructor(private readonly timer: TimerService) {
@@ -23,9 +25,13 @@
     return new Lateness(timer);
   }
 
-  /** How late what is done now is done, ms. */
+  /**
+   * How late what is done now is done, ms. One long turn alone, such as reading a configuration, counts for an
+   * interval at most: it says nothing of how much there is to do.
+   */
   get currentMs(): number {
-    return Math.max(this.lastMs, this.timer.now() - this.dueAt);
+    const nowMs = Math.max(this.lastMs, this.timer.now() - this.dueAt);
+    return Math.min(nowMs, this.beforeMs + INTERVAL_MS);
   }
 
   /** Ends the watch. */
@@ -35,6 +41,7 @@
 
   private tick(): void {
     const now = this.timer.now();
+    this.beforeMs = this.lastMs;
     this.lastMs = Math.max(0, now - this.dueAt);
     this.dueAt = now + INTERVAL_MS;
   }
