Keep one link between two entries, not two

Cause: of two entries each dialled the other. With 35 that are 68 links and sessions an entry, each with pings every 5 s, and 68 dials at the start, when all processes are short of processor time. Change: the one whose address comes first dials; the other does only while it is not linked, and lets go of its own link when both have dialled at once.

--- a/src/batches/EntryPeers.ts
+++ b/src/batches/EntryPeers.ts
@@ -40,6 +40,9 @@
 
   private readonly entries = new Set<Link>();
 
+  /** Those of the links to entries that the other side has dialled. */
+  private readonly accepted = new Set<Link>();
+
   private readonly keeper: LinkKeeper;
 
   private readonly addresses: KnownAddresses;
@@ -54,7 +57,7 @@
   private toldAddresses = '';
 
   private constructor(private readonly opts: EntryPeersOptions) {
-    const { timer, random, network, seeds, listen, log } = opts;
+    const { timer, random, network, seeds, log } = opts;
     const dials = DialLog.to(timer, log);
     this.keeper = LinkKeeper.create({
       ...{ timer, random, network, delays: linkDelays },
@@ -63,9 +66,7 @@
       dialled: (address, failure) => dials.dialled(address, failure),
       failed: (address, error) => log.warn('serving a link failed', { address, error }),
     });
-    this.addresses = KnownAddresses.create(timer, seeds, (addresses) =>
-      this.keeper.aim([...addresses].filter((address) => address !== listen)),
-    );
+    this.addresses = KnownAddresses.create(timer, seeds, () => this.aim());
     this.beats = [
       timer.every(TELL_INTERVAL_MS, () => this.broadcastEntries()),
       timer.every(pulseLimits.intervalMs, () => this.closeSilent()),
@@ -82,11 +83,11 @@
     const { network, listen, log } = this.opts;
     const handlers = {
       ...noPeerCalls,
-      link: (link: Link) => this.serve(link).then(() => undefined),
+      link: (link: Link) => this.accept(link),
       failed: (error: unknown) => log.warn('a link could not be accepted or served', { error }),
     };
     const res = await network.listen(listen, () => this.hello(0n), handlers);
-    this.addresses.aim();
+    this.aim();
     return res
       .map((listener) => {
         this.listener = listener;
@@ -139,7 +140,20 @@
     return nextInRing(this.opts.instance, linked, CONFIGURATION_COPIES);
   }
 
-  /** One link to each other entry, which may have two: both sides dial. */
+  /**
+   * Dials all entries but those that have dialled this one and come before it by address: of two that dial each
+   * other one link is enough. All start together, and a dial costs both sides some ms of processor time.
+   */
+  private aim(): void {
+    const { listen } = this.opts;
+    const dialled = new Set([...this.accepted].map(({ peer }) => peer.address));
+    const wanted = [...this.addresses.all].filter(
+      (address) => address !== listen && !(address < listen && dialled.has(address)),
+    );
+    this.keeper.aim(wanted);
+  }
+
+  /** One link to each other entry, which may have two for a moment. */
   private eachEntry(action: (link: Link) => void): void {
     const links = new Map([...this.entries].map((link) => [link.peer.instance, link]));
     links.forEach(action);
@@ -155,6 +169,17 @@
     });
   }
 
+  private async accept(link: Link): Promise<void> {
+    const isEntry = link.peer.role === Role.ENTRY;
+    if (isEntry) this.accepted.add(link);
+    if (isEntry) this.aim();
+    try {
+      await this.serve(link);
+    } finally {
+      if (this.accepted.delete(link)) this.aim();
+    }
+  }
+
   private async serve(link: Link): Promise<boolean> {
     if (link.peer.role === Role.SIDECAR) await this.serveSidecar(link);
     else await this.serveEntry(link);
