--- a/src/link/ConnectNetwork.ts
+++ b/src/link/ConnectNetwork.ts
@@ -138,6 +138,7 @@
         const parts = { timer: this.timer, peer, first: first.value, incoming, outgoing, reset };
         return ok(StreamLink.open(parts));
       }
+      outgoing.drop();
       cancel();
       return err({ kind: 'broken', reason: objection ?? '' });
     } catch (cause) {
--- /dev/null
+++ b/test/link/EnvelopeSplitter.test.ts
@@ -0,0 +1,33 @@
+import { expect, test } from 'vitest';
+import encodeEnvelope from '../../src/link/encodeEnvelope';
+import EnvelopeSplitter from '../../src/link/EnvelopeSplitter';
+
+const texts = ['', 'a', 'a longer one', 'the last'];
+const stream = Buffer.concat(texts.map((text, flags) => encodeEnvelope(flags, Buffer.from(text))));
+
+function textsOf(chunks: readonly Uint8Array[]): readonly string[] {
+  const splitter = EnvelopeSplitter.create();
+  const envelopes = chunks.flatMap((chunk) => splitter.take(chunk));
+  return envelopes.map(({ flags, content }) => `${flags} ${Buffer.from(content).toString()}`);
+}
+
+test('envelopes are the same however their bytes arrive', () => {
+  const whole = textsOf([stream]);
+  const single = textsOf([...stream].map((byte) => Uint8Array.of(byte)));
+  const halves = Array.from({ length: stream.length }, (_, at) =>
+    textsOf([stream.subarray(0, at), stream.subarray(at)]),
+  );
+  expect(whole).toEqual(texts.map((text, flags) => `${flags} ${text}`));
+  expect([single, ...halves]).toEqual(Array(1 + stream.length).fill(whole));
+});
+
+test('an envelope that is longer than a frame may be is an error', () => {
+  const head = Uint8Array.of(0, 0xff, 0xff, 0xff, 0xff);
+  expect(() => EnvelopeSplitter.create().take(head)).toThrow('a frame of 4294967295 bytes');
+});
+
+test('bytes that end within an envelope show', () => {
+  const splitter = EnvelopeSplitter.create();
+  splitter.take(stream.subarray(0, 7));
+  expect(splitter.isWithin).toBe(true);
+});
