--- a/src/link/PeerServer.ts
+++ b/src/link/PeerServer.ts
@@ -126,7 +126,10 @@
 
   private async handle(req: Http2ServerRequest, res: Http2ServerResponse): Promise<void> {
     if (req.url === LINK_RPC.path) {
-      this.serveLink(req.stream).catch(() => req.stream.close(constants.NGHTTP2_CANCEL));
+      this.serveLink(req.stream).catch((error: unknown) => {
+        this.handlers.failed?.(error);
+        req.stream.close(constants.NGHTTP2_CANCEL);
+      });
       return;
     }
     const handler = this.paths.get(req.url);
