--- a/src/batches/Admission.ts
+++ b/src/batches/Admission.ts
@@ -50,11 +50,11 @@
    * The answer to any batch while this process is too late with its work; undefined while it is not. It
    * needs nothing of the batch, so that a caller can be refused before its request is read.
    */
-  refusalOfLate(id: string): BatchAnswer | undefined {
+  refusalOfLate(id: string, queue: string): BatchAnswer | undefined {
     const lateMs = Math.round(this.opts.latenessMs());
     if (lateMs < MOST_LATE_MS) return undefined;
     const reason = 'this entry has more to do than it can';
-    this.opts.log.info('a batch is refused', { request: id, reason, lateMs });
+    this.opts.log.info('a batch is refused', { request: id, reason, queue, lateMs });
     return { kind: 'not-run', reason, retryAfterMs: this.retryAfter(lateMs) };
   }
 
--- a/src/batches/BatchEntry.ts
+++ b/src/batches/BatchEntry.ts
@@ -186,9 +186,16 @@
    * Why a batch is refused whatever it asks for, to be asked before its request is read; undefined when it is
    * to be submitted. What is submitted again joins what is there of it, and is not refused.
    */
-  refusalOf(id: string): BatchAnswer | undefined {
+  refusalOf(id: string, queue: string): BatchAnswer | undefined {
     const isKnown = this.batches.find(id) !== undefined || this.batches.endingOf(id).length > 0;
-    return isKnown ? undefined : this.admission.refusalOfLate(id);
+    const refusal = isKnown ? undefined : this.admission.refusalOfLate(id, queue);
+    if (refusal) this.opts.metrics?.add('batches_answered_total', 1, queue, refusal.kind);
+    return refusal;
+  }
+
+  /** How late this process is with its work, ms. */
+  get latenessMs(): number {
+    return this.lateness.currentMs;
   }
 
   /** Runs a batch and resolves to its answer. When `gone` aborts first, its runs are stopped. */
--- a/src/batches/exposeBatchEntry.ts
+++ b/src/batches/exposeBatchEntry.ts
@@ -5,7 +5,10 @@
 export default function exposeBatchEntry(entry: BatchEntry, metrics: Metrics): void {
   metrics.read('batches_open', () => [{ value: entry.openCount }]);
   metrics.read('batch_tasks_waiting', () => [{ value: entry.queuedCount }]);
+  metrics.read('lateness_seconds', () => [{ value: entry.latenessMs / SECOND_MS }]);
   metrics.read('linked_sidecars', () => [{ value: entry.sidecarCount }]);
   metrics.read('linked_entries', () => [{ value: entry.entryLinkCount }]);
   metrics.read('configuration_version', () => [{ value: entry.table.version }]);
 }
+
+const SECOND_MS = 1_000;
--- a/src/observe/metricTable.ts
+++ b/src/observe/metricTable.ts
@@ -320,6 +320,13 @@
     labels: [],
     help: 'Tasks that are ready and wait for room',
   },
+  lateness_seconds: {
+    kind: 'gauge',
+    roles: ['batchEntry'],
+    unit: 'seconds',
+    labels: [],
+    help: 'How late the process is with its work; above 0.15 new batches are refused',
+  },
   runs_held: {
     kind: 'gauge',
     roles: ['runSidecar'],
--- a/test/batches/lateEntry.test.ts
+++ b/test/batches/lateEntry.test.ts
@@ -14,9 +14,9 @@
 test('an entry that is late with its work refuses what is new, and says when to come back', async () => {
   const batchCase = await BatchCase.open({ entries: 1 });
   const entry = batchCase.entries[0]!;
-  const before = entry.refusalOf('new');
+  const before = entry.refusalOf('new', 'q');
   await makeLate(batchCase);
-  expect([before, entry.refusalOf('new')]).toMatchInlineSnapshot(`
+  expect([before, entry.refusalOf('new', 'q')]).toMatchInlineSnapshot(`
     [
       undefined,
       {
@@ -33,20 +33,20 @@
   batchCase.submit('open', { ms: 5_000 });
   await batchCase.timer.advance(20);
   await makeLate(batchCase);
-  expect(batchCase.entries[0]!.refusalOf('open')).toBeUndefined();
+  expect(batchCase.entries[0]!.refusalOf('open', 'q')).toBeUndefined();
 });
 
 test('one long turn alone refuses nobody', async () => {
   const batchCase = await BatchCase.open({ entries: 1 });
   batchCase.timer.jump(400);
-  const within = batchCase.entries[0]!.refusalOf('new');
+  const within = batchCase.entries[0]!.refusalOf('new', 'q');
   await batchCase.timer.advance(1);
-  expect([within, batchCase.entries[0]!.refusalOf('new')]).toEqual([undefined, undefined]);
+  expect([within, batchCase.entries[0]!.refusalOf('new', 'q')]).toEqual([undefined, undefined]);
 });
 
 test('an entry that has caught up takes what is new', async () => {
   const batchCase = await BatchCase.open({ entries: 1 });
   await makeLate(batchCase);
   await batchCase.timer.advance(300);
-  expect(batchCase.entries[0]!.refusalOf('new')).toBeUndefined();
+  expect(batchCase.entries[0]!.refusalOf('new', 'q')).toBeUndefined();
 });
--- a/tools/replay/Replay.ts
+++ b/tools/replay/Replay.ts
@@ -148,7 +148,7 @@
     const processor = this.processors[this.entries.indexOf(entry)];
     if (!processor || !has) return entry.submit(submission, new AbortController().signal);
     await ran(processor, has.requestMs * REFUSAL_SHARE);
-    const refusal = entry.refusalOf(submission.id);
+    const refusal = entry.refusalOf(submission.id, submission.queue.name);
     if (refusal) return refusal;
     await ran(processor, has.requestMs * (1 - REFUSAL_SHARE));
     return entry.submit(submission, new AbortController().signal);
