--- a/src/batches/Admission.ts
+++ b/src/batches/Admission.ts
@@ -82,8 +82,7 @@
 }
 
 /**
- * A process that is later than this with its work takes nothing new, ms. What it took would be late for
- * its callers; and from twice as much on its sidecars would take it for dead and stop all that it has
- * ordered.
+ * A process that is later than this with its work takes nothing new, ms. The quickest callers can spare some
+ * 100; and an entry that answers pulses 550 late (`pulseLimits`) is taken for dead, and all its runs stopped.
  */
 const MOST_LATE_MS = 150;
--- a/src/runs/RoomReports.ts
+++ b/src/runs/RoomReports.ts
@@ -126,12 +126,12 @@
   }
 }
 
-/** Whether an entry's belief about one kind of resource is wrong enough to be told, by what may go unsaid. */
-type IsWrong = (actual: number, believed: number, unsaid: number) => boolean;
+/** Whether an entry that believes in so much of one kind of resource is to be told that it is wrong. */
+type IsWrong = (actual: number, believed: number, allowed: number) => boolean;
 
-const isOff: IsWrong = (actual, believed, unsaid) => Math.abs(actual - believed) > unsaid;
+const isOff: IsWrong = (actual, believed, allowed) => Math.abs(actual - believed) > allowed;
 
-const isTooHigh: IsWrong = (actual, believed, unsaid) => believed - actual > unsaid;
+const isTooHigh: IsWrong = (actual, believed, allowed) => believed - actual > allowed;
 
 /** Whether an entry that was told `before` and has `held` here now should hear of the room as it is. */
 function isNews(room: Room, before: Told, held: Resources, isWrong: IsWrong): boolean {
@@ -144,7 +144,7 @@
   return kinds.some((kind) => {
     if (total[kind] !== toldTotal[kind]) return true;
     const own = before.room.inTurns ? 0 : before.held[kind] - held[kind];
-    return isWrong(actual[kind], told[kind] + own, total[kind] * UNSAID_SHARE);
+    return isWrong(actual[kind], told[kind] + own, total[kind] * ALLOWED_SHARE);
   });
 }
 
@@ -169,4 +169,4 @@
 const FAILING = 0.5;
 
 /** By how much of the whole an entry's belief may be wrong: one large task. */
-const UNSAID_SHARE = 0.2;
+const ALLOWED_SHARE = 0.2;
--- /dev/null
+++ b/test/batches/RoomSearch.test.ts
@@ -0,0 +1,62 @@
+import { expect, test } from 'vitest';
+import RoomSearch from '../../src/batches/RoomSearch';
+import type SidecarPeer from '../../src/batches/SidecarPeer';
+import type WaitingHead from '../../src/batches/WaitingHead';
+import Resources from '../../src/room/Resources';
+
+interface Sidecar {
+  readonly name: string;
+  readonly service: string;
+  readonly isUsable: boolean;
+  readonly capacity: Resources;
+  isAsked: boolean;
+}
+
+const small = Resources.of({ cpuMilli: 1_000 });
+
+function sidecars(count: number, change: Partial<Sidecar> = {}): Sidecar[] {
+  const capacity = Resources.of({ cpuMilli: 8_000 });
+  return Array.from({ length: count }, (_, number) => ({
+    ...{ name: `s${number}`, service: 'a', isUsable: true, isAsked: false, capacity },
+    ...change,
+  }));
+}
+
+/** Asks for what waits at a time, and notes who has been asked, as the sidecars do. */
+function askers(all: readonly Sidecar[]) {
+  const search = RoomSearch.create();
+  return (now: number, needs: Resources | undefined = small): readonly string[] => {
+    const head: WaitingHead = { needs, urgency: { rank: 0, slackMs: 0 } };
+    const heads = new Map(needs === Resources.none ? [] : [['a', head]]);
+    const asked = search.ask(all as unknown as readonly SidecarPeer[], heads, now);
+    all.forEach((sidecar) => {
+      sidecar.isAsked = asked.has(sidecar as unknown as SidecarPeer);
+    });
+    return all.filter(({ isAsked }) => isAsked).map(({ name }) => name);
+  };
+}
+
+test('more are asked the longer the line stands, those asked before among them', () => {
+  const ask = askers(sidecars(20));
+  const counts = [0, 39, 40, 80, 400].map((now) => ask(now).length);
+  expect(counts).toEqual([4, 4, 8, 16, 20]);
+});
+
+test('the next line asks others first', () => {
+  const ask = askers(sidecars(9));
+  const first = ask(0);
+  const none = ask(10, Resources.none);
+  expect([first, none, ask(20), ask(30, Resources.none), ask(40)]).toEqual([
+    ['s0', 's1', 's2', 's3'],
+    [],
+    ['s4', 's5', 's6', 's7'],
+    [],
+    ['s0', 's1', 's2', 's8'],
+  ]);
+});
+
+test('only those are asked that could ever take what waits', () => {
+  const large = Resources.of({ cpuMilli: 9_000 });
+  const unfit = [...sidecars(3, { service: 'b' }), ...sidecars(3, { isUsable: false })];
+  expect([askers(unfit)(0), askers(sidecars(3))(0, large)]).toEqual([[], []]);
+});
