--- a/src/batches/EntryMesh.ts
+++ b/src/batches/EntryMesh.ts
@@ -189,7 +189,7 @@
   }
 
   /**
-   * Each change comes from every entry, mostly after the store has told of it. Only a newer one is read:
+   * Each change comes from a few entries, mostly after the store has told of it. Only a newer one is read:
    * reading one of 371 queues takes 0.35 ms of processor time, mean of 500.
    */
   private hearConfiguration({ version, manifest }: Configuration): void {
@@ -204,9 +204,7 @@
   private tellEntriesSoon(): void {
     this.telling ??= this.opts.timer.after(TELL_PAUSE_MS, () => {
       this.telling = undefined;
-      const known = this.linkedAddresses;
-      if (known === this.toldAddresses) return;
-      this.broadcastEntries();
+      if (this.linkedAddresses !== this.toldAddresses) this.broadcastEntries();
     });
   }
 
