Start nothing in an availability zone that operators have drained

Change: the sidecar, which alone starts tasks, takes none while its zone is drained, and what runs goes on. Entries follow all keys of the operators in one watch, tell each other and their sidecars; of two words the one of the higher store revision counts, and who tells an outdated one is told the newer.

Ruled out: deciding at the entries alone. An entry that is cut off from the store is allowed to be late, the sidecar whose task it orders is not.

The stand-in store of processEnds lists the operators' prefix now.

--- a/src/batches/BatchEntry.ts
+++ b/src/batches/BatchEntry.ts
@@ -1,8 +1,8 @@
 import type { Result } from 'neverthrow';
 import type Subscription from '../core/Subscription';
 import Lateness from '../core/Lateness';
-import Versioned from '../core/Versioned';
 import { RunOutcome } from '../gen/magnoliakeel/v1/peer_pb';
+import type DrainedZones from '../peering/DrainedZones';
 import GapWatch from '../peering/GapWatch';
 import Admission from './Admission';
 import Batch from './Batch';
@@ -13,10 +13,11 @@
 import CancelledIds from './CancelledIds';
 import EntryPeers from './EntryPeers';
 import Expectations from './Expectations';
+import InForce from './InForce';
 import LostSidecars from './LostSidecars';
 import OpenBatches from './OpenBatches';
 import type OrderedStart from './OrderedStart';
-import QueueTable from './QueueTable';
+import type QueueTable from './QueueTable';
 import RunEnds from './RunEnds';
 import Scheduler from './Scheduler';
 import Startup from './Startup';
@@ -29,7 +30,7 @@
  * submits it again to another.
  */
 export default class BatchEntry {
-  private readonly tables = Versioned.of(QueueTable.none, ({ version }) => BigInt(version));
+  private readonly inForce: InForce;
 
   private readonly policy: BatchPolicy;
 
@@ -62,6 +63,7 @@
   private constructor(private readonly opts: BatchEntryOptions) {
     const { timer, random, log, metrics, zone, policy = standardPolicy } = opts;
     this.policy = policy;
+    this.inForce = InForce.create(log);
     this.startup = Startup.begin(timer);
     this.lateness = Lateness.watch(timer);
     this.cancelled = CancelledIds.create(timer);
@@ -70,6 +72,8 @@
       ...opts,
       table: () => this.table,
       configured: (table) => this.configure(table, 'another entry'),
+      drainedZones: () => this.drainedZones,
+      zonesDrained: (zones) => this.drainZones(zones, 'another entry'),
       cancelled: (id) => this.endCancelled(id, 'another entry'),
       beforeMessage: () => this.gaps.check(),
       roomChanged: () => this.scheduler.wake(),
@@ -118,7 +122,12 @@
 
   /** The configuration in force. */
   get table(): QueueTable {
-    return this.tables.current;
+    return this.inForce.table;
+  }
+
+  /** The availability zones in which nothing is started, since operators have drained them. */
+  get drainedZones(): DrainedZones {
+    return this.inForce.drainedZones;
   }
 
   /** Whether batches can be served: there is a configuration and a backend server that takes tasks. */
@@ -169,14 +178,20 @@
 
   /** Puts a configuration in force unless a newer one is; tells all peers of it. */
   configure(table: QueueTable, source: string): void {
-    if (!this.tables.adopt(table)) return;
-    const { version, size } = table;
-    this.opts.log.info('a configuration is in force', { version, queues: size, source });
+    if (!this.inForce.configure(table, source)) return;
     this.startup.endWait();
     this.peers.mesh.tellConfiguration();
     this.scheduler.wake();
   }
 
+  /**
+   * Takes a word on the availability zones that operators have drained, and tells all peers what is news in it.
+   * Sidecars there then take no new tasks.
+   */
+  drainZones(zones: DrainedZones, source: string): void {
+    if (this.inForce.drainZones(zones, source)) this.peers.tellDrainedZones();
+  }
+
   /** Dials these entries too, besides those already known. */
   learnEntries(addresses: readonly string[]): void {
     this.peers.mesh.learnEntries(addresses);
--- a/src/batches/EntryMesh.ts
+++ b/src/batches/EntryMesh.ts
@@ -14,6 +14,7 @@
 import type MessageHandlers from '../link/MessageHandlers';
 import type PeerMessage from '../link/PeerMessage';
 import DialLog from '../observe/DialLog';
+import DrainedZones from '../peering/DrainedZones';
 import KnownAddresses from '../peering/KnownAddresses';
 import linkDelays from '../peering/linkDelays';
 import LinkKeeper from '../peering/LinkKeeper';
@@ -88,11 +89,12 @@
 
   /** Tells the next entries of the configuration in force; they tell it on if it is news to them. */
   tellConfiguration(): void {
-    const message = this.configuration();
-    const told = this.toldByThis;
-    this.eachEntry((link) => {
-      if (told.has(link.peer.instance)) link.send(message);
-    });
+    this.tellNext(this.configuration());
+  }
+
+  /** Tells the next entries of the drained availability zones; they tell it on if it is news to them. */
+  tellDrainedZones(): void {
+    this.tellNext(this.opts.drainedZones().message);
   }
 
   /** Tells the other entries of a batch that its caller has cancelled here. */
@@ -145,10 +147,17 @@
     await this.keeper.stop();
   }
 
-  /** The entries that hear of configurations from this one. */
+  /** The entries that hear from this one what operators have set. */
   private get toldByThis(): ReadonlySet<string> {
     const linked = [...this.entries].map(({ peer }) => peer.instance);
-    return nextInRing(this.opts.instance, linked, CONFIGURATION_COPIES);
+    return nextInRing(this.opts.instance, linked, COPIES);
+  }
+
+  private tellNext(message: PeerMessage): void {
+    const told = this.toldByThis;
+    this.eachEntry((link) => {
+      if (told.has(link.peer.instance)) link.send(message);
+    });
   }
 
   /** One link to each other entry, which may have two for a moment. */
@@ -164,12 +173,14 @@
     const openedAt = timer.now();
     this.opts.log.info('linked to an entry', { entry: instance, entries: this.entries.size });
     this.addresses.learn([address]);
+    // Before the configuration, with which the other entry begins to start tasks.
+    link.send(this.opts.drainedZones().message);
     const isConfigured = this.opts.table().version > 0;
     if (isConfigured && this.toldByThis.has(instance)) link.send(this.configuration());
     link.send(this.knownEntries());
     this.tellEntriesSoon();
     await readLink(link, {
-      handle: (message) => handleMessage(EntryMesh.handlers, this, message),
+      handle: (message) => handleMessage(EntryMesh.handlers, { mesh: this, link }, message),
       failed: (message, error) => this.unhandled(link, message, error),
     });
     this.entries.delete(link);
@@ -229,20 +240,30 @@
     link.close(true);
   }
 
-  private static readonly handlers: MessageHandlers<EntryMesh> = {
-    configuration: (mesh, message) => mesh.hearConfiguration(message),
-    batchCancelled: ({ opts }, { batch }) => opts.cancelled(batch),
-    knownEntries: (mesh, { entries }) =>
+  /** An entry that tells what is outdated hears what is newer, since it may have told others as well. */
+  private hearDrainedZones(word: DrainedZones, link: Link): void {
+    const { zonesDrained, drainedZones } = this.opts;
+    zonesDrained(word);
+    const newest = drainedZones();
+    if (!newest.isLike(word)) link.send(newest.message);
+  }
+
+  private static readonly handlers: MessageHandlers<{ mesh: EntryMesh; link: Link }> = {
+    configuration: ({ mesh }, message) => mesh.hearConfiguration(message),
+    drainedZones: ({ mesh, link }, message) =>
+      mesh.hearDrainedZones(DrainedZones.fromMessage(message), link),
+    batchCancelled: ({ mesh }, { batch }) => mesh.opts.cancelled(batch),
+    knownEntries: ({ mesh }, { entries }) =>
       mesh.addresses.learn(entries.map(({ address }) => address)),
   };
 }
 
 /**
- * Entries that each entry tells of a configuration. All follow the store, and who cannot reach it hears from
- * the entries before it: four of them do not lose the store by themselves. With 35 entries and 20 kB it is 80 kB a
- * change from each entry, where telling all over both links was 1.4 MB.
+ * Entries that each entry tells of what operators have set. All follow the store, and who cannot reach it hears from
+ * the entries before it: four of them do not lose the store by themselves, and telling all would cost bytes that
+ * grow with the square of the entries.
  */
-const CONFIGURATION_COPIES = 4;
+const COPIES = 4;
 
 /** How long entries linked anew are gathered before all are told, ms. */
 const TELL_PAUSE_MS = 250;
--- a/src/batches/EntryPeers.ts
+++ b/src/batches/EntryPeers.ts
@@ -62,6 +62,13 @@
       .mapErr(({ reason }) => reason);
   }
 
+  /** Tells sidecars, and the next entries, which availability zones are drained. */
+  tellDrainedZones(): void {
+    const { message } = this.opts.drainedZones();
+    this.sidecars.forEach(({ link }) => link.send(message));
+    this.mesh.tellDrainedZones();
+  }
+
   /** Ends links and listening. */
   async close(): Promise<void> {
     this.beat.cancel();
@@ -89,6 +96,8 @@
     const peer = SidecarPeer.of(link, timer);
     this.sidecars.add(peer);
     log.info('linked to a sidecar', { sidecar: peer.instance, sidecars: this.sidecars.size });
+    // Before any order: the sidecar may have heard of no other entry.
+    link.send(this.opts.drainedZones().message);
     link.send(this.mesh.knownEntries());
     await readLink(link, {
       handle: (message) => {
--- a/src/batches/EntryPeersOptions.ts
+++ b/src/batches/EntryPeersOptions.ts
@@ -1,4 +1,5 @@
 import type { RunEnd } from '../gen/magnoliakeel/v1/peer_pb';
+import type DrainedZones from '../peering/DrainedZones';
 import type BatchEntryOptions from './BatchEntryOptions';
 import type QueueTable from './QueueTable';
 import type SidecarPeer from './SidecarPeer';
@@ -9,6 +10,10 @@
   readonly table: () => QueueTable;
   /** Told of a configuration from another entry. */
   readonly configured: (table: QueueTable) => void;
+  /** The drained availability zones, of which all that are newly linked hear. */
+  readonly drainedZones: () => DrainedZones;
+  /** Told of a word on drained zones from another entry. */
+  readonly zonesDrained: (zones: DrainedZones) => void;
   /** Told of a batch that its caller has cancelled at another entry. */
   readonly cancelled: (id: string) => void;
   /** Called before anything that a peer has sent is acted upon. */
--- a/src/batches/exposeBatchEntry.ts
+++ b/src/batches/exposeBatchEntry.ts
@@ -8,6 +8,7 @@
   metrics.read('lateness_seconds', () => [{ value: entry.latenessMs / SECOND_MS }]);
   metrics.read('linked_sidecars', () => [{ value: entry.sidecarCount }]);
   metrics.read('linked_entries', () => [{ value: entry.entryLinkCount }]);
+  metrics.read('drained_zones', () => [{ value: entry.drainedZones.zones.length }]);
   metrics.read('configuration_version', () => [{ value: entry.table.version }]);
 }
 
--- a/src/membership/StoreFollower.ts
+++ b/src/membership/StoreFollower.ts
@@ -2,6 +2,7 @@
 import type Random from '../core/Random';
 import type TimerService from '../core/TimerService';
 import type EventLog from '../observe/EventLog';
+import type StoreChanges from '../store/StoreChanges';
 import type StoreItem from '../store/StoreItem';
 import type WatchedStore from '../store/WatchedStore';
 
@@ -13,6 +14,10 @@
   readonly prefix: string;
   /** Told of each key with its value, as it stands at first and as it changes. */
   readonly put: (key: string, value: string) => void;
+  /** Told of each key that was there and is no longer. */
+  readonly removed?: (key: string) => void;
+  /** Told once all changes up to a revision of the store were passed on. */
+  readonly upTo?: (revision: number) => void;
 }
 
 /** Follows the keys under a prefix: a list, then watches that wait, and a list again after any gap. */
@@ -21,6 +26,9 @@
 
   private isLost = false;
 
+  /** Keys that are there, as far as was told. */
+  private readonly known = new Set<string>();
+
   /** Lists that failed since the last one was had. */
   private failedLists = 0;
 
@@ -68,16 +76,30 @@
       }
       return res.error.reason;
     }
-    this.revision = res.value.revision;
     this.failedLists = 0;
-    res.value.items.forEach((item) => this.take(item));
+    this.takeAll(res.value, isFirst);
     if (isFirst && res.value.items.length === 0) await timer.sleep(EMPTY_MS, signal);
     return undefined;
   }
 
+  /** Passes on what has changed; a list does not name the keys that have gone since the last answer. */
+  private takeAll({ items, deleted, revision }: StoreChanges, isList: boolean): void {
+    const { removed, upTo } = this.opts;
+    const listed = new Set(items.map(({ key }) => key));
+    const gone = isList ? [...this.known].filter((key) => !listed.has(key)) : deleted;
+    this.revision = revision;
+    items.forEach((item) => this.take(item));
+    gone.forEach((key) => {
+      this.known.delete(key);
+      removed?.(key);
+    });
+    upTo?.(revision);
+  }
+
   /** One value that cannot be taken must not end the following of all later ones. */
   private take({ key, value }: StoreItem): void {
     const { log, put } = this.opts;
+    this.known.add(key);
     try {
       put(key, value);
     } catch (error) {
--- a/src/observe/metricTable.ts
+++ b/src/observe/metricTable.ts
@@ -327,6 +327,13 @@
     labels: [],
     help: 'How late the process is with its work; above 0.15 new batches are refused',
   },
+  drained_zones: {
+    kind: 'gauge',
+    roles: ['batchEntry'],
+    unit: 'zones',
+    labels: [],
+    help: 'Availability zones in which nothing is started, since operators have drained them',
+  },
   runs_held: {
     kind: 'gauge',
     roles: ['runSidecar'],
--- a/src/runs/BackendLife.ts
+++ b/src/runs/BackendLife.ts
@@ -81,7 +81,8 @@
   /** Whether new tasks are taken now. */
   get isAccepting(): boolean {
     const { state, isDoubted } = this.presence;
-    return state === 'open' && !isDoubted && !this.newest.draining;
+    const isOpen = state === 'open' && !isDoubted && !this.newest.draining;
+    return isOpen && this.opts.obstacle() === undefined;
   }
 
   /** Whether nothing of an earlier sidecar is left running here. */
@@ -192,6 +193,8 @@
   }
 
   private refusalOf(request: RunRequest): string | undefined {
+    const obstacle = this.opts.obstacle();
+    if (obstacle !== undefined) return obstacle;
     if (!this.isAccepting) return `the backend server takes no tasks (${this.presence.state})`;
     if (request.service !== this.newest.service) return 'it serves another service';
     if (request.label !== '' && !this.newest.labels.includes(request.label)) {
--- a/src/runs/BackendLifeOptions.ts
+++ b/src/runs/BackendLifeOptions.ts
@@ -9,6 +9,8 @@
   readonly report: BackendReport;
   readonly backend: RunBackend;
   readonly log: EventLog;
+  /** Why nothing is started there now for reasons of its surroundings, if so. */
+  readonly obstacle: () => string | undefined;
   /** Told when the room, or whether it may be used, has changed. */
   readonly changed: () => void;
   /** Told once, when nothing of this life runs any more and nothing will. */
--- a/src/runs/RunHost.ts
+++ b/src/runs/RunHost.ts
@@ -32,6 +32,8 @@
 
   private isLeaving = false;
 
+  private isZoneDrained = false;
+
   private constructor(private readonly opts: RunHostOptions) {}
 
   /** Creates a host without a backend server. */
@@ -46,7 +48,7 @@
 
   /** Whether tasks are taken now. */
   get isAccepting(): boolean {
-    return !this.isLeaving && this.life?.isAccepting === true;
+    return this.life?.isAccepting === true;
   }
 
   /** Whether nothing that an earlier process or link started can run any more. */
@@ -78,8 +80,7 @@
 
   /** Starts a task or refuses it. */
   start(request: RunRequest, refuse: (reason: string) => void): void {
-    if (this.isLeaving) refuse('this sidecar is leaving');
-    else if (!this.life) refuse('there is no backend server');
+    if (!this.life) refuse('there is no backend server');
     else this.life.start(request);
   }
 
@@ -104,6 +105,18 @@
     this.opts.changed();
   }
 
+  /** Whether operators have drained the availability zone: no tasks are taken then; what runs goes on. */
+  drainZone(isDrained: boolean): void {
+    this.isZoneDrained = isDrained;
+    this.opts.changed();
+  }
+
+  /** Why nothing is started now whatever the backend server says, if so. */
+  private get obstacle(): string | undefined {
+    if (this.isLeaving) return 'this sidecar is leaving';
+    return this.isZoneDrained ? 'the availability zone is drained' : undefined;
+  }
+
   private async check(report: BackendReport): Promise<void> {
     this.checking = report.id;
     const backend = this.opts.connect(report);
@@ -147,6 +160,7 @@
     });
     const life = BackendLife.begin({
       ...{ timer, log, report, backend, changed },
+      obstacle: () => this.obstacle,
       over: () => this.ended(report.id),
     });
     this.life = life;
--- a/src/runs/RunSidecar.ts
+++ b/src/runs/RunSidecar.ts
@@ -1,5 +1,6 @@
 import { create } from '@bufbuild/protobuf';
 import type Subscription from '../core/Subscription';
+import Versioned from '../core/Versioned';
 import { type Hello, HelloSchema, Role } from '../gen/magnoliakeel/v1/peer_pb';
 import handleMessage from '../link/handleMessage';
 import linkEnd from '../link/linkEnd';
@@ -7,6 +8,7 @@
 import type MessageHandlers from '../link/MessageHandlers';
 import PROTOCOL_VERSION from '../link/PROTOCOL_VERSION';
 import DialLog from '../observe/DialLog';
+import DrainedZones from '../peering/DrainedZones';
 import GapWatch from '../peering/GapWatch';
 import KnownAddresses from '../peering/KnownAddresses';
 import linkDelays from '../peering/linkDelays';
@@ -38,6 +40,8 @@
 
   private readonly uncleared = new Set<OwnerLink>();
 
+  private readonly drained = Versioned.of(DrainedZones.none, ({ revision }) => revision);
+
   private readonly turns: RoomTurns;
 
   private readonly reports: RoomReports;
@@ -197,6 +201,19 @@
     );
   }
 
+  /** Takes what an entry says of drained availability zones; the newest word of all entries counts. */
+  private drainZones(word: DrainedZones, entry: string): void {
+    const { zone, log } = this.opts;
+    const wasDrained = this.drained.current.has(zone);
+    const isDrained = word.has(zone);
+    if (!this.drained.adopt(word) || isDrained === wasDrained) return;
+    log.info('whether the availability zone is drained has changed', {
+      ...{ zone, isDrained, revision: Number(word.revision), entry },
+      running: this.host.size,
+    });
+    this.host.drainZone(isDrained);
+  }
+
   private changed(): void {
     this.settle();
     this.reports.changed();
@@ -239,6 +256,8 @@
       sidecar.reports.changed();
     },
     stopRuns: ({ owner }, stops) => owner.stop(stops),
+    drainedZones: ({ sidecar, owner }, message) =>
+      sidecar.drainZones(DrainedZones.fromMessage(message), owner.link.peer.instance),
     knownEntries: ({ sidecar }, { entries }) =>
       sidecar.addresses.learn(entries.map(({ address }) => address)),
   };
--- a/test/support/BatchCase.ts
+++ b/test/support/BatchCase.ts
@@ -26,6 +26,8 @@
   readonly policy?: BatchPolicy;
   /** Whether the entries have a configuration from the beginning. */
   readonly configured?: boolean;
+  /** The availability zones of the sidecars, by number; "z" where none is given. */
+  readonly zones?: readonly string[];
 }
 
 /** Entries for batches, and sidecars with their backend servers, in one memory network. */
@@ -46,6 +48,7 @@
   private constructor(
     private readonly work: Work,
     private readonly policy: BatchPolicy | undefined,
+    private readonly zones: readonly string[],
   ) {}
 
   /** Starts everything and waits until all are linked. Each backend server has room for four tasks. */
@@ -55,8 +58,9 @@
     work,
     policy,
     configured = true,
+    zones = [],
   }: BatchCaseOptions = {}): Promise<BatchCase> {
-    const batchCase = new BatchCase(work, policy);
+    const batchCase = new BatchCase(work, policy, zones);
     for (let number = 0; number < entries; number += 1) await batchCase.addEntry(number);
     for (let number = 0; number < sidecars; number += 1) batchCase.addSidecar(number);
     await batchCase.timer.advance(300);
@@ -98,6 +102,7 @@
     const backend = this.backends[number]!;
     const sidecar = RunSidecar.start({
       ...this.partsOf(`s${number}`),
+      zone: this.zones[number] ?? 'z',
       seeds: ['e0:1', 'e1:1'],
       findEntries: async () => this.lookUp,
       connect: () => backend,
--- a/test/usersPlatform/processEnds.test.ts
+++ b/test/usersPlatform/processEnds.test.ts
@@ -104,7 +104,7 @@
   const value = Buffer.from(JSON.stringify({ version: 1, routes: [route] })).toString('base64');
   const store = await HttpStandIn.open(({ path: called }) => {
     if (called.includes('kv-watch')) return 'silence';
-    const items = called.includes('config') ? [{ key: 'op/config', value, revision: 1 }] : [];
+    const items = called.includes('prefix=op') ? [{ key: 'op/config', value, revision: 1 }] : [];
     return { status: 200, body: { items, at: 1, lease_id: 1, revision: 1 } };
   });
   const ports = await Promise.all([freePort(), freePort(), freePort(), freePort()]);
