Give up tasks that crash the backend servers that start them, and nobody beside them

Cause: a run that was lost with its backend server counted for nothing, so a task that crashes what starts it was started at one backend server after the other for as long as its caller waited.

Change: the sidecar tells of each run at a crash what part it had: the likeliest cause, or beside one (crashRoleOf). A backend server that crashes again within 10 s is taken to be the cause itself; one that has said that it leaves, a cut, a lost sidecar and a passed lease are no crashes. A batch submitted again keeps its record.

--- a/src/batches/Batch.ts
+++ b/src/batches/Batch.ts
@@ -1,3 +1,4 @@
+import hasToRunAlone from '../runs/hasToRunAlone';
 import type BatchAnswer from './BatchAnswer';
 import type BatchSubmission from './BatchSubmission';
 import type BatchTask from './BatchTask';
@@ -57,6 +58,8 @@
         index,
         attempt: 1,
         failures: 0,
+        crashes: 0,
+        suspicion: 0,
         moves: 0,
         failedAt: new Set<string>(),
         readyAt: undefined,
@@ -80,6 +83,16 @@
     return this.final;
   }
 
+  /** All of its tasks. */
+  get tasks(): readonly BatchTask[] {
+    return this.steps.flatMap(({ tasks }) => tasks);
+  }
+
+  /** A task that may run alone only, since backend servers crash under it. */
+  get suspect(): BatchTask | undefined {
+    return this.tasks.find(({ suspicion }) => hasToRunAlone(suspicion));
+  }
+
   /** Tasks that are not done. */
   get unfinished(): number {
     return this.steps.reduce((sum, { unfinished }) => sum + unfinished, 0);
--- a/src/batches/BatchEntry.ts
+++ b/src/batches/BatchEntry.ts
@@ -11,6 +11,7 @@
 import type BatchEntryOptions from './BatchEntryOptions';
 import type BatchSubmission from './BatchSubmission';
 import CancelledIds from './CancelledIds';
+import CrashRecord from './CrashRecord';
 import EntryPeers from './EntryPeers';
 import Expectations from './Expectations';
 import InForce from './InForce';
@@ -38,6 +39,8 @@
 
   private readonly cancelled: CancelledIds;
 
+  private readonly crashed: CrashRecord;
+
   private readonly peers: EntryPeers;
 
   private readonly scheduler: Scheduler;
@@ -67,6 +70,7 @@
     this.startup = Startup.begin(timer);
     this.lateness = Lateness.watch(timer);
     this.cancelled = CancelledIds.create(timer);
+    this.crashed = CrashRecord.create(timer);
     this.expectations = Expectations.create(policy);
     this.peers = EntryPeers.create({
       ...opts,
@@ -112,6 +116,8 @@
       metrics,
       batches: this.batches,
       expectations: this.expectations,
+      crashes: policy.crashes,
+      crashed: (batch) => this.crashed.keep(batch),
       ended: () => this.scheduler.wake(),
     });
     this.lost = LostSidecars.create(timer, (run, peer, reason) =>
@@ -278,7 +284,9 @@
     if (refusal) return refusal;
     const earlier = this.batches.endingOf(id);
     const batch = Batch.accept(this.expectations.fillIn(submission), this.opts.timer.now());
+    const hasCrashed = this.crashed.recall(batch);
     this.accepted(batch, earlier.length);
+    if (hasCrashed) this.ends.giveUpCrashing(batch);
     const answer = this.batches.join(batch, gone);
     await Promise.all(earlier.map((each) => each.idle()));
     if (!batch.answer) this.scheduler.add(batch);
--- a/src/batches/BatchTask.ts
+++ b/src/batches/BatchTask.ts
@@ -11,6 +11,10 @@
   moves: number;
   /** Runs that ended as failed. */
   failures: number;
+  /** Backend servers that crashed while it was there. */
+  crashes: number;
+  /** How often of these it was the likeliest cause. */
+  suspicion: number;
   /** Sidecar instances where it failed; they are avoided while there are others. */
   readonly failedAt: Set<string>;
   /** When it became ready to run, by the timer service; undefined while steps before it are not done. */
--- a/src/batches/OpenBatches.ts
+++ b/src/batches/OpenBatches.ts
@@ -116,7 +116,10 @@
 
   private expire(batch: Batch): void {
     const reason = `its time is over with ${batch.unfinished} tasks not done`;
-    if (batch.hasNotRun) {
+    if (batch.suspect) {
+      const crashes = `${batch.suspect.crashes} backend servers crashed under a task`;
+      this.finish(batch, { kind: 'failed', reason: `${crashes}, and none was free for it alone` });
+    } else if (batch.hasNotRun) {
       this.finish(batch, { kind: 'not-run', reason, retryAfterMs: refusalTimes.noRoomMs });
     } else this.finish(batch, { kind: 'unknown', reason });
   }
--- a/src/batches/RunEnds.ts
+++ b/src/batches/RunEnds.ts
@@ -1,7 +1,10 @@
 import type TimerService from '../core/TimerService';
-import { type RunEnd, RunOutcome } from '../gen/magnoliakeel/v1/peer_pb';
+import { CrashRole, type RunEnd, RunOutcome } from '../gen/magnoliakeel/v1/peer_pb';
 import type EventLog from '../observe/EventLog';
 import type Metrics from '../observe/Metrics';
+import type Batch from './Batch';
+import type BatchPolicy from './BatchPolicy';
+import type BatchTask from './BatchTask';
 import type Expectations from './Expectations';
 import type OpenBatches from './OpenBatches';
 import type OrderedRun from './OrderedRun';
@@ -13,6 +16,10 @@
   readonly metrics?: Metrics;
   readonly batches: OpenBatches;
   readonly expectations: Expectations;
+  /** Whether a task is given up, since backend servers crash under it. */
+  readonly crashes: BatchPolicy['crashes'];
+  /** Told of each batch of which a run was at a backend server that has crashed. */
+  readonly crashed: (batch: Batch) => void;
   /** Told after each end: there may be room, and a task that waits for it. */
   readonly ended: () => void;
 }
@@ -38,17 +45,27 @@
     // A sidecar of a later version may have another word; that the run is over is certain all the same.
     const outcome = end.outcome in RunEnds.outcomes ? end.outcome : RunOutcome.UNSPECIFIED;
     if (outcome === RunOutcome.REFUSED) peer.refused();
-    this.over(run, peer, outcome, end.reason);
+    this.over(run, peer, outcome, end.reason, end.crash);
   }
 
   /** A run is certainly over. */
-  over(run: OrderedRun, peer: SidecarPeer, outcome: RunOutcome, reason: string): void {
-    const { log, metrics, timer, ended } = this.opts;
+  over(
+    run: OrderedRun,
+    peer: SidecarPeer,
+    outcome: RunOutcome,
+    reason: string,
+    crash = CrashRole.UNSPECIFIED,
+  ): void {
+    const { log, metrics, timer, crashed, ended } = this.opts;
     const { batch, task } = run;
     const now = timer.now();
     metrics?.add('runs_over_total', 1, RunOutcome[outcome].toLowerCase());
     batch.runOver();
     if (outcome !== RunOutcome.REFUSED) batch.mayHaveRun = true;
+    if (crash !== CrashRole.UNSPECIFIED) {
+      noteCrash(task, peer, crash);
+      crashed(batch);
+    }
     if (outcome !== RunOutcome.DONE && !batch.answer) {
       log.info('a run gave no result', {
         request: batch.id,
@@ -58,6 +75,8 @@
         outcome: RunOutcome[outcome],
         reason,
         afterMs: Math.round(now - run.orderedAt),
+        crashes: task.crashes,
+        suspicion: task.suspicion,
       });
     }
     if (!batch.answer) RunEnds.outcomes[outcome](this, run, peer, now);
@@ -82,6 +101,19 @@
     this.opts.batches.finish(batch, { kind: 'failed', reason });
   }
 
+  /** Answers a batch that cannot be done, since backend servers crash under one of its tasks. */
+  giveUpCrashing(batch: Batch): void {
+    const cause = batch.tasks.find((task) => this.opts.crashes(task));
+    if (!cause) return;
+    const reason = `${cause.crashes} backend servers crashed under a task`;
+    this.opts.batches.finish(batch, { kind: 'failed', reason });
+  }
+
+  private lost({ batch, task }: OrderedRun, now: number): void {
+    if (task.crashes > 0) this.giveUpCrashing(batch);
+    batch.again(task, now);
+  }
+
   /** What becomes of a task, by how its run ended. */
   private static readonly outcomes: Readonly<
     Record<RunOutcome, (ends: RunEnds, run: OrderedRun, peer: SidecarPeer, now: number) => void>
@@ -89,7 +121,14 @@
     [RunOutcome.UNSPECIFIED]: (_ends, { batch, task }, _peer, now) => batch.again(task, now),
     [RunOutcome.DONE]: (ends, run, peer, now) => ends.done(run, peer, now),
     [RunOutcome.FAILED]: (ends, run, peer, now) => ends.failed(run, peer, now),
-    [RunOutcome.LOST]: (_ends, { batch, task }, _peer, now) => batch.again(task, now),
+    [RunOutcome.LOST]: (ends, run, _peer, now) => ends.lost(run, now),
     [RunOutcome.REFUSED]: (_ends, { batch, task }, _peer, now) => batch.again(task, now),
   };
 }
+
+/** A backend server has crashed under the task, which is started elsewhere while there is anything else. */
+function noteCrash(task: BatchTask, peer: SidecarPeer, crash: CrashRole): void {
+  task.crashes += 1;
+  if (crash === CrashRole.SUSPECT) task.suspicion += 1;
+  task.failedAt.add(peer.instance);
+}
--- a/src/batches/Scheduler.ts
+++ b/src/batches/Scheduler.ts
@@ -159,7 +159,8 @@
     const left = [...batch.ready].find((task) => {
       const peer = this.opts.policy.choose({ batch, task, ...place });
       if (peer) starts.push(this.order(batch, task, peer, place));
-      const isPicky = task.step.label !== '' || task.step.mostTogether > 0;
+      const { step, suspicion } = task;
+      const isPicky = step.label !== '' || step.mostTogether > 0 || suspicion > 0;
       return !peer && !isPicky;
     });
     if (starts.length > 0) this.opts.ordered(batch, starts);
--- a/src/batches/SidecarPeer.ts
+++ b/src/batches/SidecarPeer.ts
@@ -148,6 +148,16 @@
     return runs.filter(({ task }) => task.stepNumber === stepNumber).length;
   }
 
+  /** Whether a task is there under which a backend server has crashed before. */
+  get hasSuspect(): boolean {
+    return [...this.runs.values()].some(({ task }) => task.suspicion > 0);
+  }
+
+  /** Whether nothing runs there, as far as is known here. */
+  get isEmpty(): boolean {
+    return this.runs.size === 0 && this.left.holds(this.total);
+  }
+
   /** Takes a report of its room. */
   hearRoom(room: Room): void {
     this.room = room;
@@ -168,7 +178,7 @@
   /** Orders a run of the task; it is sent with `flush`. */
   order(batch: Batch, task: BatchTask): OrderedRun {
     this.lastNumber += 1;
-    const { step, stepNumber, index, attempt } = task;
+    const { step, stepNumber, index, attempt, suspicion } = task;
     const number = this.lastNumber;
     const orderedAt = this.timer.now();
     const run: OrderedRun = { number, batch, task, orderedAt, isStopping: false };
@@ -182,6 +192,7 @@
       estimateMs,
       mostTogether,
       label,
+      suspicion,
       step: stepNumber,
       needs: amountOf(needs),
     });
--- a/src/batches/choosePeer.ts
+++ b/src/batches/choosePeer.ts
@@ -1,4 +1,5 @@
 import type Resources from '../room/Resources';
+import hasToRunAlone from '../runs/hasToRunAlone';
 import type Batch from './Batch';
 import type BatchTask from './BatchTask';
 import type SidecarPeer from './SidecarPeer';
@@ -45,6 +46,9 @@
   if (!peer.isUsable || peer.service !== batch.submission.queue.service) return false;
   if (step.label !== '' && !peer.labels.includes(step.label)) return false;
   if (!free.holds(step.needs)) return false;
+  // Of two suspects at one backend server it could not be told which one has crashed it.
+  if (task.suspicion > 0 && peer.hasSuspect) return false;
+  if (hasToRunAlone(task.suspicion) && !peer.isEmpty) return false;
   if (shunned.has(peer) && (peer.runs.size > 0 || now - peer.triedAt < TRIAL_MS)) return false;
   return step.mostTogether === 0 || peer.together(batch, stepNumber) < step.mostTogether;
 }
--- a/src/runs/BackendLife.ts
+++ b/src/runs/BackendLife.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf';
 import { RunEndSchema, RunOutcome } from '../gen/magnoliakeel/v1/peer_pb';
-import type Resources from '../room/Resources';
+import Resources from '../room/Resources';
 import AnswerTimes from './AnswerTimes';
 import BackendHealth from './BackendHealth';
 import BackendLease from './BackendLease';
@@ -8,6 +8,8 @@
 import BackendLooks from './BackendLooks';
 import BackendPresence from './BackendPresence';
 import type BackendReport from './BackendReport';
+import crashRoleOf from './crashRoleOf';
+import hasToRunAlone from './hasToRunAlone';
 import HeldRuns from './HeldRuns';
 import runLimits from './runLimits';
 import RunOrders from './RunOrders';
@@ -44,7 +46,7 @@
   private constructor(private readonly opts: BackendLifeOptions) {
     const { timer, report, backend, log, changed } = opts;
     const presence = BackendPresence.create(timer, {
-      ended: (reason) => this.over(reason),
+      ended: (reason, byItself) => this.over(reason, byItself),
       doubtChanged: () => this.doubtChanged(),
     });
     this.presence = presence;
@@ -92,6 +94,7 @@
 
   /** What neither a run nor one that is being stopped takes. */
   get free(): Resources {
+    if (this.held.isForOne) return Resources.none;
     return this.newest.capacity.minus(this.held.taken);
   }
 
@@ -167,18 +170,22 @@
     this.presence.end(reason);
   }
 
-  private over(reason: string): void {
+  private over(reason: string, byItself: boolean): void {
+    // One that has said that it leaves is gone as planned.
+    const isCrash = byItself && !this.newest.draining;
+    const roleOf = crashRoleOf(this.held.all, this.opts.hasCrashedLately());
     this.opts.log.warn('the backend server is gone; all its runs are over', {
       backend: this.newest.id,
       reason,
+      isCrash,
       running: this.held.size,
     });
     [...this.followers.values()].forEach((request) => refuse(request, reason));
     this.followers.clear();
     [...this.waiting].forEach((request) => this.giveUp(request, reason));
-    this.held.loseAll(reason);
+    this.held.loseAll(reason, isCrash ? roleOf : undefined);
     this.looks.soon();
-    this.opts.over();
+    this.opts.over(isCrash);
     this.opts.changed();
   }
 
@@ -202,6 +209,9 @@
     if (request.label !== '' && !this.newest.labels.includes(request.label)) {
       return 'it lacks the label';
     }
+    if (request.suspicion > 0 && this.held.hasSuspect)
+      return 'another suspect of a crash runs here';
+    if (hasToRunAlone(request.suspicion) && this.held.size > 0) return 'it has to run alone';
     if (!this.free.holds(request.needs)) return NO_ROOM;
     if (request.mostTogether > 0 && this.held.together(request) >= request.mostTogether) {
       return 'enough tasks of the step are here';
@@ -252,7 +262,7 @@
 
   private fail(error: unknown): void {
     this.opts.log.warn('serving the backend server failed', { error });
-    this.end('an error in this process');
+    this.presence.end('an error in this process', false);
   }
 }
 
--- a/src/runs/BackendLifeOptions.ts
+++ b/src/runs/BackendLifeOptions.ts
@@ -13,6 +13,8 @@
   readonly obstacle: () => string | undefined;
   /** Told when the room, or whether it may be used, has changed. */
   readonly changed: () => void;
+  /** Whether the life before this one has crashed a short time ago. */
+  readonly hasCrashedLately: () => boolean;
   /** Told once, when nothing of this life runs any more and nothing will. */
-  readonly over: () => void;
+  readonly over: (isCrash: boolean) => void;
 }
--- a/src/runs/BackendPresence.ts
+++ b/src/runs/BackendPresence.ts
@@ -2,8 +2,8 @@
 import type BackendRunFailure from './BackendRunFailure';
 
 interface PresenceHandlers {
-  /** Told once, when the life is known to be over. */
-  readonly ended: (reason: string) => void;
+  /** Told once, when the life is known to be over: by itself, or given up for an error of this process. */
+  readonly ended: (reason: string, byItself: boolean) => void;
   /** Told when it comes to be doubted, and when it no longer is. */
   readonly doubtChanged: () => void;
 }
@@ -78,10 +78,10 @@
   }
 
   /** The life is over. */
-  end(reason: string): void {
+  end(reason: string, byItself = true): void {
     if (this.isOver) return;
     this.state = 'over';
-    this.told.ended(reason);
+    this.told.ended(reason, byItself);
   }
 
   private missed(): void {
--- a/src/runs/HeldRuns.ts
+++ b/src/runs/HeldRuns.ts
@@ -1,7 +1,8 @@
 import { create } from '@bufbuild/protobuf';
-import { RunEndSchema, RunOutcome } from '../gen/magnoliakeel/v1/peer_pb';
+import { CrashRole, RunEndSchema, RunOutcome } from '../gen/magnoliakeel/v1/peer_pb';
 import Resources from '../room/Resources';
 import type BackendHold from './BackendHold';
+import hasToRunAlone from './hasToRunAlone';
 import type RunName from './RunName';
 import type RunRequest from './RunRequest';
 import type RunState from './RunState';
@@ -75,6 +76,16 @@
     return requests.filter((each) => each.batch === batch && each.step === step).length;
   }
 
+  /** Whether a run is there under which a backend server has crashed before. */
+  get hasSuspect(): boolean {
+    return [...this.runs.values()].some(({ request }) => request.suspicion > 0);
+  }
+
+  /** Whether a run is there beside which there may be no other. */
+  get isForOne(): boolean {
+    return [...this.runs.values()].some(({ request }) => hasToRunAlone(request.suspicion));
+  }
+
   /** Takes room for a run, in place of an earlier try of the same task. */
   put(state: RunState): void {
     this.runs.set(taskKey(state.run), state);
@@ -119,19 +130,26 @@
   }
 
   /** The run is over: its owner is told, and its room is free. */
-  finish(state: RunState, outcome: RunOutcome, reason: string): void {
+  finish(
+    state: RunState,
+    outcome: RunOutcome,
+    reason: string,
+    crash = CrashRole.UNSPECIFIED,
+  ): void {
     const { request, run } = state;
     const key = taskKey(run);
     const { number } = request;
     this.runs.delete(key);
     this.proofs.delete(state);
-    request.ended(create(RunEndSchema, { number, outcome, attempt: run.attempt, reason }));
+    request.ended(create(RunEndSchema, { number, outcome, attempt: run.attempt, reason, crash }));
     this.opts.over(key);
   }
 
-  /** Nothing runs there any more. */
-  loseAll(reason: string): void {
-    [...this.runs.values()].forEach((state) => this.finish(state, RunOutcome.LOST, reason));
+  /** Nothing runs there any more; `roleOf` tells what part a run had in a crash by which that is so. */
+  loseAll(reason: string, roleOf?: (state: RunState) => CrashRole): void {
+    [...this.runs.values()].forEach((state) =>
+      this.finish(state, RunOutcome.LOST, reason, roleOf?.(state)),
+    );
   }
 
   private finishProven(look: number, seen: ReadonlySet<RunState>): void {
--- a/src/runs/OwnerLink.ts
+++ b/src/runs/OwnerLink.ts
@@ -134,7 +134,8 @@
   start(orders: StartRuns): void {
     const { batch, service, spec, runs } = orders;
     runs.forEach((order) => {
-      const { number, step, index, needs, estimateMs, attempt, mostTogether, label } = order;
+      const { number, step, index, needs, estimateMs, attempt, mostTogether, label, suspicion } =
+        order;
       this.newestOrder = Math.max(this.newestOrder, number);
       if (!this.isConfirmed) {
         this.refuse(batch, number, 'the entry is not confirmed to be awake');
@@ -154,6 +155,7 @@
           attempt,
           mostTogether,
           label,
+          suspicion,
           needs: amount,
           owner: this,
           ended,
--- a/src/runs/RunHost.ts
+++ b/src/runs/RunHost.ts
@@ -30,6 +30,8 @@
 
   private checking: string | undefined;
 
+  private crashedAt = -Infinity;
+
   private isLeaving = false;
 
   private isZoneDrained = false;
@@ -165,13 +167,15 @@
       backend,
       changed,
       obstacle: () => this.obstacle,
-      over: () => this.ended(report.id),
+      hasCrashedLately: () => timer.now() - this.crashedAt < CRASHED_LATELY_MS,
+      over: (isCrash) => this.ended(report.id, isCrash),
     });
     this.life = life;
     changed();
   }
 
-  private ended(id: string): void {
+  private ended(id: string, isCrash: boolean): void {
+    if (isCrash) this.crashedAt = this.opts.timer.now();
     this.remember(id);
     if (this.life?.report.id === id) this.life = undefined;
   }
@@ -186,5 +190,8 @@
 /** Looks at a backend server that announces itself, before its next heartbeat is awaited. */
 const LOOKS = 3;
 
+/** After a crash, for how long the next one is taken for the backend server's own fault, ms. */
+const CRASHED_LATELY_MS = 10_000;
+
 /** Ended lives to remember; a heartbeat is late by seconds, in which only a few can end. */
 const REMEMBERED_LIVES = 64;
--- a/src/runs/RunRequest.ts
+++ b/src/runs/RunRequest.ts
@@ -16,6 +16,8 @@
   readonly mostTogether: number;
   /** A label that the backend server must have; empty for none. */
   readonly label: string;
+  /** How often the task was the likeliest cause of a crash; those that were once are kept apart. */
+  readonly suspicion: number;
   /** The sender's number of this order. */
   readonly number: number;
   /** Whose order it is; runs of an owner are stopped together. */
--- /dev/null
+++ b/src/runs/hasToRunAlone.ts
@@ -0,0 +1,10 @@
+/**
+ * Whether a task gets a backend server for itself, by how often it was the likeliest cause of a crash. What ran
+ * beside it the second time may have been the cause as well, if it was started for the first time there; after
+ * a run alone it is certain, and nothing else is lost with the backend server.
+ */
+export default function hasToRunAlone(suspicion: number): boolean {
+  return suspicion >= ALONE_FROM;
+}
+
+const ALONE_FROM = 2;
--- a/test/runs/BackendHealth.test.ts
+++ b/test/runs/BackendHealth.test.ts
@@ -37,7 +37,14 @@
   return {
     request: {
       ...{ ...none, service: 's', spec: '', estimateMs: 300, attempt: 1, mostTogether: 0 },
-      ...{ label: '', number: 1, owner: {}, needs: Resources.none, ended: () => undefined },
+      ...{
+        label: '',
+        suspicion: 0,
+        number: 1,
+        owner: {},
+        needs: Resources.none,
+        ended: () => undefined,
+      },
     },
     run: { ...none, attempt: 1 },
     ...{ startedAt: 0, isConfirmed: true, confirmedAtLook: 0, isStopping: false, percent: 0 },
--- a/test/support/BatchCase.ts
+++ b/test/support/BatchCase.ts
@@ -26,6 +26,8 @@
   readonly policy?: BatchPolicy;
   /** Whether the entries have a configuration from the beginning. */
   readonly configured?: boolean;
+  /** Whether a backend server that has crashed is back, in a new life, after some time. */
+  readonly reborn?: boolean;
   /** The availability zones of the sidecars, by number; "z" where none is given. */
   readonly zones?: readonly string[];
 }
@@ -42,6 +44,9 @@
 
   readonly backends: LeasedBackend[] = [];
 
+  /** Crashes of backend servers so far. */
+  crashes = 0;
+
   /** Addresses of entries that sidecars find when they look them up. */
   lookUp: readonly string[] = [];
 
@@ -49,6 +54,7 @@
     private readonly work: Work,
     private readonly policy: BatchPolicy | undefined,
     private readonly zones: readonly string[],
+    private readonly reborn: boolean,
   ) {}
 
   /** Starts everything and waits until all are linked. Each backend server has room for four tasks. */
@@ -59,8 +65,9 @@
     policy,
     configured = true,
     zones = [],
+    reborn = false,
   }: BatchCaseOptions = {}): Promise<BatchCase> {
-    const batchCase = new BatchCase(work, policy, zones);
+    const batchCase = new BatchCase(work, policy, zones, reborn);
     for (let number = 0; number < entries; number += 1) await batchCase.addEntry(number);
     for (let number = 0; number < sidecars; number += 1) batchCase.addSidecar(number);
     await batchCase.timer.advance(300);
@@ -91,12 +98,30 @@
 
   /** Starts a sidecar with a backend server that sends heartbeats. */
   addSidecar(number: number): void {
-    const { timer } = this;
-    const backend = LeasedBackend.create({ timer, id: `b${number}`, work: this.work });
-    this.backends[number] = backend;
+    this.backends[number] = this.newBackend(number);
     this.restartSidecar(number);
   }
 
+  private newBackend(number: number): LeasedBackend {
+    const { timer, work } = this;
+    return LeasedBackend.create({
+      timer,
+      work,
+      id: `b${number}.${timer.now()}`,
+      crashed: () => this.crashed(number),
+    });
+  }
+
+  private crashed(number: number): void {
+    this.crashes += 1;
+    if (!this.reborn) return;
+    this.timer.after(REBORN_MS, () => {
+      const backend = this.newBackend(number);
+      this.backends[number] = backend;
+      this.sidecars[number]!.hear(backend.report());
+    });
+  }
+
   /** Starts a sidecar's next process beside its backend server. */
   restartSidecar(number: number): void {
     const backend = this.backends[number]!;
@@ -105,7 +130,7 @@
       zone: this.zones[number] ?? 'z',
       seeds: ['e0:1', 'e1:1'],
       findEntries: async () => this.lookUp,
-      connect: () => backend,
+      connect: () => this.backends[number]!,
     });
     this.sidecars[number] = sidecar;
     sidecar.hear(backend.report());
@@ -177,6 +202,9 @@
   readonly queue?: Partial<Queue>;
 }
 
+/** After a crash, until the backend server's next life announces itself, ms. */
+const REBORN_MS = 2_000;
+
 /** A caller that waits for an answer, or has gone. */
 interface Submission {
   answer: BatchAnswer | undefined;
--- a/test/support/RunCase.ts
+++ b/test/support/RunCase.ts
@@ -61,7 +61,14 @@
     this.numbers += 1;
     const request: RunRequest = {
       ...{ batch, step: 0, index, service: 'booking', spec: '300', estimateMs: 300 },
-      ...{ attempt: 1, mostTogether: 0, label: '', number: this.numbers, owner: this.owner },
+      ...{
+        attempt: 1,
+        mostTogether: 0,
+        label: '',
+        suspicion: 0,
+        number: this.numbers,
+        owner: this.owner,
+      },
       needs: Resources.of({ cpuMilli: 4_000, memoryMb: 64 }),
       ended: ({ outcome }: RunEnd) => this.ends.push(`${batch}.${index} ${RunOutcome[outcome]}`),
       ...change,
--- a/tools/leasedBackend/LeasedBackend.ts
+++ b/tools/leasedBackend/LeasedBackend.ts
@@ -18,6 +18,13 @@
   readonly lateMs?: number;
 }
 
+/** How a task goes: its time, and whether it then fails or takes the backend server with it. */
+interface TaskWork {
+  readonly ms: number;
+  readonly fails: boolean;
+  readonly crashes?: boolean;
+}
+
 interface LeasedBackendOptions {
   readonly timer: TimerService;
   readonly id?: string;
@@ -25,7 +32,9 @@
   readonly capacity?: Resources;
   readonly labels?: readonly string[];
   /** How a task's work goes: how long it takes and whether it fails. The spec says, unless this does. */
-  readonly work?: (run: RunName, spec: string) => { readonly ms: number; readonly fails: boolean };
+  readonly work?: (run: RunName, spec: string) => TaskWork;
+  /** Told when a task has crashed it. */
+  readonly crashed?: () => void;
   /** Told of each start that was carried out, and of the end of each run, also by a crash. */
   readonly ran?: (what: 'started' | 'done' | 'failed' | 'lost', run: RunName) => void;
 }
@@ -118,7 +127,9 @@
 
   /** Its process is gone: connections are refused and nothing runs. */
   crash(): void {
+    if (this.fate === 'gone') return;
     this.fate = 'gone';
+    this.opts.crashed?.();
     this.waiters.forEach((wake) => wake());
     this.killAll();
   }
@@ -215,11 +226,12 @@
     this.renew(leaseUntil);
     this.highest.set(key, run.attempt);
     this.starts.push(run);
-    const { ms, fails } = this.workOf(run, spec);
+    const { ms, fails, crashes } = this.workOf(run, spec);
     const startedAt = this.clock();
-    const end = this.opts.timer.after(ms, () =>
-      this.end(key, running, fails ? 'failed' : 'done', fails ? 'failed' : 'done'),
-    );
+    const end = this.opts.timer.after(ms, () => {
+      if (crashes) this.crash();
+      else this.end(key, running, fails ? 'failed' : 'done', fails ? 'failed' : 'done');
+    });
     const running: Running = { run, ms, startedAt, end };
     this.running.set(key, running);
     this.busiest = Math.max(this.busiest, this.running.size);
@@ -227,7 +239,7 @@
     return 'started';
   }
 
-  private workOf(run: RunName, spec: string): { readonly ms: number; readonly fails: boolean } {
+  private workOf(run: RunName, spec: string): TaskWork {
     if (this.opts.work) return this.opts.work(run, spec);
     return { ms: Number(spec) || TASK_MS, fails: false };
   }
--- a/tools/replay/Draw.ts
+++ b/tools/replay/Draw.ts
@@ -12,4 +12,6 @@
   /** Times the load of one queue from the third second on, for four seconds. */
   readonly bursts: readonly number[];
   readonly processor?: Recording['processor'];
+  /** Share of the first queue's batches that crash backend servers, and how long these are gone. */
+  readonly crashing?: { readonly share: number; readonly downMs: number };
 }
--- a/tools/replay/Recording.ts
+++ b/tools/replay/Recording.ts
@@ -57,5 +57,7 @@
   readonly backends: readonly { readonly zone: number; readonly cpuMilli: number }[];
   readonly queues: readonly RecordedQueue[];
   readonly troubles: readonly RecordedTrouble[];
+  /** Numbers of batches whose first task crashes what starts it; a backend server is back after `downMs`. */
+  readonly crashing?: { readonly batches: readonly number[]; readonly downMs: number };
   readonly batches: readonly RecordedBatch[];
 }
--- a/tools/replay/Replay.ts
+++ b/tools/replay/Replay.ts
@@ -193,10 +193,18 @@
     this.backends[number] = LeasedBackend.create({
       ...{ timer, id, service: SERVICE },
       work: ({ batch, index }) => this.workOf(number, Number(batch), index),
+      crashed: () => this.crashed(number),
     });
     this.announce(number);
   }
 
+  private crashed(number: number): void {
+    const { timer, recording } = this;
+    if (!recording.crashing || this.troubleOf(number)?.how === 'crash') return;
+    const { downMs } = recording.crashing;
+    timer.after(downMs, () => this.renewBackend(number, timer.now()));
+  }
+
   private announce(number: number): void {
     const { cpuMilli } = this.recording.backends[number]!;
     const isDown = this.troubleOf(number)?.how === 'crash';
@@ -206,8 +214,15 @@
     this.sidecars[number]!.hear(report);
   }
 
-  private workOf(backend: number, batch: number, index: number): { ms: number; fails: boolean } {
+  private workOf(
+    backend: number,
+    batch: number,
+    index: number,
+  ): { ms: number; fails: boolean; crashes?: boolean } {
     const { tasksMs, cpuMilli } = this.recording.batches[batch]!;
+    if (index === 0 && this.recording.crashing?.batches.includes(batch)) {
+      return { ms: CRASH_MS, fails: true, crashes: true };
+    }
     const ms = tasksMs[index] ?? 0;
     this.starts += 1;
     this.startedWork += ms * cpuMilli;
@@ -269,6 +284,9 @@
   });
 }
 
+/** How long a task runs before it crashes its backend server, ms. */
+const CRASH_MS = 20;
+
 /** What it takes to refuse a request by its head, as a share of serving it. */
 const REFUSAL_SHARE = 0.25;
 
--- a/tools/replay/drawRecording.ts
+++ b/tools/replay/drawRecording.ts
@@ -13,6 +13,7 @@
     const arrivals = arrivalsOf(random, kind.perSecond * load, bursts[queue] ?? 1, seconds);
     return arrivals.map((atMs) => drawBatch(random, queue, atMs, entries));
   });
+  batches.sort((a, b) => a.atMs - b.atMs);
   return {
     source: `drawn from the users' figures, ${JSON.stringify({ seed, seconds, load, bursts })}`,
     entries,
@@ -30,10 +31,21 @@
       meanWork: width * meanMs * TASK_CPU,
     })),
     troubles,
-    batches: batches.sort((a, b) => a.atMs - b.atMs),
+    ...(draw.crashing && { crashing: drawCrashing(draw.crashing, random, batches) }),
+    batches,
   };
 }
 
+function drawCrashing(
+  { share, downMs }: NonNullable<Draw['crashing']>,
+  random: Random,
+  batches: Recording['batches'],
+): NonNullable<Recording['crashing']> {
+  const numbers = [...batches.keys()];
+  const crashing = numbers.filter((one) => batches[one]!.queue === 0 && random.unit() < share);
+  return { batches: crashing, downMs };
+}
+
 const ZONES = 3;
 
 /** Cores that a task asks for on average, in thousandths. */
--- a/tools/replay/draws.ts
+++ b/tools/replay/draws.ts
@@ -34,6 +34,14 @@
   },
   /** The calm load on as many processes as the larger deployments have. */
   wide: { ...base, seconds: 4, load: 5, entries: 12, backends: 66 },
+  /** One in a hundred of the small batches crashes each backend server that starts it. */
+  crashing: {
+    ...base,
+    load: 2,
+    entries: 4,
+    backends: 24,
+    crashing: { share: 0.01, downMs: 2_000 },
+  },
   /** Entries with little processor time, at three quarters of the room and a burst above all of it. */
   starved: {
     ...base,
--- a/tools/replay/policies.ts
+++ b/tools/replay/policies.ts
@@ -1,5 +1,6 @@
 import type Batch from '../../src/batches/Batch';
 import type BatchPolicy from '../../src/batches/BatchPolicy';
+import choosePeer from '../../src/batches/choosePeer';
 import standardPolicy from '../../src/batches/standardPolicy';
 import type Urgency from '../../src/batches/Urgency';
 
@@ -31,6 +32,16 @@
   blind: { ...standardPolicy, shun: () => nobody },
   /** Estimates are taken as they come. */
   stated: { ...standardPolicy, expect: (_durations, _queue, estimateMs) => estimateMs },
+  /** All that ran at a backend server that crashed is suspected alike, and given up at the second time. */
+  alike: {
+    ...standardPolicy,
+    crashes: ({ crashes }) => crashes >= 2,
+    choose: ({ task, ...choice }) => choosePeer({ ...choice, task: { ...task, suspicion: 0 } }),
+  },
+  /** A task is given up as soon as it was the likeliest cause of two crashes. */
+  hasty: { ...standardPolicy, crashes: ({ suspicion }) => suspicion >= 2 },
+  /** A task is started however many backend servers crash under it. */
+  trusting: { ...standardPolicy, crashes: () => false },
   /** Runs stay where they are, however they crawl. */
   still: { ...standardPolicy, move: () => false },
 };
