Tell entries when the room of a backend server changes while tasks run

Cause: a heartbeat with another capacity changed what the next order was checked against, and told nobody: entries went on ordering what has no place, or left room unused that had come back. Change: a changed capacity is reported like draining. Room that shrinks below what runs takes nothing until enough has ended; a late heartbeat does not bring it back. Tests: test/batches/changingRoom (red first), two in test/runs/BackendLife (green: the sidecar's own check held already).

--- a/src/room/Resources.ts
+++ b/src/room/Resources.ts
@@ -38,6 +38,11 @@
     );
   }
 
+  /** Whether both are the same in every kind. */
+  equals(other: Resources): boolean {
+    return this.holds(other) && other.holds(this);
+  }
+
   /** Whether the other amount is there in this one, in every kind. */
   holds(other: Resources): boolean {
     return (
--- a/src/runs/BackendLife.ts
+++ b/src/runs/BackendLife.ts
@@ -111,16 +111,24 @@
   /** Takes a later heartbeat of the same life; one that came late is ignored. */
   hear(report: BackendReport): void {
     if (report.sequence < this.newest.sequence) return;
-    const wasDraining = this.newest.draining;
-    this.newest = { ...report, draining: wasDraining || report.draining };
+    const before = this.newest;
+    this.newest = { ...report, draining: before.draining || report.draining };
     this.lease.hear(report.clockMs);
-    if (this.newest.draining === wasDraining) return;
-    this.opts.log.info('the backend server is draining: it gets no new tasks', {
-      backend: report.id,
-      sequence: report.sequence,
+    const isDraining = this.newest.draining && !before.draining;
+    const hasOtherRoom = !report.capacity.equals(before.capacity);
+    if (isDraining) this.note('the backend server is draining: it gets no new tasks');
+    if (hasOtherRoom) this.note('the room of the backend server has changed');
+    if (isDraining || hasOtherRoom) this.opts.changed();
+  }
+
+  private note(message: string): void {
+    const { id, sequence, capacity } = this.newest;
+    this.opts.log.info(message, {
+      backend: id,
+      sequence,
+      cpuMilli: capacity.cpuMilli,
       running: this.held.size,
     });
-    this.opts.changed();
   }
 
   /** The backend server has said that it ends now: nothing new is started. */
--- /dev/null
+++ b/test/batches/changingRoom.test.ts
@@ -0,0 +1,48 @@
+import { expect, test } from 'vitest';
+import Resources from '../../src/room/Resources';
+import BatchCase from '../support/BatchCase';
+
+/** The room of so many tasks. */
+function roomOf(tasks: number): Resources {
+  return Resources.of({ cpuMilli: tasks * 4_000, memoryMb: 4_096 });
+}
+
+function shrinkTo(batchCase: BatchCase, tasks: number): void {
+  const capacity = roomOf(tasks);
+  batchCase.sidecars[0]!.hear(batchCase.backends[0]!.report({ capacity }));
+}
+
+test('entries use room that has grown while tasks run', async () => {
+  const batchCase = await BatchCase.open({ sidecars: 1 });
+  shrinkTo(batchCase, 1);
+  await batchCase.timer.advance(50);
+  batchCase.submit('a', { tasks: 4, ms: 1_000 });
+  await batchCase.timer.advance(100);
+  const before = batchCase.running.length;
+  shrinkTo(batchCase, 4);
+  await batchCase.timer.advance(20);
+  expect([before, batchCase.running.length]).toEqual([1, 4]);
+});
+
+test('entries do not order what has no place any more', async () => {
+  const batchCase = await BatchCase.open({ sidecars: 1 });
+  batchCase.submit('a', { tasks: 4, ms: 200 });
+  await batchCase.timer.advance(50);
+  shrinkTo(batchCase, 2);
+  batchCase.submit('b', { tasks: 8, ms: 200 });
+  await batchCase.timer.advance(900);
+  const { starts, tasks } = batchCase.backends[0]!;
+  expect([starts.length, tasks.length]).toEqual([12, 2]);
+});
+
+test('a task larger than what has shrunk is refused at once', async () => {
+  const batchCase = await BatchCase.open({ sidecars: 1 });
+  await batchCase.timer.advance(3_000);
+  batchCase.sidecars[0]!.hear(
+    batchCase.backends[0]!.report({ capacity: Resources.of({ cpuMilli: 2_000, memoryMb: 64 }) }),
+  );
+  await batchCase.timer.advance(20);
+  const refused = batchCase.submit('a');
+  await batchCase.timer.advance(1);
+  expect(refused.answer).toMatchObject({ kind: 'not-run' });
+});
--- a/test/runs/BackendLife.test.ts
+++ b/test/runs/BackendLife.test.ts
@@ -1,5 +1,6 @@
 import { errAsync } from 'neverthrow';
 import { expect, test } from 'vitest';
+import Resources from '../../src/room/Resources';
 import RunCase from '../support/RunCase';
 
 test('ends are reported as the backend server lists them', async () => {
@@ -249,3 +250,32 @@
   await runCase.timer.advance(10);
   expect(runCase.ends).toEqual(['a.0 REFUSED', 'b.0 REFUSED', 'c.1 REFUSED']);
 });
+
+// What a backend server says of its room was taken once, with its first heartbeat of a life; later ones counted
+// for the next order only, and no entry was told.
+test('room that has shrunk below what runs takes nothing until enough has ended', async () => {
+  const { runCase, backend } = await RunCase.open();
+  runCase.order('a', 4);
+  await runCase.timer.advance(100);
+  const half = Resources.of({ cpuMilli: 8_000, memoryMb: 4_096 });
+  runCase.host.hear(backend.report({ capacity: half }));
+  runCase.order('b');
+  await runCase.timer.advance(300);
+  runCase.order('c', 3);
+  await runCase.timer.advance(50);
+  expect([runCase.ends, backend.tasks]).toEqual([
+    ['b.0 REFUSED', 'a.0 DONE', 'a.1 DONE', 'a.2 DONE', 'a.3 DONE', 'c.2 REFUSED'],
+    ['c.0.0', 'c.0.1'],
+  ]);
+});
+
+test('a heartbeat that comes late does not bring back room that is gone', async () => {
+  const { runCase, backend } = await RunCase.open();
+  const late = backend.report();
+  const half = Resources.of({ cpuMilli: 8_000, memoryMb: 4_096 });
+  runCase.host.hear(backend.report({ capacity: half }));
+  runCase.host.hear(late);
+  runCase.order('a', 4);
+  await runCase.timer.advance(50);
+  expect(backend.busiest).toBe(2);
+});
