Pause before a call whose connection was reset is made again

Cause: a stop or start without an answer was sent again at once, since its time had passed. Change: such a call is made again after the pause that looks had already. Ruled out: the pool of connections. It stays at five or six a sidecar without faults. Test: test/runs/BackendLife (red first: without the pause it never ends).

--- a/src/runs/RunOrders.ts
+++ b/src/runs/RunOrders.ts
@@ -88,6 +88,7 @@
     for (let tries = 0; tries < runLimits.startTries; tries += 1) {
       const { run, request } = state;
       const until = lease.renew();
+      const sentAt = timer.now();
       const res = await this.timed(tries, (timeoutMs) =>
         backend.start(run, request.spec, until, lease.token, timeoutMs),
       );
@@ -97,7 +98,7 @@
         log.warn('a start was not answered', { ...logged(state), tries, reason: res.error.reason });
         if (state.isStopping) return;
         if (res.error.kind === 'unanswered') isDoubtful = true;
-        else await timer.sleep(runLimits.retryMs);
+        await this.pauseAfter(res.error, sentAt);
         continue;
       }
       const answer = res.value;
@@ -146,6 +147,7 @@
   private async sendStop(state: RunState): Promise<void> {
     const { backend, held, lease, log, lookSoon, presence, timer } = this.opts;
     for (let tries = 0; held.holds(state); tries += 1) {
+      const sentAt = timer.now();
       const res = await this.timed(tries, (timeoutMs) =>
         backend.stop(state.run, lease.token, timeoutMs),
       );
@@ -156,11 +158,24 @@
       }
       if (presence.isEndedBy(res.error)) return;
       log.warn('a stop was not answered', { ...logged(state), tries, reason: res.error.reason });
-      if (res.error.kind !== 'unanswered') await timer.sleep(runLimits.retryMs);
+      await this.pauseAfter(res.error, sentAt);
     }
   }
+
+  /**
+   * Waits before a call is made again. One that was not answered in its time has waited already; one whose
+   * connection broke has not, and would be made again and again, each time over a new connection.
+   */
+  private async pauseAfter({ kind }: BackendRunFailure, sentAt: number): Promise<void> {
+    const { timer } = this.opts;
+    const waitedMs = kind === 'unanswered' ? timer.now() - sentAt : 0;
+    if (waitedMs < LEAST_ANSWER_MS) await timer.sleep(runLimits.retryMs);
+  }
 }
 
+/** A call that failed sooner was not given the time for its answer, ms. */
+const LEAST_ANSWER_MS = 15;
+
 /** Refusals that a second start, with a new number, token or lease, may not meet. */
 const refusalsToTryAgain: Readonly<Record<BackendRefusal, boolean>> = {
   fenced: true,
--- a/test/runs/BackendLife.test.ts
+++ b/test/runs/BackendLife.test.ts
@@ -279,3 +279,16 @@
   await runCase.timer.advance(50);
   expect(backend.busiest).toBe(2);
 });
+
+// A backend server that went down and up reset each connection: stops were sent again without any pause, hundreds a
+// second, each over a connection of its own.
+test('calls whose connections are reset are made again after a pause', async () => {
+  const { runCase, backend } = await RunCase.open();
+  runCase.order('a', 4, { spec: '5000' });
+  await runCase.timer.advance(50);
+  backend.resetConnections();
+  runCase.host.stop(runCase.owner);
+  await runCase.timer.advance(150);
+  // Four stops and the looks, each 30 ms after the one before at the earliest.
+  expect(backend.resets).toBeLessThanOrEqual(5 * 6);
+});
--- a/tools/leasedBackend/LeasedBackend.ts
+++ b/tools/leasedBackend/LeasedBackend.ts
@@ -79,7 +79,10 @@
   /** Refuses starts for this reason, as an unwell backend server does. */
   refusing: BackendRefusal | undefined;
 
-  private fate: 'alive' | 'silent' | 'gone' | 'replaced' = 'alive';
+  private fate: 'alive' | 'silent' | 'resetting' | 'gone' | 'replaced' = 'alive';
+
+  /** Calls that came while it reset connections. */
+  resets = 0;
 
   private sequence = 0;
 
@@ -120,6 +123,11 @@
     this.fate = 'silent';
   }
 
+  /** From now on it takes connections and resets them, and what runs goes on. */
+  resetConnections(): void {
+    this.fate = 'resetting';
+  }
+
   /** It answers again. */
   speak(): void {
     this.fate = 'alive';
@@ -199,6 +207,10 @@
     carryOut: () => T,
   ): ResultAsync<T, BackendRunFailure> {
     if (this.fate === 'gone') return errAsync({ kind: 'closed', reason: 'connection refused' });
+    if (this.fate === 'resetting') {
+      this.resets += 1;
+      return errAsync({ kind: 'unanswered', reason: 'connection reset' });
+    }
     if (this.fate === 'replaced') return errAsync({ kind: 'replaced', reason: 'another life' });
     const at = this.faults.findIndex(({ call }) => call === kind);
     const [fault] = at < 0 ? [] : this.faults.splice(at, 1);
