--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -13,7 +13,7 @@
 
 /**
  * Parts of packages that are loaded with them and never used here: formats of numbers, TLS, the processes of a
- * cluster. An entry's start takes 408 ms of processor time without them and 440 with them (means of six).
+ * cluster. An entry starts sooner without them.
  */
 const UNUSED = {
   'hdr-histogram-js': ['HistogramLogWriter', 'HistogramLogReader'],
--- a/src/batches/BatchEntry.ts
+++ b/src/batches/BatchEntry.ts
@@ -1,5 +1,4 @@
 import type { Result } from 'neverthrow';
-import type Subscription from '../core/Subscription';
 import Lateness from '../core/Lateness';
 import { RunOutcome } from '../gen/magnoliakeel/v1/peer_pb';
 import type DrainedZones from '../peering/DrainedZones';
@@ -7,7 +6,6 @@
 import Admission from './Admission';
 import Batch from './Batch';
 import type BatchAnswer from './BatchAnswer';
-import type BatchPolicy from './BatchPolicy';
 import type BatchEntryOptions from './BatchEntryOptions';
 import type BatchSubmission from './BatchSubmission';
 import CancelledIds from './CancelledIds';
@@ -16,11 +14,13 @@
 import Expectations from './Expectations';
 import InForce from './InForce';
 import LostSidecars from './LostSidecars';
+import noteAccepted from './noteAccepted';
+import noteOrdered from './noteOrdered';
 import OpenBatches from './OpenBatches';
-import type OrderedStart from './OrderedStart';
 import type QueueTable from './QueueTable';
 import RunEnds from './RunEnds';
 import Scheduler from './Scheduler';
+import SlowRunMoves from './SlowRunMoves';
 import Startup from './Startup';
 import type SidecarPeer from './SidecarPeer';
 import standardPolicy from './standardPolicy';
@@ -33,8 +33,6 @@
 export default class BatchEntry {
   private readonly inForce: InForce;
 
-  private readonly policy: BatchPolicy;
-
   private readonly batches: OpenBatches;
 
   private readonly cancelled: CancelledIds;
@@ -59,13 +57,12 @@
 
   private readonly lateness: Lateness;
 
-  private readonly moves: Subscription;
+  private readonly moves: SlowRunMoves;
 
   private isLeaving = false;
 
   private constructor(private readonly opts: BatchEntryOptions) {
     const { timer, random, log, metrics, zone, policy = standardPolicy } = opts;
-    this.policy = policy;
     this.inForce = InForce.create(log);
     this.startup = Startup.begin(timer);
     this.lateness = Lateness.watch(timer);
@@ -92,7 +89,7 @@
       policy,
       peers: sidecars,
       waitedInVain: (batch) => this.batches.finish(batch, this.admission.refuseWaiting()),
-      ordered: (batch, starts) => this.ordered(batch, starts),
+      ordered: (batch, starts) => noteOrdered(opts, batch, starts),
       failed: (batch, error) => this.failed(batch, error),
     });
     this.admission = Admission.create({
@@ -124,7 +121,7 @@
       this.ends.over(run, peer, RunOutcome.LOST, reason),
     );
     this.gaps = GapWatch.start(timer, (gapMs) => this.heldUp(gapMs));
-    this.moves = timer.every(MOVE_INTERVAL_MS, () => this.moveRuns());
+    this.moves = SlowRunMoves.start({ timer, log, metrics, policy, peers: sidecars });
   }
 
   /** Creates an entry that neither listens nor dials yet. */
@@ -257,7 +254,7 @@
 
   /** Ends links and listening. */
   async close(): Promise<void> {
-    this.moves.cancel();
+    this.moves.stop();
     this.lateness.stop();
     this.gaps.stop();
     await Promise.race([this.peers.close(), this.opts.timer.sleep(CLOSE_MS)]);
@@ -294,44 +291,11 @@
   }
 
   private accepted(batch: Batch, earlier: number): void {
-    const { id, queue, steps, waitMs, spentMs } = batch.submission;
     this.batches.add(batch);
-    this.opts.metrics?.add('batches_accepted_total', 1, queue.name);
-    this.opts.log.info('a batch is accepted', {
-      request: id,
-      queue: queue.name,
-      version: this.table.version,
-      tasks: steps.reduce((sum, { count }) => sum + count, 0),
-      estimateMs: steps.map(({ estimateMs }) => estimateMs),
-      statedMs: steps.map(({ statedMs }) => statedMs),
-      waitMs,
-      spentMs,
-      queued: this.scheduler.queued,
-      sidecars: this.peers.sidecars.size,
-      earlier,
-    });
-  }
-
-  private ordered(batch: Batch, starts: readonly OrderedStart[]): void {
-    const { timer, log, metrics } = this.opts;
-    const now = timer.now();
-    const { name } = batch.submission.queue;
-    metrics?.add('runs_ordered_total', starts.length, name);
-    starts.forEach(({ task }) => {
-      metrics?.record('batch_wait_seconds', (now - (task.readyAt ?? now)) / SECOND_MS, name);
-    });
-    log.info('starts are ordered', {
-      request: batch.id,
-      waitedMs: Math.round(now - (starts[0]?.task.readyAt ?? now)),
-      starts: starts.map(({ task, peer, freeMilli }) => ({
-        step: task.stepNumber,
-        index: task.index,
-        attempt: task.attempt,
-        sidecar: peer.instance,
-        freeMilli,
-        reportAgeMs: Math.round(peer.reportAgeMs),
-      })),
-    });
+    const { version } = this.table;
+    const { queued } = this.scheduler;
+    const sidecars = this.peers.sidecars.size;
+    noteAccepted(this.opts, batch, { version, queued, sidecars, earlier });
   }
 
   /** One batch that cannot be placed is given up, in place of all that wait with it. */
@@ -346,25 +310,6 @@
     this.peers.sidecars.forEach((peer) => peer.stop(batch));
   }
 
-  /** Stops runs that crawl at a shunned backend server; they are started elsewhere once they are over. */
-  private moveRuns(): void {
-    const now = this.opts.timer.now();
-    this.policy.shun(this.peers.sidecars).forEach((peer) => {
-      const runs = [...peer.runs.values()].filter((run) => this.policy.move(run, peer, now));
-      if (runs.length === 0) return;
-      runs.forEach(({ task }) => {
-        task.moves += 1;
-      });
-      peer.stopRuns(runs);
-      this.opts.metrics?.add('runs_moved_total', runs.length);
-      this.opts.log.info('runs are moved from a slow backend server', {
-        sidecar: peer.instance,
-        slowness: peer.slowness,
-        requests: runs.map(({ batch }) => batch.id),
-      });
-    });
-  }
-
   /**
    * This process did not run for a while. Callers may have turned to other entries meanwhile, so
    * nothing that was taken before is continued.
@@ -381,8 +326,3 @@
 
 /** Time for links and connections to end at the last, ms. */
 const CLOSE_MS = 250;
-
-const SECOND_MS = 1_000;
-
-/** How often runs at slow backend servers are looked at, ms. */
-const MOVE_INTERVAL_MS = 100;
--- a/src/batches/CallerPatience.ts
+++ b/src/batches/CallerPatience.ts
@@ -5,9 +5,7 @@
  * missing for those who come for the first time.
  *
  * A caller that says clearly less than most others of its queue counts as having spent the difference.
- * That only matters while room is short, since what there is room for starts at once. On three days that
- * end with a loss of power, with this and without it side by side, unserved were 201 and 240 of 4,802 requests,
- * 241 and 260 of 4,894, and, with entries short of processor time, 364 and 316 of 5,881.
+ * That only matters while room is short, since what there is room for starts at once.
  */
 export default class CallerPatience {
   private readonly queues = new Map<string, number[]>();
--- a/src/batches/DurationModel.ts
+++ b/src/batches/DurationModel.ts
@@ -15,8 +15,7 @@
  * It is a line through the logarithms of the estimates and of the times taken, fitted by least squares.
  * Where estimates say nothing, it is flat and every task is expected to take the queue's middle time;
  * where they are right but for a factor, it has the slope one. Before anything is known, estimates
- * are taken as they come. Replayed with estimates that are wrong by 40%, the worth earned rose from 0.912 to
- * 0.920 (mean of eight loads).
+ * are taken as they come.
  */
 export default class DurationModel {
   private readonly queues = new Map<string, Seen>();
--- a/src/batches/RoomSearch.ts
+++ b/src/batches/RoomSearch.ts
@@ -10,7 +10,7 @@
 
 /**
  * Which sidecars are told what waits for room. It answers the load at which a line forms and is gone
- * again many times a second, three quarters of the room and more: telling all sidecars of each took most of
+ * again many times a second, three quarters of the room and more: telling all sidecars of each would take most of
  * an entry's processor time. A few are asked at first, other ones each time, and more while the line
  * stands.
  */
--- a/src/batches/Startup.ts
+++ b/src/batches/Startup.ts
@@ -4,8 +4,7 @@
  * The first seconds of an entry, in which it does not know yet what it can serve. It answers the load
  * after a loss of power or of all processes: callers are back before the store has told the
  * configuration and before sidecars and backend servers have come. Whether a request can be served is
- * known some hundred milliseconds later, so it waits for that instead of being refused. On a day that ends
- * with a loss of power, refused requests fell from 263 to 159 of 4,894.
+ * known some hundred milliseconds later, so it waits for that instead of being refused.
  *
  * Once the time is over, what is missing is taken to be away, and requests are refused at once.
  */
--- a/src/runs/AnswerTimes.ts
+++ b/src/runs/AnswerTimes.ts
@@ -3,8 +3,7 @@
  * orders whose answer is lost: beside it on the same machine an answer takes a millisecond or two, and
  * every further one that is waited is time in which a task does not run and its room is taken. The
  * estimate is that of TCP's retransmission timer (RFC 6298): mean and mean deviation, each try twice
- * as long as the one before, since a slow answer must not be taken for a lost one for ever. A lost order costs
- * its task 20 ms beside a quick backend server, where a fixed 100 ms and a pause cost 130.
+ * as long as the one before, since a slow answer must not be taken for a lost one for ever.
  */
 export default class AnswerTimes {
   private meanMs = FIRST_MS;
--- a/src/runs/BackendPresence.ts
+++ b/src/runs/BackendPresence.ts
@@ -42,7 +42,7 @@
   /**
    * Whether the newest calls were not answered, so that it gets nothing new before it answers one. It
    * answers a backend server that has just gone dark: each task sent there would be late, and a batch is
-   * as late as its last task. Tasks are sent there for 60 ms, not for the 500 until it counts as silent.
+   * as late as its last task. It comes long before the backend server counts as silent.
    */
   get isDoubted(): boolean {
     return this.unanswered >= DOUBTED_AFTER;
