--- a/src/batches/BatchEntry.ts
+++ b/src/batches/BatchEntry.ts
@@ -113,7 +113,7 @@
       metrics,
       batches: this.batches,
       expectations: this.expectations,
-      crashes: policy.crashes,
+      giveUp: policy.giveUp,
       crashed: (batch) => this.crashed.keep(batch),
       ended: () => this.scheduler.wake(),
     });
--- a/src/batches/BatchPolicy.ts
+++ b/src/batches/BatchPolicy.ts
@@ -1,7 +1,7 @@
 import type CallerPatience from './CallerPatience';
 import type choosePeer from './choosePeer';
 import type DurationModel from './DurationModel';
-import type crashesBackends from './crashesBackends';
+import type isGivenUp from './isGivenUp';
 import type findShunned from './findShunned';
 import type urgencyOf from './urgencyOf';
 import type worthMoving from './worthMoving';
@@ -22,7 +22,7 @@
   /** Backend servers that get no work but trials. */
   readonly shun: typeof findShunned;
   /** Whether a task is given up, since backend servers crash under it. */
-  readonly crashes: typeof crashesBackends;
+  readonly giveUp: typeof isGivenUp;
   /** Whether a run at a shunned backend server is stopped and started elsewhere. */
   readonly move: typeof worthMoving;
 }
--- a/src/batches/RunEnds.ts
+++ b/src/batches/RunEnds.ts
@@ -17,7 +17,7 @@
   readonly batches: OpenBatches;
   readonly expectations: Expectations;
   /** Whether a task is given up, since backend servers crash under it. */
-  readonly crashes: BatchPolicy['crashes'];
+  readonly giveUp: BatchPolicy['giveUp'];
   /** Told of each batch of which a run was at a backend server that has crashed. */
   readonly crashed: (batch: Batch) => void;
   /** Told after each end: there may be room, and a task that waits for it. */
@@ -103,7 +103,7 @@
 
   /** Answers a batch that cannot be done, since backend servers crash under one of its tasks. */
   giveUpCrashing(batch: Batch): void {
-    const cause = batch.tasks.find((task) => this.opts.crashes(task));
+    const cause = batch.tasks.find((task) => this.opts.giveUp(task));
     if (!cause) return;
     const reason = `${cause.crashes} backend servers crashed under a task`;
     this.opts.batches.finish(batch, { kind: 'failed', reason });
--- a/src/batches/standardPolicy.ts
+++ b/src/batches/standardPolicy.ts
@@ -1,6 +1,6 @@
 import type BatchPolicy from './BatchPolicy';
 import choosePeer from './choosePeer';
-import crashesBackends from './crashesBackends';
+import isGivenUp from './isGivenUp';
 import findShunned from './findShunned';
 import urgencyOf from './urgencyOf';
 import worthMoving from './worthMoving';
@@ -12,7 +12,7 @@
   urgency: urgencyOf,
   choose: choosePeer,
   shun: findShunned,
-  crashes: crashesBackends,
+  giveUp: isGivenUp,
   move: worthMoving,
 };
 
--- a/test/batches/crashingTasks.test.ts
+++ b/test/batches/crashingTasks.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest';
 import type BatchTask from '../../src/batches/BatchTask';
-import crashesBackends from '../../src/batches/crashesBackends';
+import isGivenUp from '../../src/batches/isGivenUp';
 import BatchCase from '../support/BatchCase';
 
 // A task may crash the backend server that starts it. A run lost with its backend server counted for nothing, so
@@ -90,7 +90,7 @@
   [3, 3, true],
   [0, 5, true],
 ])('the likeliest cause %i times, there %i times: given up is %s', (suspicion, crashes, is) => {
-  expect(crashesBackends({ suspicion, crashes } as BatchTask)).toBe(is);
+  expect(isGivenUp({ suspicion, crashes } as BatchTask)).toBe(is);
 });
 
 test('a task that was suspected twice runs alone', async () => {
--- a/tools/replay/policies.ts
+++ b/tools/replay/policies.ts
@@ -35,13 +35,13 @@
   /** All that ran at a backend server that crashed is suspected alike, and given up at the second time. */
   alike: {
     ...standardPolicy,
-    crashes: ({ crashes }) => crashes >= 2,
+    giveUp: ({ crashes }) => crashes >= 2,
     choose: ({ task, ...choice }) => choosePeer({ ...choice, task: { ...task, suspicion: 0 } }),
   },
   /** A task is given up as soon as it was the likeliest cause of two crashes. */
-  hasty: { ...standardPolicy, crashes: ({ suspicion }) => suspicion >= 2 },
+  hasty: { ...standardPolicy, giveUp: ({ suspicion }) => suspicion >= 2 },
   /** A task is started however many backend servers crash under it. */
-  trusting: { ...standardPolicy, crashes: () => false },
+  trusting: { ...standardPolicy, giveUp: () => false },
   /** Runs stay where they are, however they crawl. */
   still: { ...standardPolicy, move: () => false },
 };
