Find the backlog once a turn, and look for suspects without copying the runs

Change: the backlog is found once and passed on; the look for a suspect copies nothing. Decided as before.

--- a/src/batches/Scheduler.ts
+++ b/src/batches/Scheduler.ts
@@ -86,12 +86,13 @@
   private assign(): void {
     const { timer, zone, peers: allPeers } = this.opts;
     // Most of what happens changes nothing for this: all is placed, and no sidecar was told otherwise.
-    if (!this.hasAsked && this.backlog.length === 0) return;
+    const { backlog } = this;
+    if (!this.hasAsked && backlog.length === 0) return;
     const now = timer.now();
     const peers = [...allPeers()];
     const place = { peers, shunned: this.shunned(peers, now), zone, now };
     const heads = new Map<string, WaitingHead>();
-    let line = this.line(now);
+    let line = this.line(backlog, now);
     while (line.length > 0) {
       const first = line.reduce(firstOf);
       const { service } = first.batch.submission.queue;
@@ -144,9 +145,9 @@
   }
 
   /** The backlog, with how urgently each batch waits. */
-  private line(now: number): readonly Waiting[] {
+  private line(backlog: readonly Batch[], now: number): readonly Waiting[] {
     const { urgency } = this.opts.policy;
-    return this.backlog.flatMap((batch) => {
+    return backlog.flatMap((batch) => {
       const found = this.attempt(batch, () => urgency(batch, now));
       return found ? [{ batch, urgency: found }] : [];
     });
--- a/src/runs/HeldRuns.ts
+++ b/src/runs/HeldRuns.ts
@@ -78,12 +78,12 @@
 
   /** Whether a run is there under which a backend server has crashed before. */
   get hasSuspect(): boolean {
-    return [...this.runs.values()].some(({ request }) => request.suspicion > 0);
+    return this.has(({ suspicion }) => suspicion > 0);
   }
 
   /** Whether a run is there beside which there may be no other. */
   get isForOne(): boolean {
-    return [...this.runs.values()].some(({ request }) => hasToRunAlone(request.suspicion));
+    return this.has(({ suspicion }) => hasToRunAlone(suspicion));
   }
 
   /** Takes room for a run, in place of an earlier try of the same task. */
@@ -152,6 +152,14 @@
     );
   }
 
+  /** Asked with each order and each report of room, so nothing is copied for it. */
+  private has(matches: (request: RunRequest) => boolean): boolean {
+    for (const { request } of this.runs.values()) {
+      if (matches(request)) return true;
+    }
+    return false;
+  }
+
   private finishProven(look: number, seen: ReadonlySet<RunState>): void {
     [...this.proofs].forEach(([state, provenBy]) => {
       if (look < provenBy || seen.has(state)) return;
