Review: a task runs twice after its runner started again behind a cut

Cause: when a runner is silent and its lease has passed, all its runs are told as lost, also those whose start has had no answer. A runner that starts again under its id has a new clock and has seen no token, so such a start is carried out by its next life, while the task runs elsewhere.

Change: case 1, a script with one runner that is cut off and starts again; the stand-in of the runner learns both.

--- a/review/standins/Deployment.mjs
+++ b/review/standins/Deployment.mjs
@@ -51,9 +51,9 @@
 
 export class Deployment {
   /** The record is written into the folder `dirname`; `storeVia` may put a proxy between the processes and the store. */
-  constructor({ entries, sidecars, dirname, storeVia }) {
+  constructor({ entries, sidecars, dirname, storeVia, tellsBorn }) {
     const file = path.join(dirname, 'record.txt');
-    Object.assign(this, { entryCount: entries, sidecarCount: sidecars, file, storeVia });
+    Object.assign(this, { entryCount: entries, sidecarCount: sidecars, file, storeVia, tellsBorn });
     this.startedAt = performance.now();
     this.processes = new Map();
     this.runners = [];
@@ -99,6 +99,7 @@
           port: PORTS.app,
           control: `${ip}:${PORTS.control}`,
           zone: zoneOf(at),
+          tellsBorn: this.tellsBorn,
           record: (...event) => this.record(...event),
         });
         this.runners.push(runner);
--- a/review/standins/Runner.mjs
+++ b/review/standins/Runner.mjs
@@ -1,4 +1,5 @@
-// Stand-in of a runner: registers at its sidecar, takes starts, stops and holds under a lease.
+// Stand-in of a runner: registers at its sidecar, takes starts, stops and holds under a lease. It can be cut off, and
+// start again under its id.
 import { Buffer } from 'node:buffer';
 import { createServer, request } from 'node:http';
 import { performance } from 'node:perf_hooks';
@@ -17,10 +18,35 @@
 const PERCENT = 100;
 
 export default class Runner {
-  /** `record` gets each event; `spec` of a job is JSON with the duration of a task, ms. */
-  constructor({ id, service, ip, port, control, zone, record, labels = ['a', 'r1-1'] }) {
-    Object.assign(this, { id, service, ip, port, control, zone, record, labels });
+  /**
+   * `record` gets each event; `spec` of a job is JSON with the duration of a task, ms. With `tellsBorn` it says when it
+   * started, as runners do that start again under their id.
+   */
+  constructor({
+    id,
+    service,
+    ip,
+    port,
+    control,
+    zone,
+    record,
+    labels = ['a', 'r1-1'],
+    tellsBorn = false,
+  }) {
+    Object.assign(this, { id, service, ip, port, control, zone, record, labels, tellsBorn });
+    this.isCut = false;
+    /** Calls that the cut has held up, in the order in which they were sent. */
+    this.heldCalls = [];
+    this.begin();
+    this.server = createServer((req, res) => {
+      this.serve(req, res).catch(() => res.destroy());
+    });
+  }
+
+  /** Begins a life, which knows nothing of the one before. */
+  begin() {
     this.startedAt = performance.now();
+    this.born = Date.now();
     this.runs = new Map();
     this.highest = new Map();
     this.ends = [];
@@ -29,8 +55,30 @@
     this.leaseUntil = 0;
     this.sequence = 0;
     this.waiting = new Set();
-    this.server = createServer((req, res) => {
-      this.serve(req, res).catch(() => res.destroy());
+  }
+
+  /** Cuts the runner off: it is not heard, and no call to it is answered. */
+  cutOff() {
+    this.isCut = true;
+    this.record(this.id, 'cut off');
+  }
+
+  /** Crashes and starts again under the same id. */
+  startAgain() {
+    clearTimeout(this.leaseTimer);
+    [...this.runs.keys()].forEach((task) => this.end(task, 'crashed'));
+    this.begin();
+    this.record(this.id, 'started again', { born: this.born });
+  }
+
+  /** Ends the cut: the calls that it has held up are carried out late, and their answers are lost. */
+  reconnect() {
+    this.isCut = false;
+    this.record(this.id, 'reconnected', { heldCalls: this.heldCalls.length });
+    this.heldCalls.splice(0).forEach(({ call, body }) => {
+      if (call === 'run-start') this.runStart(body);
+      else if (call === 'run-stop') this.runStop(body);
+      else if (call === 'hold' && this.accepts(body.fencing_token)) this.renew(body.deadline_ms);
     });
   }
 
@@ -62,6 +110,7 @@
   }
 
   beat() {
+    if (this.isCut) return;
     this.sequence += 1;
     const body = JSON.stringify({
       service: this.service,
@@ -75,6 +124,7 @@
       labels: this.labels,
       clock_ms: this.clock,
       seq: this.sequence,
+      ...(this.tellsBorn && { born: this.born }),
     });
     const [host, port] = this.control.split(':');
     const req = request({
@@ -98,12 +148,18 @@
   async serve(req, res) {
     const call = req.url.split('/').at(-1);
     const body = await json(req);
+    if (this.isCut) {
+      this.heldCalls.push({ call, body });
+      return;
+    }
     let reply = { status: 400 };
     if (req.headers['x-expected-instance'] !== this.id) reply = { status: 421 };
     else if (call === 'run-start') reply = this.runStart(body);
     else if (call === 'run-stop') reply = this.runStop(body);
     else if (call === 'hold') reply = await this.hold(body);
-    const text = JSON.stringify({ clock_ms: this.clock, ...reply.body });
+    if (this.isCut) return;
+    const born = this.tellsBorn && { born: this.born };
+    const text = JSON.stringify({ clock_ms: this.clock, ...born, ...reply.body });
     res.writeHead(reply.status, {
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(text),
