--- a/test/usersPlatform/HttpBackendRunClient.test.ts
+++ b/test/usersPlatform/HttpBackendRunClient.test.ts
@@ -2,6 +2,7 @@
 import HttpBackendRunClient from '../../platform/HttpBackendRunClient';
 import SystemTimer from '../../src/core/SystemTimer';
 import Resources from '../../src/room/Resources';
+import TcpProxy from '../../tools/harness/TcpProxy';
 import errorOf from '../support/errorOf';
 import FakeHttpServer from '../support/FakeHttpServer';
 import valueOf from '../support/valueOf';
@@ -168,3 +169,21 @@
   const res = await clientOf('10.0.0.1:99999').poll(0, 1, 0, 100);
   expect(errorOf(res).kind).toBe('closed');
 });
+
+// When all open connections went silent, each call waited in vain on the next idle one, until the lease had passed and
+// everything that ran was lost.
+test('after a poll without an answer, calls do not use the connections that were open before', async () => {
+  const { backend } = await open(() => ({
+    status: 200,
+    body: { clock_ms: 1, running: [], finished: [] },
+  }));
+  const proxy = await TcpProxy.to(backend.address);
+  const client = clientOf(proxy.address);
+  await Promise.all(Array.from({ length: 4 }, () => client.start(run, '', 1, 1, TIMEOUT_MS)));
+  proxy.freeze();
+  const first = await client.poll(0, 1, 0, 50);
+  const second = await client.poll(0, 1, 0, TIMEOUT_MS / 2);
+  proxy.close();
+  await backend.close();
+  expect([first.isErr(), second.isOk()]).toEqual([true, true]);
+});
