A silent link between entries is closed after 2.25 s

They sent something over an idle link every 10 s and closed it after 25 s without a message, though machines count as in touch 3 s after their connections have gone silent. Cancellations and versions sent over such a link were lost: a batch cancelled at one entry went on at another. And a link closed for silence kept its connection, so the next one was opened over it in vain.

Change: entries send a heartbeat over a link that is idle for a second, say so in their hello, and close a link of such an entry after 2.25 s (an earlier version's after 25 s, as before). They use the KeepAlive of the manifest path, which now closes the connection with the link.

--- a/src/batches/EntryMesh.ts
+++ b/src/batches/EntryMesh.ts
@@ -2,6 +2,7 @@
 import type Subscription from '../core/Subscription';
 import {
   BatchCancelledSchema,
+  HeartbeatSchema,
   type Hello,
   KnownEntriesSchema,
   KnownEntrySchema,
@@ -9,6 +10,7 @@
 } from '../gen/magnoliakeel/v1/peer_pb';
 import handleMessage from '../link/handleMessage';
 import type Link from '../link/Link';
+import KeepAlive from '../link/KeepAlive';
 import linkEndFields from '../link/linkEndFields';
 import type MessageHandlers from '../link/MessageHandlers';
 import type PeerMessage from '../link/PeerMessage';
@@ -22,6 +24,7 @@
 import type Cancellation from './Cancellation';
 import ConfigurationExchange from './ConfigurationExchange';
 import type EntryPeersOptions from './EntryPeersOptions';
+import meshTimings from './meshTimings';
 
 interface EntryMeshOptions extends EntryPeersOptions {
   /** The Hello message of this entry when it dials. */
@@ -49,7 +52,7 @@
 
   private readonly addresses: KnownAddresses;
 
-  private readonly timers: readonly Subscription[];
+  private readonly broadcasts: Subscription;
 
   private broadcastTimer: Subscription | undefined;
 
@@ -78,12 +81,7 @@
       onError: (address, error) => log.warn('error in serving a link', { address, error }),
     });
     this.addresses = KnownAddresses.create(timer, seeds, () => this.updateDials());
-    this.timers = [
-      timer.every(BROADCAST_INTERVAL_MS, () => this.broadcastEntries()),
-      timer.every(CHECK_INTERVAL_MS, () =>
-        this.links.forEach((link) => this.closeIfUnresponsive(link)),
-      ),
-    ];
+    this.broadcasts = timer.every(meshTimings.broadcastIntervalMs, () => this.broadcastEntries());
   }
 
   /** Creates the links of an entry; nothing is dialled before `updateDials`. */
@@ -173,7 +171,7 @@
 
   /** Closes the links. */
   async close(): Promise<void> {
-    this.timers.forEach((interval) => interval.cancel());
+    this.broadcasts.cancel();
     this.broadcastTimer?.cancel();
     this.configurations.stop();
     this.addresses.stop();
@@ -214,6 +212,7 @@
   private async serve(link: Link): Promise<void> {
     this.links.add(link);
     this.opts.claims.linkOpened(link);
+    this.keepAlive(link);
     const { instance, address } = link.peer;
     const { timer } = this.opts;
     const openedAt = timer.now();
@@ -269,7 +268,7 @@
    * all others.
    */
   private broadcastEntriesSoon(): void {
-    this.broadcastTimer ??= this.opts.timer.after(BROADCAST_DELAY_MS, () => {
+    this.broadcastTimer ??= this.opts.timer.after(meshTimings.broadcastDelayMs, () => {
       this.broadcastTimer = undefined;
       if (this.linkedAddresses !== this.lastBroadcast) this.broadcastEntries();
     });
@@ -282,21 +281,23 @@
   private broadcastEntries(): void {
     const message = this.knownEntries();
     this.lastBroadcast = this.linkedAddresses;
-    // Sent over every link, since it is also the sign that the link works.
+    // Sent over every link, since entries of earlier versions close a link over which they do not receive it.
     this.links.forEach((link) => link.send(message));
     this.opts.onEntriesChange(message);
   }
 
   /**
-   * Closes a link over which nothing has arrived for some time. Messages queued for an entry that
-   * is gone would pile up, and its address would be passed on to others.
+   * Sends heartbeats over a link and closes it when the other entry is silent. What is sent over a silent link is lost,
+   * such as cancellations and configurations, and is sent again over the next one.
    */
-  private closeIfUnresponsive(link: Link): void {
-    const silentMs = this.opts.timer.now() - link.lastReceivedAt;
-    if (silentMs < LINK_TIMEOUT_MS) return;
-    const entry = link.peer.instance;
-    this.opts.log.warn('closing the link to an unresponsive entry', { entry, silentMs });
-    link.close(true);
+  private keepAlive(link: Link): void {
+    const { heartbeatMs, closeAfterMs, closeEarlierVersionAfterMs } = meshTimings;
+    const closeMs = link.peer.heartbeatMs > 0 ? closeAfterMs : closeEarlierVersionAfterMs;
+    const limits = { intervalMs: heartbeatMs, suspectMs: closeMs - heartbeatMs, closeMs };
+    KeepAlive.start(link, this.opts.timer, limits, {
+      heartbeat: () => ({ case: 'heartbeat', value: create(HeartbeatSchema) }),
+      onSuspicionChange: () => undefined,
+    });
   }
 
   /**
@@ -344,21 +345,3 @@
  * the square of the entries.
  */
 const SUCCESSOR_COUNT = 4;
-
-/** How long newly linked entries are gathered before a broadcast, ms. */
-const BROADCAST_DELAY_MS = 250;
-
-/**
- * Interval of the broadcast of addresses to all peers, ms. An address expires after three intervals
- * without one.
- */
-const BROADCAST_INTERVAL_MS = 10_000;
-
-/**
- * A link is closed after this time without a message from the other entry, ms: within it, two
- * broadcasts are due.
- */
-const LINK_TIMEOUT_MS = 2.5 * BROADCAST_INTERVAL_MS;
-
-/** Interval of the check for unresponsive links, ms. */
-const CHECK_INTERVAL_MS = 1_000;
--- a/src/batches/EntryPeers.ts
+++ b/src/batches/EntryPeers.ts
@@ -12,6 +12,7 @@
 import readMessages from '../peering/readMessages';
 import EntryMesh from './EntryMesh';
 import type EntryPeersOptions from './EntryPeersOptions';
+import meshTimings from './meshTimings';
 import noJobHandlers from './noJobHandlers';
 import RUN_END_BOUND_MS from '../runs/RUN_END_BOUND_MS';
 import SidecarPeer from './SidecarPeer';
@@ -98,6 +99,7 @@
       role: Role.ENTRY,
       address: listen,
       claims: true,
+      heartbeatMs: meshTimings.heartbeatMs,
     });
   }
 
--- a/src/link/KeepAlive.ts
+++ b/src/link/KeepAlive.ts
@@ -89,7 +89,8 @@
     const { link, timer, options } = this;
     const silentMs = timer.now() - Math.max(link.lastReceivedAt, this.pausedUntil);
     if (silentMs >= options.closeMs) {
-      link.close();
+      // The connection may be dead, and the next link must not use it.
+      link.close(true);
       return;
     }
     this.setSuspecting(silentMs >= options.suspectMs);
--- a/test/link/KeepAlive.test.ts
+++ b/test/link/KeepAlive.test.ts
@@ -1,5 +1,5 @@
 import { create } from '@bufbuild/protobuf';
-import { expect, it } from 'vitest';
+import { expect, it, vi } from 'vitest';
 import { HeartbeatSchema } from '../../src/gen/magnoliakeel/v1/peer_pb';
 import KeepAlive from '../../src/link/KeepAlive';
 import type Link from '../../src/link/Link';
@@ -80,6 +80,15 @@
   `);
 });
 
+// The connection of a silent peer was kept: the next link was opened over it, and waited in vain for its hello.
+it('closes the connection together with the link', async () => {
+  const { timer, near, startKeepAlive } = await openLinks();
+  startKeepAlive(near);
+  const close = vi.spyOn(near, 'close');
+  await timer.advance(30_000);
+  expect(close.mock.calls).toEqual([[true]]);
+});
+
 it('does not suspect the peer after a pause of its own process', async () => {
   const { timer, near, events, startKeepAlive } = await openLinks();
   startKeepAlive(near);
--- a/test/support/MemoryNetwork.ts
+++ b/test/support/MemoryNetwork.ts
@@ -62,6 +62,13 @@
     if (directions === 'both') this.faults.setBlackholed(to, from, true);
   }
 
+  /** Silences the open connections between two instances for good; new ones work. */
+  silence(one: string, other: string): void {
+    this.pipesOf(one)
+      .filter(({ from, to }) => from.instance === other || to.instance === other)
+      .forEach((pipe) => pipe.silence());
+  }
+
   /** Ends the partition, black hole and delay between two instances. */
   heal(one: string, other: string): void {
     this.faults.setPartitioned(one, other, false);
--- a/test/support/Pipe.ts
+++ b/test/support/Pipe.ts
@@ -14,6 +14,8 @@
 
   private isEnded = false;
 
+  private isSilent = false;
+
   private constructor(
     readonly from: MemoryProcess,
     readonly to: MemoryProcess,
@@ -49,6 +51,11 @@
     this.isEnded = true;
   }
 
+  /** Drops everything from now on, without a sign to either side. */
+  silence(): void {
+    this.isSilent = true;
+  }
+
   /** Discards messages in transit and notifies the receiver that the connection is broken. */
   break(): void {
     this.discard();
@@ -83,7 +90,7 @@
   }
 
   private enqueue(deliver: () => void, bytes = 0): void {
-    if (this.isEnded || !this.to.isAlive) return;
+    if (this.isEnded || this.isSilent || !this.to.isAlive) return;
     if (this.faults.isBlackholed(this.from.instance, this.to.instance)) return;
     this.push(deliver, bytes);
   }
