The watch of the manifest does not rely on other calls to notice silence

The watch lasted 30 s, and only a lease renewal that failed ended it sooner. With its connection silent and renewals on newer ones, a configuration was in force half a minute late; 4 s are promised.

Change: the watch waits 1.5 s, its answer may be 1 s late, and the first retry comes after 0.25 s. A call that is not answered has later ones use a new pool of connections; calls under way are finished over the old one.

--- a/src/membership/StoreWatch.ts
+++ b/src/membership/StoreWatch.ts
@@ -8,8 +8,12 @@
 import parseView from './parseView';
 import type StoreWatchOptions from './StoreWatchOptions';
 
-const WATCH_WAIT_MS = 30_000;
-const FIRST_RETRY_DELAY_MS = 1_000;
+/**
+ * How long the store holds a watch call open, ms. Calls are metered, but a connection that has gone silent is noticed only
+ * after this time and the client's time-out, and a configuration is to be in force everywhere within four seconds.
+ */
+const WATCH_WAIT_MS = 1_500;
+const FIRST_RETRY_DELAY_MS = 250;
 const MAX_RETRY_DELAY_MS = 30_000;
 
 /**
--- a/src/store/HttpStore.ts
+++ b/src/store/HttpStore.ts
@@ -10,6 +10,9 @@
 
 const MAX_CONNECTIONS = 8;
 
+/** How much longer than it should the service may take to answer a watch, ms. */
+const WATCH_TIMEOUT_MS = 1_000;
+
 const ERROR_KINDS: Readonly<Record<number, StoreError['kind']>> = {
   409: 'conflict',
   410: 'leaseGone',
@@ -21,14 +24,16 @@
  * may still take effect later.
  */
 export default class HttpStore implements Store {
-  private readonly pool: Pool;
+  private pool: Pool;
+
+  /** Pools that are closing, over which calls may still be under way. */
+  private readonly replacedPools = new Set<Pool>();
 
   private readonly rateLimiter: TokenBucket;
 
   private constructor(private readonly options: HttpStoreOptions) {
-    // Time-outs are enforced with the timer service, so those of the pool are disabled.
-    const { url, timer, callsPerSecond } = options;
-    this.pool = new Pool(url, { connections: MAX_CONNECTIONS, headersTimeout: 0, bodyTimeout: 0 });
+    this.pool = createPool(options.url);
+    const { timer, callsPerSecond } = options;
     this.rateLimiter = TokenBucket.of(timer, callsPerSecond);
   }
 
@@ -39,7 +44,7 @@
 
   /** Closes all connections; pending calls fail as `unavailable`. */
   async close(): Promise<void> {
-    await this.pool.destroy();
+    await Promise.all([this.pool, ...this.replacedPools].map((pool) => pool.destroy()));
   }
 
   get(key: string): ResultAsync<StoreItem | undefined, StoreError> {
@@ -89,7 +94,8 @@
     signal?: AbortSignal,
   ): ResultAsync<StoreChanges, StoreError> {
     const path = `/v1/watch?${query({ prefix, after: afterRevision, waitMs })}`;
-    return this.call({ method: 'GET', path, waitMs, signal });
+    const timeoutMs = Math.min(this.options.timeoutMs, WATCH_TIMEOUT_MS);
+    return this.call({ method: 'GET', path, timeoutMs: waitMs + timeoutMs, signal });
   }
 
   private call<T>(call: Call): ResultAsync<T, StoreError> {
@@ -108,11 +114,13 @@
 
   private async callWithTimeout<T>(call: Call): Promise<Result<T, StoreError>> {
     const { timer, timeoutMs } = this.options;
+    const { pool } = this;
     const timeoutController = new AbortController();
     const abort = (): void => timeoutController.abort(new Error('aborted'));
-    const timeout = timer.after(timeoutMs + (call.waitMs ?? 0), () =>
-      timeoutController.abort(new Error('timeout')),
-    );
+    const timeout = timer.after(call.timeoutMs ?? timeoutMs, () => {
+      this.replacePool(pool);
+      timeoutController.abort(new Error('timeout'));
+    });
     call.signal?.addEventListener('abort', abort, { once: true });
     try {
       return await this.send<T>(call, timeoutController.signal);
@@ -124,6 +132,17 @@
     }
   }
 
+  /**
+   * Has later calls use new connections after one was not answered: open connections may go silent all at once. Calls
+   * that are under way are finished over the old ones.
+   */
+  private replacePool(used: Pool): void {
+    if (this.pool !== used) return;
+    this.pool = createPool(this.options.url);
+    this.replacedPools.add(used);
+    used.close().finally(() => this.replacedPools.delete(used));
+  }
+
   private async send<T>(call: Call, signal: AbortSignal): Promise<Result<T, StoreError>> {
     const { statusCode, body } = await this.pool.request({
       method: call.method,
@@ -146,11 +165,16 @@
   readonly body?: unknown;
   /** A missing key (status 404) is a result, not an error. */
   readonly allowsMissing?: boolean;
-  /** How long the service may hold the call open before it answers, ms; added to the time-out. */
-  readonly waitMs?: number;
+  /** Time-out, ms; that of the options by default. */
+  readonly timeoutMs?: number;
   readonly signal?: AbortSignal;
 }
 
+/** Time-outs are enforced with the timer service, so those of the pool are disabled. */
+function createPool(url: string): Pool {
+  return new Pool(url, { connections: MAX_CONNECTIONS, headersTimeout: 0, bodyTimeout: 0 });
+}
+
 function unavailable(reason: string): StoreError {
   return { kind: 'unavailable', reason };
 }
