--- a/src/membership/PrefixWatcher.ts
+++ b/src/membership/PrefixWatcher.ts
@@ -12,6 +12,8 @@
   readonly store: WatchableStore;
   readonly log: EventLog;
   readonly prefix: string;
+  /** How long the store holds a watch call open, ms; a connection that has gone silent is noticed after it. */
+  readonly waitMs?: number;
   /** Called for each key with its value, for those listed at first and after each change. */
   readonly onPut: (key: string, value: string) => void;
   /** Called for each key that was deleted. */
@@ -66,9 +68,9 @@
 
   /** Makes one list or watch call and applies its result. Returns the reason if it failed. */
   private async listOrWatch(signal: AbortSignal): Promise<string | undefined> {
-    const { store, prefix, timer } = this.opts;
+    const { store, prefix, timer, waitMs: usualWaitMs = WATCH_WAIT_MS } = this.opts;
     const isFirst = this.revision === undefined;
-    const waitMs = this.isUnreachable ? WATCH_WAIT_AFTER_FAILURE_MS : WATCH_WAIT_MS;
+    const waitMs = this.isUnreachable ? WATCH_WAIT_AFTER_FAILURE_MS : usualWaitMs;
     const res = isFirst
       ? await store.list(
           prefix,
@@ -135,8 +137,8 @@
 const MAX_LIST_TIMEOUT_MS = 1_500;
 
 /**
- * How long the store holds a watch call open, ms. Calls are metered, but a connection that has gone silent is noticed
- * only after this time and the client's time-out, and a change must not wait for that longer than some three seconds.
+ * Default wait of a watch call, ms. Calls are metered, but a connection that has gone silent is noticed only after this
+ * time and the client's time-out, and a change must not wait for that longer than some three seconds.
  */
 const WATCH_WAIT_MS = 1_500;
 
