A cancelled job stays cancelled when its owner is killed

What callers saw, on the manifest path: a job was cancelled (410), its owner was killed, and the same submission ran whole at the next owner.

Only the owner had the record of the cancellation. Sidecars, which bear witness of what was started, cannot tell that a task must not be.

Change: an owner copies the record of a cancelled job to two deputies, the members next in weight, before it answers. Who owns the job after the loss of the owner asks those that were its deputies.

--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -30,6 +30,7 @@
 import type PeerMessage from '../link/PeerMessage';
 import Membership from '../membership/Membership';
 import StoreWatch from '../membership/StoreWatch';
+import copyToDeputies from '../recovery/copyToDeputies';
 import Recovery from '../recovery/Recovery';
 import type Manifest from '../settings/Manifest';
 import Admission from './Admission';
@@ -365,7 +366,7 @@
   }
 
   private createJobs(): JobTable {
-    const { timer, random, settings } = this.options;
+    const { timer, random, settings, network } = this.options;
     const admission = Admission.create(
       {
         manifest: this.manifest,
@@ -384,6 +385,8 @@
         clockSkewMs: settings.recovery.clockSkewMs,
         ownsKey: (key) => this.ownsKey(key),
         recover: (key, createdMs) => this.recovery.recover(key, createdMs),
+        saveCancelled: (record) =>
+          copyToDeputies(record, { timer, network, view: this.views.current }),
         refusalFor: (submission, keptBytes, isContinued) =>
           admission.refusalFor(submission, keptBytes, isContinued),
         retentionMsOf: (name) => service(name)?.retentionMs ?? this.manifest.longestRetentionMs,
--- a/src/entry/JobTable.ts
+++ b/src/entry/JobTable.ts
@@ -100,6 +100,8 @@
     const known = this.records.get(key);
     if (known) {
       this.endEarly(known, Outcome.CANCELLED, 'cancelled by the caller');
+      const { record } = known;
+      if (record?.answer?.outcome === Outcome.CANCELLED) await this.options.saveCancelled(record);
       return answerReply(known.progress());
     }
     const holder = await this.findHolder(key, submission);
--- a/src/entry/JobTableOptions.ts
+++ b/src/entry/JobTableOptions.ts
@@ -1,5 +1,5 @@
 import type TimerService from '../core/TimerService';
-import type { Answer, Submission } from '../gen/magnoliakeel/v1/peer_pb';
+import type { Answer, JobRecord, Submission } from '../gen/magnoliakeel/v1/peer_pb';
 import type EntryMetrics from '../observe/EntryMetrics';
 import type RecoveredState from '../recovery/RecoveredState';
 
@@ -13,6 +13,8 @@
   readonly ownsKey: (key: string) => boolean;
   /** Recovers what other processes know of a job that has no record here. */
   readonly recover: (key: string, createdMs: number) => Promise<RecoveredState>;
+  /** Copies the record of a cancelled job to other entries; resolves when they have it, or after a time-out. */
+  readonly saveCancelled: (record: JobRecord) => Promise<void>;
   /**
    * The answer to a submission that can't be accepted, now or ever; undefined for
    * one that can. `keptBytes` is the memory that records use already; `isContinued`
--- a/src/recovery/Recovery.ts
+++ b/src/recovery/Recovery.ts
@@ -15,6 +15,7 @@
 import FenceConfirmations from './FenceConfirmations';
 import type JobInquiry from './JobInquiry';
 import type FormerOwner from './FormerOwner';
+import formerDeputies from './formerDeputies';
 import formerOwners from './formerOwners';
 import type RecoveredState from './RecoveredState';
 import type RecoveryOptions from './RecoveryOptions';
@@ -66,8 +67,11 @@
   async recover(job: string, createdMs: number): Promise<RecoveredState> {
     const sinceMs = createdMs - this.options.clockSkewMs;
     const owners = formerOwners(this.options.views.current, job, sinceMs, this.options.self);
-    const answers = await this.askFormerOwners(job, owners);
-    const state = answers.find(isHeldElsewhere) ?? answers.find(isRecoveredState);
+    const [answers, cancelled] = await Promise.all([
+      this.askFormerOwners(job, owners),
+      this.askFormerDeputies(job, sinceMs),
+    ]);
+    const state = answers.find(isHeldElsewhere) ?? cancelled ?? answers.find(isRecoveredState);
     if (state) return state;
     const responses = answers.filter(isClaimResponse);
     const testimonies = responses.flatMap((response) => response.testimonies);
@@ -107,9 +111,22 @@
     return Promise.all(members.map((owner) => this.askFormerOwner(job, owner, view)));
   }
 
+  /** Asks the deputies of owners that were removed; returns the one that has the job as cancelled, if any. */
+  private async askFormerDeputies(
+    job: string,
+    sinceMs: number,
+  ): Promise<RecoveredState | undefined> {
+    const { views, self } = this.options;
+    const deputies = formerDeputies(views.current, job, sinceMs, self);
+    const answers = await Promise.all(
+      deputies.map((deputy) => this.askFormerOwner(job, deputy, views.current)),
+    );
+    return answers.find(isHeldElsewhere);
+  }
+
   private async askFormerOwner(
     job: string,
-    { incarnation, address }: FormerOwner,
+    { incarnation, address }: Pick<FormerOwner, 'incarnation' | 'address'>,
     view: View,
   ): Promise<RecoveredState | ClaimResponse> {
     const req = create(ClaimRequestSchema, { job, view, owner: incarnation });
--- a/test/entry/jobTable.test.ts
+++ b/test/entry/jobTable.test.ts
@@ -16,6 +16,7 @@
   const options: Partial<JobTableOptions> = {
     ...{ timer, clockSkewMs: SKEW_MS, ownsKey: () => true, refusalFor },
     recover: async () => ({ kind: 'fresh' }),
+    saveCancelled: async () => undefined,
     ...{
       retentionMsOf: () => RETENTION_MS,
       taskTimeoutMsOf: () => 1000,
