The soak cancels jobs, and ends with silent connections

It cancelled nothing, and did not check how soon a configuration is in force.

Change: a further way to send a job, "cancelled". At the end of each run all open connections of the processes go silent just after a change; from three seconds later a new version has to be in force within two, and copies of all cancelled jobs, sent to each entry, must start nothing. A job answered as cancelled does not count as served.

--- a/test/soak/Checker.test.ts
+++ b/test/soak/Checker.test.ts
@@ -132,6 +132,34 @@
   expect(kinds()).toEqual(expected);
 });
 
+const cancelledJob = { id: 'a', body: '', tasks: ['a.0.0.0'], deadlineMs: 1 };
+
+test('reports a run of a cancelled job once nothing is disturbed any more', async () => {
+  checker.jobCancelled(cancelledJob);
+  checker.lastDisturbed();
+  await timer.advance(2_900);
+  run('a.0.0.0');
+  checker.runEnded('b1', 'a.0.0.0', 'stopped');
+  const before = kinds();
+  await timer.advance(100);
+  run('a.0.0.0');
+  expect([before, kinds()]).toEqual([[], ['a cancelled job ran']]);
+});
+
+test('reports a job that is answered as cancelled although no caller has asked for that', () => {
+  const cancelled = '{"state":"cancelled"}';
+  answer(200, cancelled);
+  checker.cancelRequested(cancelledJob);
+  answer(200, cancelled);
+  expect(kinds()).toEqual(['cancelled without a request']);
+});
+
+test('a cancelled job does not show that its entry serves again', () => {
+  checker.cancelRequested(cancelledJob);
+  [1, 2, 3, 4, 5].forEach((sentAt) => answer(200, '{"state":"cancelled"}', sentAt));
+  expect(checker.haveServedSince(['e1'], 0)).toBe(false);
+});
+
 test('reports a request that was sent before a graceful shutdown and lost by it', async () => {
   await timer.advance(2_000);
   checker.processDisturbed('e1', 'stop');
--- a/test/soak/runSoak.test.ts
+++ b/test/soak/runSoak.test.ts
@@ -32,3 +32,19 @@
   const { findings } = await runSoak({ ...size, unusual, seed: 1, seconds: 3, faults: [] });
   expect(findings).toEqual([]);
 });
+
+// Each run ends with copies of the cancelled jobs at all entries, after all open connections have gone silent.
+test('cancelled jobs stay cancelled when all entries are restarted in turn', async () => {
+  const restarts = ([1, 2, 3] as const).map((number): Fault => ({
+    kind: 'stop',
+    atMs: number * 900,
+    forMs: 300,
+    target: `entry-${number}`,
+  }));
+  const size = { entries: 3, sidecars: 3, callers: 6 };
+  const unusual = { ways: ['cancelled'], oneIn: 1 } as const;
+  const options = { ...size, unusual, seed: 1, seconds: 4, faults: restarts };
+  const { findings, counts } = await runSoak(options);
+  expect(findings).toEqual([]);
+  expect(counts['cancelled jobs']).toBeGreaterThan(0);
+});
--- a/tools/soak/Checker.ts
+++ b/tools/soak/Checker.ts
@@ -1,5 +1,6 @@
 import type TimerService from '../../src/core/TimerService';
 import type Finding from './Finding';
+import type Job from './Job';
 
 /** A job that a caller has sent, with its tasks by the names that backend servers receive. */
 interface ObservedJob {
@@ -56,6 +57,14 @@
   /** For each entry, when the jobs were sent that it answered with 200. */
   private readonly completedSentAt = new Map<string, number[]>();
 
+  private readonly cancelRequests = new Set<string>();
+
+  /** Jobs whose cancelling was acknowledged, each with the time of that. */
+  private readonly cancelled = new Map<Job, number>();
+
+  /** When the connections of all processes were last disturbed, if nothing else is disturbed any more. */
+  private quietSince = Infinity;
+
   private readonly startedAt: number;
 
   private constructor(private readonly timer: TimerService) {
@@ -77,6 +86,8 @@
     );
     this.running.set(`${backend} ${task}`, run);
     this.startedBatches.add(batchOf(task));
+    if (this.isQuiet && this.cancelledJobs.some(({ id }) => id === batchOf(task)))
+      this.report('a cancelled job ran', `${task} at ${backend}`);
     const used = [...this.running.values()]
       .filter((other) => other.backend === backend)
       .reduce((sum, other) => sum + other.cpuMilli, 0);
@@ -106,11 +117,47 @@
     this.jobs.get(id)?.statuses.push(status);
     if (status === 0) this.checkUnanswered(answer);
     else (checks[status] ?? checks.other)!(this, answer, bodyOf(text));
-    if (status !== 200) return;
+    if (status !== 200 || bodyOf(text).state === 'cancelled') return;
     const times = this.completedSentAt.get(entry) ?? [];
     this.completedSentAt.set(entry, [...times, answer.sentAt]);
   }
 
+  /** Records that a caller is about to ask for the cancelling of a job. */
+  cancelRequested({ id }: Job): void {
+    this.cancelRequests.add(id);
+  }
+
+  /** Whether a caller has asked for the cancelling of a job. */
+  isCancelRequested(id: string): boolean {
+    return this.cancelRequests.has(id);
+  }
+
+  /** Records that an entry has acknowledged the cancelling of a job. */
+  jobCancelled(job: Job): void {
+    this.count('cancelled jobs');
+    this.cancelled.set(job, this.timer.now());
+  }
+
+  /** The jobs that must not run again, whichever entry gets them. */
+  get cancelledJobs(): readonly Job[] {
+    const oldest = this.timer.now() - CANCELLED_FOR_MS;
+    return [...this.cancelled].flatMap(([job, at]) => (at > oldest ? [job] : []));
+  }
+
+  /** Records that nothing is disturbed any more but open connections, which have just gone silent. */
+  lastDisturbed(): void {
+    this.quietSince = this.timer.now() + CONTACT_MS;
+  }
+
+  /** The newest configuration that a process has in force, by its output. */
+  versionOf(process: string): number {
+    return this.versions.get(process) ?? 0;
+  }
+
+  private get isQuiet(): boolean {
+    return this.timer.now() >= this.quietSince;
+  }
+
   /** Records that the caller's side ended a connection before a job sent over it was answered. */
   connectionClosed(id: string): void {
     this.count('closed by the caller');
@@ -213,6 +260,12 @@
 /** A request sent this shortly before a graceful shutdown may reach a closing connection, ms. */
 const CLOSING_WINDOW_MS = 500;
 
+/** Processes whose connections were disturbed keep all time limits again after this time, ms (`contact_ms`). */
+const CONTACT_MS = 3_000;
+
+/** A cancelled job must not run for two minutes, ms, less what the checks themselves take. */
+const CANCELLED_FOR_MS = 110_000;
+
 type Body = Readonly<Record<string, unknown>>;
 
 type Check = (checker: Checker, answer: Answer, body: Body) => void;
@@ -222,6 +275,8 @@
   200: (checker, { id, text }, { state }) => {
     if (state === 'completed') {
       if (!checker.isDone(id)) checker.report('completed without all tasks done', id);
+    } else if (state === 'cancelled') {
+      if (!checker.isCancelRequested(id)) checker.report('cancelled without a request', id);
     } else if (state !== 'failed') checker.report('an answer is not whole', `${id}: 200 ${text}`);
   },
   503: (checker, { id, text }, { error, retry_after_ms: retryAfterMs }) => {
--- a/tools/soak/EntryConnection.ts
+++ b/tools/soak/EntryConnection.ts
@@ -1,5 +1,5 @@
 import type { Socket } from 'node:net';
-import { buildConnector, Client } from 'undici';
+import { buildConnector, Client, type Dispatcher } from 'undici';
 import type TimerService from '../../src/core/TimerService';
 import type Job from './Job';
 import type SendResult from './SendResult';
@@ -35,17 +35,30 @@
 
   /** Submits a job and waits for its answer; if `cancel` aborts first, the connection is closed. */
   async send({ id, body, deadlineMs }: Job, cancel?: AbortSignal): Promise<SendResult> {
+    const headers = { 'content-type': 'application/json', 'x-deadline-ms': String(deadlineMs) };
+    const call = { path: `/jobs/${id}`, method: 'POST', headers, body } as const;
+    return this.request(call, deadlineMs, cancel);
+  }
+
+  /** Asks the entry to cancel a job. */
+  async cancel({ id, deadlineMs }: Job): Promise<SendResult> {
+    return this.request({ path: `/jobs/${id}`, method: 'DELETE', headers: {} }, deadlineMs);
+  }
+
+  private async request(
+    call: Pick<Dispatcher.RequestOptions, 'path' | 'method' | 'body'> & {
+      readonly headers: Readonly<Record<string, string>>;
+    },
+    limitMs: number,
+    cancel?: AbortSignal,
+  ): Promise<SendResult> {
     const { resets } = this;
     const timeout = new AbortController();
-    const limit = this.timer.after(deadlineMs + TOLERANCE_MS, () => timeout.abort('silence'));
-    const headers = {
-      ...{ host: 'soak.example', 'content-type': 'application/json' },
-      'x-deadline-ms': String(deadlineMs),
-    };
+    const limit = this.timer.after(limitMs + TOLERANCE_MS, () => timeout.abort('silence'));
+    const headers = { host: 'soak.example', ...call.headers };
     const signal = cancel ? AbortSignal.any([timeout.signal, cancel]) : timeout.signal;
     try {
-      const path = `/jobs/${id}`;
-      const res = await this.client.request({ path, headers, body, signal, method: 'POST' });
+      const res = await this.client.request({ ...call, headers, signal });
       return {
         status: res.statusCode,
         text: await res.body.text(),
--- a/tools/soak/JobSender.ts
+++ b/tools/soak/JobSender.ts
@@ -47,6 +47,15 @@
     return result;
   }
 
+  /** Asks an entry, over a connection to it, to cancel a job. */
+  async cancel(job: Job, connection: EntryConnection): Promise<void> {
+    const { checker, logLine } = this.opts;
+    checker.cancelRequested(job);
+    const { status } = await connection.cancel(job);
+    logLine(`caller has ${status} for cancelling ${job.id} at ${connection.entry}`);
+    if (status === 200 || status === 410) checker.jobCancelled(job);
+  }
+
   /** Replaces the current connection by one to a random entry, and closes it. */
   async reconnect(): Promise<void> {
     await this.close(this.switchTo(this.connect([...this.opts.entries.keys()])));
--- a/tools/soak/SoakDeployment.ts
+++ b/tools/soak/SoakDeployment.ts
@@ -71,6 +71,9 @@
 
   private isClosing = false;
 
+  /** The version of the newest configuration. */
+  version = 0;
+
   private constructor(
     private readonly opts: SoakDeploymentOptions,
     private readonly network: string,
@@ -90,7 +93,7 @@
   static async start(opts: SoakDeploymentOptions): Promise<SoakDeployment> {
     const deployment = new SoakDeployment(opts, await reserveNetwork());
     const store = await deployment.store.listen(`${deployment.network}.5.1`, PORT);
-    deployment.configure(1);
+    deployment.configure();
     for (let number = 1; number <= opts.entries; number += 1)
       await deployment.addEntry(number, store);
     await deployment.waitForOutput(deployment.entries, /a configuration is in force/);
@@ -154,18 +157,25 @@
   /** Changes the configuration repeatedly until the signal aborts, with fast and large changes during a flood. */
   async changeConfiguration(stop: AbortSignal): Promise<void> {
     const { timer, random } = this.opts;
-    let version = 1;
     let pauseMs = CONFIGURATION_PAUSES_MS[0]!;
     while (!stop.aborted) {
       if (random.below(20) === 0)
         pauseMs = CONFIGURATION_PAUSES_MS[random.below(CONFIGURATION_PAUSES_MS.length)]!;
       await timer.sleep(this.activeFloods > 0 ? CONFIGURATION_PAUSES_MS[0]! : pauseMs, stop);
-      version += 1 + random.below(3);
+      const step = 1 + random.below(3);
       const isLarge = this.activeFloods > 0 || random.below(10) === 0;
-      this.configure(version, isLarge ? MANY_ROUTES : FEW_ROUTES);
+      this.configure(step, isLarge ? MANY_ROUTES : FEW_ROUTES);
     }
   }
 
+  /** Silences all open connections of the processes to each other and to the store for good; new ones work. */
+  silenceConnections(): void {
+    this.logLine('all open connections of the processes go silent');
+    [...this.peerProxies.values(), ...this.storeProxies.values()].forEach((proxy) =>
+      proxy.freeze(),
+    );
+  }
+
   /** Resolves once every process runs and none is about to end, or at the time limit. */
   async waitUntilRunning(limitMs: number): Promise<void> {
     const { timer } = this.opts;
@@ -273,7 +283,10 @@
     });
   }
 
-  private configure(version: number, routes = FEW_ROUTES): void {
+  /** Has the operator write a configuration whose version is higher by `step`. */
+  configure(step = 1, routes = FEW_ROUTES): void {
+    this.version += step;
+    const { version } = this;
     const names = ['jobs', ...[...Array(routes).keys()].map((number) => `unused-${number}`)];
     const value = {
       version,
--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -27,7 +27,7 @@
   .option('--sidecars <number>', 'Sidecars, each with a backend server', { default: 6 })
   .option('--callers <number>', 'Concurrent callers', { default: 12 })
   .option('--ways <names>', 'Ways in which some jobs are sent, from sendingWays', {
-    default: 'at-once,abandon,hedge,half-open,duplicate',
+    default: 'at-once,abandon,hedge,half-open,duplicate,cancelled',
   })
   .option('--one-in <number>', 'One in this many jobs is sent in such a way, on average', {
     default: 6,
--- a/tools/soak/runSoak.ts
+++ b/tools/soak/runSoak.ts
@@ -8,6 +8,7 @@
 import type TimerService from '../../src/core/TimerService';
 import Checker from './Checker';
 import type Fault from './Fault';
+import JobSender from './JobSender';
 import planFaults from './planFaults';
 import SoakCaller from './SoakCaller';
 import applyFault from './applyFault';
@@ -109,10 +110,45 @@
   }
   stop.abort();
   await Promise.all([...callers, changes]);
+  await checkAfterSilence(deployment, checker, timer);
   await timer.sleep(LEASE_EXPIRY_MS);
   checker.checkAtEnd(entries, lastFaultAt);
 }
 
+/**
+ * Silences all open connections, and checks what holds once the processes are in touch again: a configuration is in force
+ * in time, and no entry runs a copy of a job that was cancelled, whatever was restarted since.
+ */
+async function checkAfterSilence(
+  deployment: SoakDeployment,
+  checker: Checker,
+  timer: TimerService,
+): Promise<void> {
+  // All watches of the store begin anew at a change, so they are as young as can be when they go silent.
+  deployment.configure();
+  await timer.sleep(SILENT_AFTER_MS);
+  deployment.silenceConnections();
+  checker.lastDisturbed();
+  await timer.sleep(CONTACT_MS);
+  deployment.configure();
+  const { version } = deployment;
+  await timer.sleep(CONFIGURATION_MS);
+  deployment.entries
+    .filter((entry) => checker.versionOf(entry) < version)
+    .forEach((entry) => checker.report('a configuration is in force too late', entry));
+  const senders = [...deployment.callerAddresses].map((entry) =>
+    JobSender.create({
+      ...{ timer, checker, random: Random.fromSeed(0), entries: new Map([entry]) },
+      ...{ connections: deployment.connections, logLine: (text) => deployment.logLine(text) },
+    }),
+  );
+  const sendAll = async (sender: JobSender): Promise<void> => {
+    for (const job of checker.cancelledJobs) await sender.send(job);
+    await sender.close(sender.connection);
+  };
+  await Promise.all(senders.map(sendAll));
+}
+
 function saveResults(
   out: string,
   deployment: SoakDeployment,
@@ -135,5 +171,14 @@
 /** Each entry has to serve again within this time after the last fault, ms. */
 const MAX_RECOVERY_MS = 12_000;
 
+/** Processes whose connections have gone silent are in touch again after this time, ms (`contact_ms`). */
+const CONTACT_MS = 3_000;
+
+/** Time from a change of the configuration until connections go silent, ms. */
+const SILENT_AFTER_MS = 300;
+
+/** A configuration is in force at all entries within this time, ms (`config_apply_ms`). */
+const CONFIGURATION_MS = 2_000;
+
 /** Runs left after the last answer end with their lease within this time, ms. */
 const LEASE_EXPIRY_MS = 2_000;
--- a/tools/soak/sendingWays.ts
+++ b/tools/soak/sendingWays.ts
@@ -73,6 +73,16 @@
     return result;
   },
 
+  /** Cancelled at another entry soon after it was sent; its answer is awaited all the same. */
+  cancelled: async (job, { timer, random, sender }) => {
+    const other = sender.connectElsewhere();
+    const sent = sender.send(job);
+    await timer.sleep(1 + random.below(MAX_SWITCH_DELAY_MS));
+    await sender.cancel(job, other);
+    await sender.close(other);
+    return sent;
+  },
+
   /** Sent to two entries at the same time; the caller waits for both answers. */
   duplicate: async (job, { sender }) => {
     const second = sender.connectElsewhere();
