A replaced pool of connections that fails to close is forgotten quietly

Cause: the promise of closing a pool that was replaced had no handler for a rejection, as when the store client is closed meanwhile.

Change: the pool is forgotten either way; the doc comment of the time-out says what holds for a watch.

--- a/src/store/HttpStore.ts
+++ b/src/store/HttpStore.ts
@@ -140,7 +140,8 @@
     if (this.pool !== used) return;
     this.pool = createPool(this.options.url);
     this.replacedPools.add(used);
-    used.close().finally(() => this.replacedPools.delete(used));
+    const remove = (): boolean => this.replacedPools.delete(used);
+    used.close().then(remove, remove);
   }
 
   private async send<T>(call: Call, signal: AbortSignal): Promise<Result<T, StoreError>> {
--- a/src/store/HttpStoreOptions.ts
+++ b/src/store/HttpStoreOptions.ts
@@ -9,6 +9,6 @@
   readonly timer: TimerService;
   /** Highest rate of calls of this process, long-polling watches included. */
   readonly callsPerSecond: number;
-  /** Time-out of a call, ms; the wait time of a watch is added to it. */
+  /** Time-out of a call, ms. That of a watch is its wait time and a second more, or this if it is less. */
   readonly timeoutMs: number;
 }
