The records of jobs are split from the table that acts on them

Change: JobRecords has the latter, bestReports its own file. No behaviour changes; callers use jobs.records.

--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -261,7 +261,7 @@
     await this.drain();
     const { jobs, views, options } = this;
     const allAccepted = await handOverRecords(
-      jobs.answeredRecords(),
+      jobs.records.answered,
       views.current,
       this.self,
       options.network,
@@ -422,7 +422,7 @@
       timer: this.options.timer,
       self: this.self,
       recovery: this.recovery,
-      jobKeysOnSidecar: (sidecar) => this.jobs.jobKeysOnSidecar(sidecar),
+      jobKeysOnSidecar: (sidecar) => this.jobs.records.keysOnSidecar(sidecar),
       linkedPeer: (incarnation) => this.sidecarLinks.linkedPeer(incarnation),
       broadcast: (message) => this.entryLinks.broadcast(message),
     });
--- a/src/entry/JobTable.ts
+++ b/src/entry/JobTable.ts
@@ -6,7 +6,6 @@
   Action,
   type Answer,
   AnswerSchema,
-  type JobRecord,
   Outcome,
   type Submission,
   type TaskResult,
@@ -14,7 +13,9 @@
   TaskStatus,
 } from '../gen/magnoliakeel/v1/peer_pb';
 import type LocatedTask from '../recovery/LocatedTask';
+import bestReports from './bestReports';
 import Job from './Job';
+import JobRecords from './JobRecords';
 import type JobTableOptions from './JobTableOptions';
 import type OwnerReply from './OwnerReply';
 import type RecoveredState from '../recovery/RecoveredState';
@@ -24,14 +25,12 @@
  * resubmission of its id can be accepted any more.
  */
 export default class JobTable {
-  private readonly records = new Map<string, Job>();
+  readonly records = JobRecords.create();
 
   private readonly openTasks = new Map<Job, ReadonlySet<QueuedTask>>();
 
   private readonly recoveries = new Map<string, Promise<RecoveredState>>();
 
-  private keptBytes = 0;
-
   private constructor(
     private readonly options: JobTableOptions,
     private readonly dispatcher: Dispatcher,
@@ -42,26 +41,11 @@
     return new JobTable(options, dispatcher);
   }
 
-  /** Number of records, open jobs and answered ones. */
-  get size(): number {
-    return this.records.size;
-  }
-
   /** Number of jobs without an answer. */
   get openCount(): number {
     return this.openTasks.size;
   }
 
-  /** The record of a job, if there is one. */
-  find(key: string): Job | undefined {
-    return this.records.get(key);
-  }
-
-  /** Whether this entry holds a record of the job. */
-  holds(key: string): boolean {
-    return this.records.has(key);
-  }
-
   /** Processes a submission as the owner of its job. */
   handle(submission: Submission): Promise<OwnerReply> {
     return actions[submission.action](this, submission);
@@ -70,13 +54,13 @@
   /** Accepts a submission, joins the job that it repeats, or returns a refusal. */
   async submit(submission: Submission): Promise<OwnerReply> {
     const key = keyOf(submission);
-    const known = this.records.get(key);
+    const known = this.records.find(key);
     if (known) return this.joinDuplicate(known, submission);
     if (!this.options.ownsKey(key)) return NOT_OWNER;
     const refused = this.refusalByAge(submission);
     if (refused) return answerReply(refused);
     const recovered = await this.recover(key, Number(submission.createdMs));
-    const acceptedMeanwhile = this.records.get(key);
+    const acceptedMeanwhile = this.records.find(key);
     if (acceptedMeanwhile) return this.joinDuplicate(acceptedMeanwhile, submission);
     if (!this.options.ownsKey(key)) return NOT_OWNER;
     return this.acceptRecovered(recovered, key, submission);
@@ -85,7 +69,7 @@
   /** Returns the state of a job without starting anything. */
   async lookup(submission: Submission): Promise<OwnerReply> {
     const key = keyOf(submission);
-    const known = this.records.get(key);
+    const known = this.records.find(key);
     if (known) return answerReply(await known.waitForAnswer(submission.waitMs, this.options.timer));
     const holder = await this.findHolder(key, submission);
     if (holder) return holder;
@@ -97,7 +81,7 @@
   /** Cancels a job: queued tasks leave the queue, running ones are stopped if possible. */
   async cancel(submission: Submission): Promise<OwnerReply> {
     const key = keyOf(submission);
-    const known = this.records.get(key);
+    const known = this.records.find(key);
     if (known) {
       this.endEarly(known, Outcome.CANCELLED, 'cancelled by the caller');
       const { record } = known;
@@ -123,42 +107,17 @@
     callerGone.addEventListener('abort', leaveQueue, { once: true });
     const answer = await job.whenAnswered();
     callerGone.removeEventListener('abort', leaveQueue);
-    this.drop(job);
+    this.records.drop(job);
     return answer;
   }
 
   /** Drops records that no accepted resubmission can refer to any more. */
   dropExpired(): void {
-    const now = this.options.timer.wall();
-    this.records.forEach((job) => {
-      const expiresAt =
-        job.createdMs + this.options.retentionMsOf(job.service) + this.options.clockSkewMs;
-      if (job.isAnswered && expiresAt < now) this.drop(job);
-    });
-  }
-
-  /** Adds records that a leaving entry hands over. */
-  importRecords(records: readonly JobRecord[]): void {
-    records.forEach((record) => {
-      if (!record.answer || this.records.has(record.job)) return;
-      const job = Job.fromRecord(record, record.answer);
-      this.records.set(job.key, job);
-      this.keptBytes += job.bytes;
-    });
-  }
-
-  /** The records of answered jobs, for a handover. */
-  answeredRecords(): JobRecord[] {
-    return [...this.records.values()]
-      .map(({ record }) => record)
-      .filter((record) => record !== undefined);
-  }
-
-  /** Keys of the jobs that had tasks on a sidecar. */
-  jobKeysOnSidecar(sidecar: string): string[] {
-    return [...this.records.values()]
-      .filter((job) => job.taskSidecars.includes(sidecar))
-      .map((job) => job.key);
+    const { timer, clockSkewMs, retentionMsOf } = this.options;
+    const now = timer.wall();
+    this.records.dropAnswered(
+      ({ createdMs, service }) => createdMs + retentionMsOf(service) + clockSkewMs < now,
+    );
   }
 
   /**
@@ -169,7 +128,7 @@
     [...this.openTasks.keys()].forEach((job) => {
       job.ownershipLost = true;
       this.endEarly(job, Outcome.UNKNOWN, 'this entry lost its ownership; resubmit to continue');
-      this.drop(job);
+      this.records.drop(job);
     });
   }
 
@@ -238,12 +197,11 @@
     reportsMayBeLost = false,
   ): Job {
     const job = Job.fromSubmission(key, submission, this.options.timer.now());
-    this.records.set(key, job);
     const tasks = submission.inputs.map((input, index) =>
       this.createTask(job, submission, input, index),
     );
     this.openTasks.set(job, new Set(tasks));
-    this.keptBytes += job.inputBytes;
+    this.records.addOpen(job);
     const best = bestReports(reports);
     tasks.forEach((task) => {
       if (!job.isAnswered) this.resumeOrEnqueue(job, task, best.get(task.index), reportsMayBeLost);
@@ -346,14 +304,8 @@
     this.openTasks.delete(job);
     this.options.metrics?.jobFinished(job.service, this.options.timer.now() - job.acceptedAt);
     if (job.outcome !== Outcome.COMPLETED) this.dispatcher.dequeue(tasks);
-    this.keptBytes += job.bytes - job.inputBytes;
-    if (job.outcome === Outcome.NOT_RUN) this.drop(job);
-  }
-
-  private drop(job: Job): void {
-    if (this.records.get(job.key) !== job) return;
-    this.records.delete(job.key);
-    this.keptBytes -= job.bytes;
+    this.records.recordAnswered(job);
+    if (job.outcome === Outcome.NOT_RUN) this.records.drop(job);
   }
 
   private refusalByAge(submission: Submission): Answer | undefined {
@@ -372,7 +324,7 @@
   }
 
   private refusalFor(submission: Submission, isContinued = false): Answer | undefined {
-    return this.options.refusalFor(submission, this.keptBytes, isContinued);
+    return this.options.refusalFor(submission, this.records.keptBytes, isContinued);
   }
 }
 
@@ -391,24 +343,6 @@
   [Action.CANCEL]: (jobs, submission) => jobs.cancel(submission),
 };
 
-/**
- * The most conclusive report of each task: a finished attempt before a running one,
- * both before a lost one.
- */
-function bestReports(reports: readonly LocatedTask[]): Map<number, LocatedTask> {
-  const best = new Map<number, LocatedTask>();
-  reports.forEach((located) => {
-    const known = best.get(located.held.index);
-    if (!known || rankOf(located) > rankOf(known)) best.set(located.held.index, located);
-  });
-  return best;
-}
-
-function rankOf({ held }: LocatedTask): number {
-  if (held.running) return 1;
-  return held.status === TaskStatus.COMPLETED || held.status === TaskStatus.FAILED ? 2 : 0;
-}
-
 function keyOf({ service, kind, id }: Submission): string {
   return jobKey(service, kind, id);
 }
--- a/src/entry/createPeerHandlers.ts
+++ b/src/entry/createPeerHandlers.ts
@@ -16,12 +16,12 @@
     claim: async ({ job, view, owner }) => {
       if (view) entry.views.adopt(view);
       if (owner !== entry.incarnation) return create(ClaimResponseSchema, { stranger: true });
-      const held = entry.jobs.holds(job);
+      const held = entry.jobs.records.find(job) !== undefined;
       return create(ClaimResponseSchema, { held, ...entry.recovery.testimonyFor(job) });
     },
     handover: async ({ view, records }) => {
       if (view) entry.views.adopt(view);
-      entry.jobs.importRecords(records);
+      entry.jobs.records.import(records);
       entry.rosterBroadcaster.recordsImported(records);
       return create(HandoverResponseSchema);
     },
--- a/src/entry/inspectEntry.ts
+++ b/src/entry/inspectEntry.ts
@@ -16,7 +16,7 @@
   leaving: boolean,
   key: string,
 ): InspectResponse {
-  const job = key ? entry.jobs.find(key) : undefined;
+  const job = key ? entry.jobs.records.find(key) : undefined;
   const places = (job?.taskSidecars ?? []).map((sidecar, index) =>
     create(TaskPlaceSchema, { index, sidecar: sidecar ?? '', status: job?.statusOf(index) }),
   );
@@ -42,7 +42,7 @@
         linked: peer.link !== undefined,
       }),
     ),
-    jobs: entry.jobs.size,
+    jobs: entry.jobs.records.size,
     job: job?.progress(),
     places,
     operators: operators?.() ?? '',
--- a/src/entry/registerEntryMetrics.ts
+++ b/src/entry/registerEntryMetrics.ts
@@ -18,7 +18,7 @@
   );
   metrics.setSource('tasks_running', () => [{ value: entry.dispatcher.inFlight }]);
   metrics.setSource('jobs_open', () => [{ value: entry.jobs.openCount }]);
-  metrics.setSource('job_records', () => [{ value: entry.jobs.size }]);
+  metrics.setSource('job_records', () => [{ value: entry.jobs.records.size }]);
   metrics.setSource('linked_sidecars', () => [
     { value: entry.sidecarLinks.all().filter(({ link }) => link).length },
   ]);
