Cancellations that an entry could not store are stored by its next process

Cause: only the entry that was asked stored a cancellation. While the store was down it was killed; the others knew the id, but did not store it, and within 1.3 s of the store's return all three entries were killed or stopped.

Change: an entry stores the ids that it hears over a new link and that were not among the stored ones at its start. Saving begins once these are read.

--- a/src/batches/StoredCancellations.ts
+++ b/src/batches/StoredCancellations.ts
@@ -45,6 +45,9 @@
 export default class StoredCancellations {
   private readonly unsaved = new Map<string, UnsavedId>();
 
+  /** Ids that other entries know of, until it is known which of them are stored. */
+  private readonly keptIds = new Set<string>();
+
   private lease: CurrentLease | undefined;
 
   private key: CurrentKey | undefined;
@@ -85,7 +88,10 @@
       if (listed.isOk()) {
         const ids = listed.value.items.flatMap(({ value }) => decodeIds(value));
         log.info('read the stored cancellations', { cancellations: ids.length });
-        ids.forEach(onCancelled);
+        ids.forEach((id) => {
+          this.keptIds.delete(id);
+          onCancelled(id);
+        });
         this.loaded.abort();
         return;
       }
@@ -100,14 +106,21 @@
     await this.opts.timer.sleep(leftMs, AbortSignal.any([done, this.loaded.signal]));
   }
 
+  /**
+   * Stores an id that other entries know of. It is called after a restart: the entry that was asked for it may have been
+   * lost before it could store it.
+   */
+  keep(id: string): void {
+    this.keptIds.add(id);
+    this.startSaving();
+  }
+
   /** Resolves once the id is stored. If the store does not answer it resolves earlier, and the id is stored later. */
   async save(id: string): Promise<void> {
     const { timer, log } = this.opts;
     const saved = this.unsaved.get(id)?.saved ?? new AbortController();
     this.unsaved.set(id, { addedAt: timer.now(), saved });
-    this.saveAll().catch((error: unknown) =>
-      log.warn('cancellations could not be stored', { error }),
-    );
+    this.startSaving();
     this.waiting += 1;
     await timer.sleep(MAX_SAVE_WAIT_MS, saved.signal);
     this.waiting -= 1;
@@ -121,9 +134,19 @@
     this.stopped.abort();
   }
 
-  private async saveAll(): Promise<void> {
+  private startSaving(): void {
     if (this.isSaving) return;
     this.isSaving = true;
+    this.saveAll()
+      .catch((error: unknown) => this.opts.log.warn('cancellations could not be stored', { error }))
+      .finally(() => {
+        this.isSaving = false;
+      });
+  }
+
+  private async saveAll(): Promise<void> {
+    await this.whenLoaded(this.stopped.signal);
+    this.queueKeptIds();
     while (this.unsaved.size > 0 && !this.stopped.signal.aborted) {
       const failure = (await this.saveNext()).match(
         () => undefined,
@@ -133,8 +156,16 @@
       const delayMs = failure === undefined ? WRITE_INTERVAL_MS : RETRY_DELAY_MS;
       await this.opts.timer.sleep(delayMs, this.stopped.signal);
       this.dropExpired();
+      this.queueKeptIds();
     }
-    this.isSaving = false;
+  }
+
+  private queueKeptIds(): void {
+    const addedAt = this.opts.timer.now();
+    this.keptIds.forEach((id) => {
+      if (!this.unsaved.has(id)) this.unsaved.set(id, { addedAt, saved: new AbortController() });
+    });
+    this.keptIds.clear();
   }
 
   /** Adds as many ids as fit to the current key. */
--- a/src/batches/SubmissionHandler.ts
+++ b/src/batches/SubmissionHandler.ts
@@ -70,9 +70,10 @@
    * here.
    */
   cancel(cancellation: Cancellation, source: CancellationSource): boolean {
-    const { batches, cancelled, log } = this.opts;
+    const { batches, cancelled, storedCancellations, log } = this.opts;
     const { batch: id, ageMs } = cancellation;
     const isNew = cancelled.add(cancellation);
+    if (isNew && ageMs > 0) storedCancellations?.keep(id);
     const batch = batches.find(id);
     if (batch || isLogged[source](isNew)) {
       log.info('a batch is cancelled', { request: id, isOpen: Boolean(batch), source, ageMs });
--- a/test/batches/cancellationsAfterRestart.test.ts
+++ b/test/batches/cancellationsAfterRestart.test.ts
@@ -7,9 +7,15 @@
 // cancellation, and had linked to the new process 0.6 s after the DELETE without passing it on, since an entry passed
 // on only what it had been asked for itself.
 
-/** Stops the process of an entry and starts the next one, which gets the configuration from the store. */
+/** Kills the process of an entry; it makes no more calls to the store either. */
+function kill({ network, entries }: BatchCase, entry: number): void {
+  network.kill(`e${entry}`);
+  entries[entry]!.close().catch(() => undefined);
+}
+
+/** Kills the process of an entry and starts the next one, which gets the configuration from the store. */
 async function restart(batchCase: BatchCase, entry: number): Promise<void> {
-  batchCase.network.kill(`e${entry}`);
+  kill(batchCase, entry);
   await batchCase.timer.advance(300);
   await batchCase.addEntry(entry);
   batchCase.configure(1, entry);
@@ -61,7 +67,7 @@
 test('a cancelled batch does not run after all entries were restarted at once', async () => {
   const batchCase = await BatchCase.open({ entries: 3, hasStore: true });
   await batchCase.entries[0]!.cancel('a');
-  [0, 1, 2].forEach((entry) => batchCase.network.kill(`e${entry}`));
+  [0, 1, 2].forEach((entry) => kill(batchCase, entry));
   for (const entry of [0, 1, 2]) await batchCase.addEntry(entry);
   batchCase.configure(1, 2);
   await batchCase.timer.advance(1_000);
@@ -72,7 +78,7 @@
   const batchCase = await BatchCase.open({ entries: 1, hasStore: true });
   const { timer, store } = batchCase;
   await batchCase.entries[0]!.cancel('a');
-  batchCase.network.kill('e0');
+  kill(batchCase, 0);
   store.setFaults({ slowMs: 200 });
   await batchCase.addEntry(0);
   batchCase.configure(1, 0);
@@ -84,7 +90,7 @@
 
 test('an entry runs batches a second after its start though the store cannot be read', async () => {
   const batchCase = await BatchCase.open({ entries: 1, hasStore: true });
-  batchCase.network.kill('e0');
+  kill(batchCase, 0);
   batchCase.store.setFaults({ down: true });
   await batchCase.addEntry(0);
   batchCase.configure(1, 0);
@@ -184,3 +190,29 @@
   const ids = new Set((await storedIds(batchCase)).flat());
   expect([...ids].sort()).toEqual(['a', 'b', 'c']);
 });
+
+// While the store was down, a caller cancelled a batch at one entry, which was killed before the store was back. The
+// others knew of it, but only the entry that was asked stored it, and later all of them were lost.
+test('a cancellation that its entry could not store is stored by its next process', async () => {
+  const batchCase = await BatchCase.open({ entries: 3, hasStore: true });
+  const { store, timer } = batchCase;
+  store.setFaults({ down: true });
+  await Promise.all([batchCase.entries[0]!.cancel('a'), timer.advance(1_100)]);
+  await restart(batchCase, 0);
+  store.setFaults({});
+  await timer.advance(2_000);
+  [0, 1, 2].forEach((entry) => kill(batchCase, entry));
+  for (const entry of [0, 1, 2]) await batchCase.addEntry(entry);
+  batchCase.configure(1, 2);
+  await timer.advance(1_000);
+  expect(await sendCopy(batchCase, 2)).toEqual(['cancelled', []]);
+});
+
+test('an entry that is restarted does not store again what is stored', async () => {
+  const batchCase = await BatchCase.open({ entries: 3, hasStore: true });
+  await batchCase.entries[0]!.cancel('a');
+  await batchCase.timer.advance(200);
+  await restart(batchCase, 1);
+  await batchCase.timer.advance(2_000);
+  expect(batchCase.store.calls().e1!.put).toBe(undefined);
+});
