A cancellation that could not be stored is not acknowledged

Cause: while the store did not answer, a caller was told after a second that its job was cancelled, though only the entries' memory held that.

Change: DELETE waits for the store up to 3 s and then gets 503 with a time to come back. The batch is stopped at once all the same, other entries are told, and the id is stored as soon as the store answers.

--- a/src/batches/BatchEntry.ts
+++ b/src/batches/BatchEntry.ts
@@ -11,6 +11,7 @@
 import type BatchAnswer from './BatchAnswer';
 import type BatchEntryOptions from './BatchEntryOptions';
 import type BatchSubmission from './BatchSubmission';
+import type CancelOutcome from './CancelOutcome';
 import CancelledIds from './CancelledIds';
 import CrashHistory from './CrashHistory';
 import EntryPeers from './EntryPeers';
@@ -309,16 +310,17 @@
 
   /**
    * Cancels a batch for its caller, at whichever entry it is open. Resolves once the cancellation is
-   * stored, or the store has not answered for a second; to false if the batch is not open here.
+   * stored, or to `unstored` after a time-out.
    */
-  async cancel(id: string): Promise<boolean> {
+  async cancel(id: string): Promise<CancelOutcome> {
     this.peers.mesh.sendCancelled(id);
     const isOpen = this.submissionHandler.cancel(
       { batch: id, ageMs: 0, isOwn: true },
       'its caller',
     );
-    await this.storedCancellations?.save(id);
-    return isOpen;
+    const isStored = (await this.storedCancellations?.save(id)) ?? true;
+    if (!isStored) return 'unstored';
+    return isOpen ? 'open' : 'absent';
   }
 
   /** Accepts no more batches; resolves when none is open, or after `graceMs`. */
--- a/src/batches/StoredCancellations.ts
+++ b/src/batches/StoredCancellations.ts
@@ -115,8 +115,8 @@
     this.startSaving();
   }
 
-  /** Resolves once the id is stored. If the store does not answer it resolves earlier, and the id is stored later. */
-  async save(id: string): Promise<void> {
+  /** Resolves to true once the id is stored, or to false after a time-out; it is then stored as soon as possible. */
+  async save(id: string): Promise<boolean> {
     const { timer, log } = this.opts;
     const saved = this.unsaved.get(id)?.saved ?? new AbortController();
     this.unsaved.set(id, { addedAt: timer.now(), saved });
@@ -124,9 +124,9 @@
     this.waiting += 1;
     await timer.sleep(MAX_SAVE_WAIT_MS, saved.signal);
     this.waiting -= 1;
-    if (!saved.signal.aborted) {
-      log.warn('a cancellation is acknowledged before it is stored', { request: id });
-    }
+    const isSaved = saved.signal.aborted;
+    if (!isSaved) log.warn('a cancellation could not be stored in time', { request: id });
+    return isSaved;
   }
 
   /** Makes no further calls. */
@@ -262,7 +262,7 @@
 const MAX_LOAD_WAIT_MS = 1_000;
 
 /** How long a caller waits until its cancellation is stored, ms. */
-const MAX_SAVE_WAIT_MS = 1_000;
+const MAX_SAVE_WAIT_MS = 3_000;
 
 /** How long keys are bound to the same lease, ms. */
 const LEASE_USE_MS = 60_000;
--- a/test/usersPlatform/BatchCallerServer.test.ts
+++ b/test/usersPlatform/BatchCallerServer.test.ts
@@ -119,6 +119,20 @@
   ]);
 });
 
+// An answer that says "cancelled" has to outlast the processes that know of it.
+test('a request to cancel a job that could not be stored is refused with a retry delay', async () => {
+  const batchCase = await BatchCase.open({ entries: 1, hasStore: true });
+  batchCase.store.setFaults({ down: true });
+  const server = BatchCallerServer.create(batchCase.entries[0]!, log);
+  await server.listen('127.0.0.1:0');
+  const refused = send(server.port, { method: 'DELETE' });
+  while (batchCase.store.calls().e0!.grantLease === undefined) await batchCase.timer.advance(20);
+  await batchCase.timer.advance(3_000);
+  const answer = await refused;
+  server.close();
+  expect(answer).toMatchInlineSnapshot(`"503 {"error":"the cancelling could not be stored; ask again","retry_after_ms":1000} with Retry-After keep-alive"`);
+});
+
 test('an entry that shuts down closes connections with their responses', async () => {
   const answers = await answersTo([{ body: job }], (server) => server.startDraining());
   expect(answers).toEqual(['200 {"state":"completed"} close']);
