--- a/test/usersPlatform/BatchCallerServer.test.ts
+++ b/test/usersPlatform/BatchCallerServer.test.ts
@@ -130,7 +130,9 @@
   await batchCase.timer.advance(3_000);
   const answer = await refused;
   server.close();
-  expect(answer).toMatchInlineSnapshot(`"503 {"error":"the cancelling could not be stored; ask again","retry_after_ms":1000} with Retry-After keep-alive"`);
+  expect(answer).toMatchInlineSnapshot(
+    `"503 {"error":"the cancelling could not be stored; ask again","retry_after_ms":1000} with Retry-After keep-alive"`,
+  );
 });
 
 test('an entry that shuts down closes connections with their responses', async () => {
