--- a/review/parts-2/Runner.mjs
+++ b/review/parts-2/Runner.mjs
@@ -162,11 +162,12 @@
 
   #start({ task, attempt, spec, deadline_ms: deadline }, isFenced) {
     if (isFenced) return [409, { reason: 'fence' }];
+    // A start that is executed after its own time is refused, however long the lease of the others lasts.
+    if (deadline <= this.clockMs) return [409, { reason: 'late' }];
     this.#extendLease(deadline);
     if (this.#active.get(task)?.attempt === attempt) return [200];
     if (attempt <= (this.#highestAttempts.get(task) ?? 0) || this.#active.has(task))
       return [409, { reason: 'old' }];
-    if (this.#leaseUntil <= this.clockMs) return [409, { reason: 'late' }];
     this.#highestAttempts.set(task, attempt);
     const run = {
       task,
