--- a/review/parts-2/Deployment.mjs
+++ b/review/parts-2/Deployment.mjs
@@ -26,7 +26,7 @@
 
   #files = mkdtempSync(path.join(tmpdir(), 'case-'));
 
-  static async start({ folder, entries, runners, capacity }) {
+  static async start({ folder, entries, runners, capacity, tellsBorn = false }) {
     const deployment = new Deployment(folder);
     await deployment.#reserveNetwork();
     await deployment.store.listen(`${deployment.network}.5.1`, PORT);
@@ -38,7 +38,7 @@
     for (let number = 1; number <= entries; number += 1) deployment.startEntry(number);
     for (let number = 1; number <= runners; number += 1) {
       deployment.startSidecar(number);
-      await deployment.#addRunner(number, capacity);
+      await deployment.#addRunner(number, capacity, tellsBorn);
     }
     await deployment.waitUntilReady(entries, runners);
     return deployment;
@@ -160,11 +160,12 @@
     rmSync(this.#files, { recursive: true, force: true });
   }
 
-  async #addRunner(number, capacity) {
+  async #addRunner(number, capacity, tellsBorn) {
     const runner = new Runner({
       ...{ id: `i-${number}`, address: `${this.network}.4.${number}:${PORT}`, capacity },
       ...{ control: `${this.network}.3.${number}:${PORT}`, record: this.record },
     });
+    runner.tellsBorn = tellsBorn;
     this.runners.push(runner);
     await runner.listen();
   }
--- a/review/parts-2/Runner.mjs
+++ b/review/parts-2/Runner.mjs
@@ -6,6 +6,10 @@
 import { call, readJson, sendJson } from './http.mjs';
 
 const HEARTBEAT_MS = 1_500;
+
+/** Time from a new start under the same id to the first heartbeat, ms. */
+const FIRST_HEARTBEAT_MS = 1_000;
+
 const HOLD_MAX_MS = 1_000;
 const STOP_MS = 20;
 const CLOCK_START_MS = 50_000;
@@ -29,6 +33,11 @@
 
   state = 'ready';
 
+  /** Time of its start by the wall clock, ms; told in what it says of itself if `tellsBorn` is set. */
+  born = Date.now();
+
+  tellsBorn = false;
+
   #active = new Map();
 
   #highestAttempts = new Map();
@@ -77,6 +86,10 @@
     this.server.closeAllConnections();
   }
 
+  get #bornField() {
+    return this.tellsBorn ? { born: this.born } : {};
+  }
+
   get clockMs() {
     return Math.floor(CLOCK_START_MS + performance.now() - this.#bornAt);
   }
@@ -96,6 +109,32 @@
     });
     this.#life += 1;
     this.id = `${this.name}-${this.#life}`;
+    this.#forget();
+    this.server = this.#createServer();
+    await this.listen();
+    this.record.add(`${this.id} is there`);
+  }
+
+  /**
+   * Loses power: what runs is gone, and nothing answers. After a pause it starts again under its id and knows nothing of
+   * before; orders that are still on their way reach it then.
+   */
+  async losePower(pauseMs) {
+    this.record.add(`${this.id} loses power`);
+    this.isCut = true;
+    this.active.forEach((run) => this.#end(run, 'crashed'));
+    await new Promise((resolve) => {
+      setTimeout(resolve, pauseMs);
+    });
+    this.#forget();
+    this.isCut = false;
+    this.record.add(`${this.id} has started again under its id`);
+    clearInterval(this.timers[0]);
+    this.timers[0] = setInterval(() => this.#beat(), HEARTBEAT_MS);
+    setTimeout(() => this.#beat(), FIRST_HEARTBEAT_MS);
+  }
+
+  #forget() {
     this.#highestAttempts.clear();
     this.#ends = [];
     this.#endCount = 0;
@@ -103,10 +142,8 @@
     this.#leaseUntil = 0;
     this.#sequence = 0;
     this.#bornAt = performance.now();
+    this.born = Date.now();
     this.state = 'ready';
-    this.server = this.#createServer();
-    await this.listen();
-    this.record.add(`${this.id} is there`);
   }
 
   #beat() {
@@ -115,7 +152,7 @@
     const body = {
       ...{ service: this.service, addr: this.address, zone: this.zone, version: 'v1', slots: 8 },
       ...{ state: this.state, cold_left_ms: 0, capacity: this.capacity, labels: ['a', 'r1-1'] },
-      ...{ clock_ms: this.clockMs, seq: this.#sequence },
+      ...{ clock_ms: this.clockMs, seq: this.#sequence, ...this.#bornField },
     };
     call(this.control, 'PUT', `/magnoliakeel/instances/${this.id}`, { body, timeoutMs: 1_000 });
   }
@@ -213,7 +250,7 @@
     const running = [...this.#active.values()].map(({ task, attempt, startedAt, workMs }) => [
       ...[task, attempt, '', Math.min(99, Math.floor(((now - startedAt) * 100) / workMs)), 100],
     ]);
-    return { running, finished: this.#ends.slice(0, 500) };
+    return { ...this.#bornField, running, finished: this.#ends.slice(0, 500) };
   }
 
   #extendLease(deadline) {
