--- a/review/parts-2/Deployment.mjs
+++ b/review/parts-2/Deployment.mjs
@@ -94,6 +94,22 @@
     return this.processes.get(name).lines;
   }
 
+  /** Resolves once an entry reports itself ready, from when on the platform sends it connections. */
+  async waitForReadiness(entry) {
+    const until = Date.now() + 10_000;
+    while (!(await this.#isReady(entry))) {
+      if (Date.now() > until) throw new Error(`entry-${entry} does not become ready`);
+      await sleep(10);
+    }
+    this.record.add(`entry-${entry} is ready`);
+  }
+
+  async #isReady(entry) {
+    const address = `${this.network}.2.${entry}:${PORT + 1}`;
+    const answer = await call(address, 'GET', '/magnoliakeel/readyz', { timeoutMs: 1_000 });
+    return answer.status === 200;
+  }
+
   /** Hands a job in and waits for the answer. */
   async submit(entry, id, { tasks, workMs, cpu = 1_000, waitMs = 30_000 }) {
     this.record.add(`client: POST ${id} to entry-${entry}`);
@@ -122,20 +138,11 @@
   /** Resolves once every entry is ready and each runner accepts tasks; throws after a time limit. */
   async waitUntilReady(entries, runners) {
     const until = Date.now() + 20_000;
-    const isReady = async (number) => {
-      const answer = await call(
-        `${this.network}.2.${number}:${PORT + 1}`,
-        'GET',
-        '/magnoliakeel/readyz',
-        { timeoutMs: 1_000 },
-      );
-      return answer.status === 200;
-    };
     const accepts = (number) =>
       this.outputOf(`sidecar-${number}`).some((line) => line.includes('accepts tasks'));
     for (;;) {
       const states = await Promise.all(
-        Array.from({ length: entries }, (_, index) => isReady(index + 1)),
+        Array.from({ length: entries }, (_, index) => this.#isReady(index + 1)),
       );
       const open = Array.from({ length: runners }, (_, index) => accepts(index + 1));
       if ([...states, ...open].every(Boolean)) break;
--- a/review/parts-2/Runner.mjs
+++ b/review/parts-2/Runner.mjs
@@ -174,6 +174,8 @@
       };
       if (fault.lateMs !== undefined) setTimeout(executeLate, fault.lateMs);
       if (fault.runNow) this.#execute(name, body, undefined);
+      if (fault.isReset) req.socket.resetAndDestroy();
+      if (fault.status) sendJson(res, fault.status, { clock_ms: this.clockMs });
       return;
     }
     await this.#execute(name, body, res);
--- a/review/parts-2/Store.mjs
+++ b/review/parts-2/Store.mjs
@@ -18,6 +18,10 @@
   /** Called with each request; one for which it returns true stays without an answer. */
   isSilentFor = () => false;
 
+  statusFor = () => undefined;
+
+  losesAnswer = () => false;
+
   #waiters = new Set();
 
   #lastLease = 100;
@@ -77,6 +81,15 @@
     const [, , call, id] = url.pathname.split('/');
     const body = await readJson(req);
     if (this.isSilentFor(req, call)) return;
+    const status = this.statusFor(call);
+    if (status) {
+      sendJson(res, status, {});
+      return;
+    }
+    if (this.losesAnswer(call)) {
+      res.end = () => req.socket.destroy();
+      res.writeHead = () => res;
+    }
     const query = url.searchParams;
     const handlers = {
       'kv-key': () => this.#getKey(res, query.get('key')),
