Review case 4: a job whose route was removed cannot be cancelled

Cause: an entry looks up the route of a DELETE and answers 404 when a newer configuration has none, though the job is at work there.

--- a/review/parts-2/Deployment.mjs
+++ b/review/parts-2/Deployment.mjs
@@ -57,15 +57,14 @@
     );
   }
 
-  /** Has the operator write a configuration. */
-  configure(version, change = {}) {
-    const route = {
-      ...{ name: 'q', host: 'case.example', prefix: '/q/', service: 'work', timeout_ms: 60_000 },
+  /** Has the operator write a configuration with a route `/NAME/` for each name. */
+  configure(version, names = ['q']) {
+    const routes = names.map((name) => ({
+      ...{ name, host: 'case.example', prefix: `/${name}/`, service: 'work', timeout_ms: 60_000 },
       ...{ priority: 0, max_attempts: 3, stretch_factor: 1.6, target_latency_ms: 60_000 },
-    };
-    const value = { version, routes: [{ ...route, ...change }], services: [], limits: {} };
-    this.store.put('op/config', JSON.stringify(value));
-    this.record.add(`operator: configuration ${version} is acknowledged`);
+    }));
+    this.store.put('op/config', JSON.stringify({ version, routes, services: [], limits: {} }));
+    this.record.add(`operator: configuration ${version} is acknowledged, routes: ${names}`);
   }
 
   callersOf(number) {
@@ -110,13 +109,16 @@
     return answer.status === 200;
   }
 
-  /** Hands a job in and waits for the answer. */
-  async submit(entry, id, { tasks, workMs, cpu = 1_000, waitMs = 30_000 }) {
+  /** Hands a job in and waits for the answer; its steps run one after the other. */
+  async submit(entry, id, { tasks, workMs, steps = 1, cpu = 1_000, waitMs = 30_000 }) {
     this.record.add(`client: POST ${id} to entry-${entry}`);
     const body = {
       spec: String(workMs),
       best_effort: true,
-      steps: [{ count: tasks, cpu, mem_mb: 64, estimate_ms: workMs }],
+      steps: Array.from({ length: steps }, (_, number) => ({
+        ...{ count: tasks, cpu, mem_mb: 64, estimate_ms: workMs },
+        ...(number > 0 && { after: [number - 1] }),
+      })),
     };
     return this.#ask(entry, 'POST', id, { body, timeoutMs: waitMs });
   }
