--- a/review/parts-2/Deployment.mjs
+++ b/review/parts-2/Deployment.mjs
@@ -1,4 +1,4 @@
-/* global process, setTimeout */
+/* global process */
 // These rules are off for the TypeScript files of the project, or forbid its usual forms.
 /* eslint-disable no-await-in-loop */
 import { spawn } from 'node:child_process';
@@ -12,6 +12,7 @@
 import Runner from './Runner.mjs';
 import Store from './Store.mjs';
 import { call } from './http.mjs';
+import sleep from './sleep.mjs';
 
 const ROOT = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../..');
 
@@ -26,24 +27,6 @@
 
   #files = mkdtempSync(path.join(tmpdir(), 'case-'));
 
-  static async start({ folder, entries, runners, capacity, tellsBorn = false }) {
-    const deployment = new Deployment(folder);
-    await deployment.#reserveNetwork();
-    await deployment.store.listen(`${deployment.network}.5.1`, PORT);
-    deployment.configure(1);
-    deployment.seeds = Array.from(
-      { length: entries },
-      (_, index) => `${deployment.network}.2.${index + 1}:${PORT + 5}`,
-    );
-    for (let number = 1; number <= entries; number += 1) deployment.startEntry(number);
-    for (let number = 1; number <= runners; number += 1) {
-      deployment.startSidecar(number);
-      await deployment.#addRunner(number, capacity, tellsBorn);
-    }
-    await deployment.waitUntilReady(entries, runners);
-    return deployment;
-  }
-
   constructor(folder) {
     this.record = new Record(path.join(folder, 'record.txt'));
     this.store = new Store();
@@ -67,6 +50,23 @@
     this.record.add(`operator: configuration ${version} is acknowledged, routes: ${names}`);
   }
 
+  /** Starts everything, and resolves once the processes are in touch. */
+  async start({ entries, runners, capacity }) {
+    await this.#reserveNetwork();
+    await this.store.listen(`${this.network}.5.1`, PORT);
+    this.configure(1);
+    this.seeds = Array.from(
+      { length: entries },
+      (_, index) => `${this.network}.2.${index + 1}:${PORT + 5}`,
+    );
+    for (let number = 1; number <= entries; number += 1) this.startEntry(number);
+    for (let number = 1; number <= runners; number += 1) {
+      this.startSidecar(number);
+      await this.#addRunner(number, capacity);
+    }
+    await this.#waitUntilReady(entries, runners);
+  }
+
   callersOf(number) {
     return `${this.network}.2.${number}:${PORT}`;
   }
@@ -138,7 +138,7 @@
   }
 
   /** Resolves once every entry is ready and each runner accepts tasks; throws after a time limit. */
-  async waitUntilReady(entries, runners) {
+  async #waitUntilReady(entries, runners) {
     const until = Date.now() + 20_000;
     const accepts = (number) =>
       this.outputOf(`sidecar-${number}`).some((line) => line.includes('accepts tasks'));
@@ -165,16 +165,15 @@
     });
     await Promise.all(running.map(({ ended }) => ended));
     this.store.close();
-    this.lock.close();
+    this.lock?.close();
     rmSync(this.#files, { recursive: true, force: true });
   }
 
-  async #addRunner(number, capacity, tellsBorn) {
+  async #addRunner(number, capacity) {
     const runner = new Runner({
       ...{ id: `i-${number}`, address: `${this.network}.4.${number}:${PORT}`, capacity },
       ...{ control: `${this.network}.3.${number}:${PORT}`, record: this.record },
     });
-    runner.tellsBorn = tellsBorn;
     this.runners.push(runner);
     await runner.listen();
   }
@@ -225,12 +224,6 @@
   }
 }
 
-export function sleep(ms) {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 /** Fills in a settings template: the placeholders and sections that the project's templates use. */
 function fill(template, fields) {
   const valueOf = (name) => name.split('.').reduce((value, key) => value?.[key], fields);
--- a/review/parts-2/Runner.mjs
+++ b/review/parts-2/Runner.mjs
@@ -1,15 +1,12 @@
 /* global clearInterval, clearTimeout, performance, setInterval, setTimeout */
 // These rules are off for the TypeScript files of the project, or forbid its usual forms.
-/* eslint-disable class-methods-use-this, no-param-reassign */
+/* eslint-disable no-param-reassign */
 import { createServer } from 'node:http';
 import { once } from 'node:events';
 import { call, readJson, sendJson } from './http.mjs';
 
 const HEARTBEAT_MS = 1_500;
 
-/** Time from a new start under the same id to the first heartbeat, ms. */
-const FIRST_HEARTBEAT_MS = 1_000;
-
 const HOLD_MAX_MS = 1_000;
 const STOP_MS = 20;
 const CLOCK_START_MS = 50_000;
@@ -22,22 +19,6 @@
   /** All runs that were started: task, attempt, runner, times of start and end, and how it ended. */
   runs = [];
 
-  /** Called for each order; returns undefined to execute it, or how it goes wrong. */
-  faultOf = () => undefined;
-
-  /** Called with each run that begins. */
-  onStart = undefined;
-
-  /** While true, nothing that arrives is read, and nothing is sent. */
-  isCut = false;
-
-  state = 'ready';
-
-  /** Time of its start by the wall clock, ms; told in what it says of itself if `tellsBorn` is set. */
-  born = Date.now();
-
-  tellsBorn = false;
-
   #active = new Map();
 
   #highestAttempts = new Map();
@@ -56,15 +37,9 @@
 
   #bornAt = performance.now();
 
-  #life = 1;
-
   constructor({ id, address, control, record, capacity, service = 'work', zone = 'z1' }) {
-    Object.assign(this, { id, name: id, address, control, record, capacity, service, zone });
-    this.server = this.#createServer();
-  }
-
-  #createServer() {
-    return createServer((req, res) => {
+    Object.assign(this, { id, address, control, record, capacity, service, zone });
+    this.server = createServer((req, res) => {
       this.#serve(req, res).catch(() => res.destroy());
     });
   }
@@ -86,73 +61,16 @@
     this.server.closeAllConnections();
   }
 
-  get #bornField() {
-    return this.tellsBorn ? { born: this.born } : {};
-  }
-
   get clockMs() {
     return Math.floor(CLOCK_START_MS + performance.now() - this.#bornAt);
   }
 
-  /** The runs that are at work now. */
-  get active() {
-    return [...this.#active.values()];
-  }
-
-  /** Crashes: all runs are gone; it comes back after a pause under a new id, and knows nothing of before. */
-  async crash(pauseMs) {
-    this.record.add(`${this.id} crashes`);
-    this.active.forEach((run) => this.#end(run, 'crashed'));
-    this.close();
-    await new Promise((resolve) => {
-      setTimeout(resolve, pauseMs);
-    });
-    this.#life += 1;
-    this.id = `${this.name}-${this.#life}`;
-    this.#forget();
-    this.server = this.#createServer();
-    await this.listen();
-    this.record.add(`${this.id} is there`);
-  }
-
-  /**
-   * Loses power: what runs is gone, and nothing answers. After a pause it starts again under its id and knows nothing of
-   * before; orders that are still on their way reach it then.
-   */
-  async losePower(pauseMs) {
-    this.record.add(`${this.id} loses power`);
-    this.isCut = true;
-    this.active.forEach((run) => this.#end(run, 'crashed'));
-    await new Promise((resolve) => {
-      setTimeout(resolve, pauseMs);
-    });
-    this.#forget();
-    this.isCut = false;
-    this.record.add(`${this.id} has started again under its id`);
-    clearInterval(this.timers[0]);
-    this.timers[0] = setInterval(() => this.#beat(), HEARTBEAT_MS);
-    setTimeout(() => this.#beat(), FIRST_HEARTBEAT_MS);
-  }
-
-  #forget() {
-    this.#highestAttempts.clear();
-    this.#ends = [];
-    this.#endCount = 0;
-    this.#token = 0;
-    this.#leaseUntil = 0;
-    this.#sequence = 0;
-    this.#bornAt = performance.now();
-    this.born = Date.now();
-    this.state = 'ready';
-  }
-
   #beat() {
-    if (this.isCut) return;
     this.#sequence += 1;
     const body = {
       ...{ service: this.service, addr: this.address, zone: this.zone, version: 'v1', slots: 8 },
-      ...{ state: this.state, cold_left_ms: 0, capacity: this.capacity, labels: ['a', 'r1-1'] },
-      ...{ clock_ms: this.clockMs, seq: this.#sequence, ...this.#bornField },
+      ...{ state: 'ready', cold_left_ms: 0, capacity: this.capacity, labels: ['a', 'r1-1'] },
+      ...{ clock_ms: this.clockMs, seq: this.#sequence },
     };
     call(this.control, 'PUT', `/magnoliakeel/instances/${this.id}`, { body, timeoutMs: 1_000 });
   }
@@ -160,30 +78,16 @@
   async #serve(req, res) {
     const name = req.url.split('/').pop();
     const body = await readJson(req);
-    if (this.isCut) return;
     if (req.headers['x-expected-instance'] !== this.id) {
       sendJson(res, 421, { clock_ms: this.clockMs });
       return;
     }
-    const fault = this.faultOf(name, body);
-    if (fault) {
-      this.record.add(`${this.id}: ${name} ${body.task ?? ''} ${fault.text}`);
-      const { id } = this;
-      const executeLate = () => {
-        if (this.id === id) this.#execute(name, body, undefined);
-      };
-      if (fault.lateMs !== undefined) setTimeout(executeLate, fault.lateMs);
-      if (fault.runNow) this.#execute(name, body, undefined);
-      if (fault.isReset) req.socket.resetAndDestroy();
-      if (fault.status) sendJson(res, fault.status, { clock_ms: this.clockMs });
-      return;
-    }
     await this.#execute(name, body, res);
   }
 
   async #execute(name, body, res) {
     const answer = (status, fields = {}) => {
-      if (res && !this.isCut) sendJson(res, status, { clock_ms: this.clockMs, ...fields });
+      sendJson(res, status, { clock_ms: this.clockMs, ...fields });
     };
     const { fencing_token: token = 0 } = body;
     const isFenced = token < this.#token;
@@ -219,7 +123,6 @@
     run.timer = setTimeout(() => this.#end(run, 'done'), run.workMs);
     this.runs.push(run);
     this.#active.set(task, run);
-    this.onStart?.(run);
     this.record.add(`${this.id}: run ${task} attempt ${attempt} begins`);
     return [200];
   }
@@ -252,7 +155,7 @@
     const running = [...this.#active.values()].map(({ task, attempt, startedAt, workMs }) => [
       ...[task, attempt, '', Math.min(99, Math.floor(((now - startedAt) * 100) / workMs)), 100],
     ]);
-    return { ...this.#bornField, running, finished: this.#ends.slice(0, 500) };
+    return { running, finished: this.#ends.slice(0, 500) };
   }
 
   #extendLease(deadline) {
--- a/review/parts-2/Store.mjs
+++ b/review/parts-2/Store.mjs
@@ -1,6 +1,6 @@
 /* global Buffer, URL, clearTimeout, setTimeout */
 // These rules are off for the TypeScript files of the project, or forbid its usual forms.
-/* eslint-disable class-methods-use-this, no-await-in-loop */
+/* eslint-disable no-await-in-loop */
 import { createServer } from 'node:http';
 import { once } from 'node:events';
 import { readJson, sendJson } from './http.mjs';
@@ -15,13 +15,6 @@
 
   events = [];
 
-  /** Called with each request; one for which it returns true stays without an answer. */
-  isSilentFor = () => false;
-
-  statusFor = () => undefined;
-
-  losesAnswer = () => false;
-
   #waiters = new Set();
 
   #lastLease = 100;
@@ -48,8 +41,7 @@
     this.#apply([{ key, value: Buffer.from(value).toString('base64'), lease_id: 0 }], []);
   }
 
-  /** Ends the leases without telling anybody, as for machines that the store turns away. */
-  endLease(id) {
+  #endLease(id) {
     clearTimeout(this.leases.get(id)?.timer);
     this.leases.delete(id);
     const keys = [...this.items.values()].filter((item) => item.lease_id === id);
@@ -80,16 +72,6 @@
     const url = new URL(req.url, 'http://store');
     const [, , call, id] = url.pathname.split('/');
     const body = await readJson(req);
-    if (this.isSilentFor(req, call)) return;
-    const status = this.statusFor(call);
-    if (status) {
-      sendJson(res, status, {});
-      return;
-    }
-    if (this.losesAnswer(call)) {
-      res.end = () => req.socket.destroy();
-      res.writeHead = () => res;
-    }
     const query = url.searchParams;
     const handlers = {
       'kv-key': () => this.#getKey(res, query.get('key')),
@@ -99,7 +81,7 @@
       'kv-lease': () => this.#grant(res, body),
       'kv-keep': () => this.#keep(res, Number(id)),
       'kv-lease-end': () => {
-        this.endLease(Number(id));
+        this.#endLease(Number(id));
         sendJson(res, 200, {});
       },
     };
@@ -174,7 +156,7 @@
   #renew(id) {
     const lease = this.leases.get(id);
     clearTimeout(lease.timer);
-    lease.timer = setTimeout(() => this.endLease(id), lease.ttlMs);
+    lease.timer = setTimeout(() => this.#endLease(id), lease.ttlMs);
     lease.timer.unref();
   }
 }
