review: a late order runs a task twice after a silent crash

Cause: when a backend server is silent until its lease has passed, all its runs count as ended, also those with a start that was not answered and may still be carried out, by its next life under the same id.

The stand-in for runners can now start again under its id.

--- a/review/standins-3/deployment.mjs
+++ b/review/standins-3/deployment.mjs
@@ -71,7 +71,7 @@
  * behind its proxy and each process dial from its own address.
  */
 export async function startDeployment(opts) {
-  const { entries = 3, sidecars = 3, capacity, note, logTo, cuttable = false } = opts;
+  const { entries = 3, sidecars = 3, capacity, note, logTo, cuttable = false, runner = {} } = opts;
   const { network, lock } = await findNetwork();
   const folder = mkdtempSync(path.join(os.tmpdir(), 'review-'));
   const log = logTo ? createWriteStream(logTo) : undefined;
@@ -83,6 +83,7 @@
   const zones = ['z1', 'z2', 'z3'];
   const bounds = { remote_factor: 1.5, grace_s: 6, hold_max_ms: 1_000 };
   let version = 0;
+  let isClosing = false;
 
   const configure = (routes = [{ name: 'desk', prefix: PREFIX }]) => {
     version += 1;
@@ -105,6 +106,7 @@
   };
 
   const launch = (name) => {
+    if (isClosing) return;
     const { command, settings, ip } = specs.get(name);
     const [program, ...args] = command;
     const diverted = cuttable && {
@@ -156,7 +158,7 @@
   };
 
   const startRunnerOf = async (number, options = {}) => {
-    const runner = await startRunner({
+    const started = await startRunner({
       ip: `${network}.3.${number}`,
       port: PORTS.app,
       control: `${network}.3.${number}:${PORTS.control}`,
@@ -165,10 +167,11 @@
       note,
       capacity: capacity ?? { cpu: 16_000, mem_mb: 65_536, gpu: 0 },
       labels: ['a', `r${number}`],
+      ...runner,
       ...options,
     });
-    runners.set(`side-${number}`, runner);
-    return runner;
+    runners.set(`side-${number}`, started);
+    return started;
   };
 
   configure();
@@ -246,7 +249,8 @@
       return !processes.has(name);
     },
     async close() {
-      runners.forEach((runner) => runner.close());
+      isClosing = true;
+      runners.forEach((each) => each.close());
       processes.forEach((child) => {
         child.kill('SIGCONT');
         child.kill('SIGKILL');
--- a/review/standins-3/runner.mjs
+++ b/review/standins-3/runner.mjs
@@ -16,7 +16,8 @@
 export default async function startRunner(opts) {
   const { ip, port, control, service, zone, note, capacity, labels = ['a', 'r1'] } = opts;
   const id = opts.id ?? `i-${ip}-${Date.now().toString(36)}`;
-  const startedAt = performance.now();
+  let startedAt = performance.now();
+  let born = Date.now();
   const clock = () => Math.floor(50_000 + performance.now() - startedAt);
   const running = new Map();
   const highest = new Map();
@@ -55,14 +56,15 @@
     token = seen;
     return false;
   };
-  const refused = (reason) => [409, { clock_ms: clock(), reason }];
+  const ownWords = () => ({ clock_ms: clock(), ...(opts.reportsBirth ? { born } : {}) });
+  const refused = (reason) => [409, { ...ownWords(), reason }];
   const calls = {
     'run-start': (body) => {
       if (isFenced(body)) return refused('fence');
       const { task, attempt } = body;
       if (running.get(task)?.attempt === attempt) {
         extend(body.deadline_ms);
-        return [200, { clock_ms: clock() }];
+        return [200, ownWords()];
       }
       if (attempt <= (highest.get(task) ?? 0) || running.has(task)) {
         extend(body.deadline_ms);
@@ -76,7 +78,7 @@
       running.set(task, run);
       run.timer = setTimeout(() => end(run, work.fails ? 'failed' : 'done'), work.ms);
       note({ event: 'start', runner: id, task, attempt, spec: body.spec, used: used(), capacity });
-      return [200, { clock_ms: clock() }];
+      return [200, ownWords()];
     },
     'run-stop': (body) => {
       if (isFenced(body)) return refused('fence');
@@ -84,7 +86,7 @@
       highest.set(task, Math.max(highest.get(task) ?? 0, attempt));
       const run = running.get(task);
       if (run?.attempt === attempt) setTimeout(() => end(run, 'stopped'), KILL_MS);
-      return [200, { clock_ms: clock() }];
+      return [200, ownWords()];
     },
     hold: async (body, closed) => {
       if (isFenced(body)) return refused('fence');
@@ -110,7 +112,7 @@
         Math.min(99, Math.floor(((clock() - from) * 100) / ms)),
         0,
       ]);
-      return [200, { clock_ms: clock(), running: rows, finished: finished.slice(0, 500) }];
+      return [200, { ...ownWords(), running: rows, finished: finished.slice(0, 500) }];
     },
   };
 
@@ -128,6 +130,7 @@
     const fault = faults[name]?.(body);
     if (fault === 'drop') return;
     if (typeof fault === 'number') {
+      note({ event: 'fault', runner: id, call: name, task: body.task, lateMs: fault });
       setTimeout(() => isAlive && calls[name](body, closed), fault);
       return;
     }
@@ -176,14 +179,23 @@
       cold_left_ms: 0,
       capacity,
       labels,
-      clock_ms: clock(),
+      ...ownWords(),
       seq: sequence,
     });
     note({ event: 'heartbeat', runner: id, state: told, status });
     return status;
   };
-  const beats = setInterval(beat, opts.heartbeatMs ?? HEARTBEAT_MS);
+  let beats = setInterval(beat, HEARTBEAT_MS);
   beat();
+  const loseAll = () => {
+    clearInterval(beats);
+    clearTimeout(leaseTimer);
+    running.forEach((run) => {
+      clearTimeout(run.timer);
+      note({ event: 'end', runner: id, task: run.task, attempt: run.attempt, how: 'crashed' });
+    });
+    running.clear();
+  };
   return {
     id,
     faults,
@@ -194,18 +206,42 @@
       return beat();
     },
     leave: () => call('DELETE'),
+    /**
+     * Crashes, is dark for `darkMs`, so that nothing answers, and starts again under its id without any former state.
+     * The first heartbeat of its next life comes after `firstBeatMs`.
+     */
+    async crashDark(darkMs, firstBeatMs) {
+      isAlive = false;
+      loseAll();
+      note({ event: 'trouble', what: 'crashed', runner: id });
+      await sleep(darkMs);
+      server.closeAllConnections();
+      highest.clear();
+      finished = [];
+      ends = 0;
+      token = 0;
+      leaseUntil = 0;
+      sequence = 0;
+      startedAt = performance.now();
+      born = Date.now();
+      isAlive = true;
+      note({ event: 'trouble', what: 'started again', runner: id, born });
+      await sleep(firstBeatMs);
+      beats = setInterval(beat, HEARTBEAT_MS);
+      await beat();
+    },
     /** Ends as by a crash: everything that runs is gone, and connections are refused. */
     close() {
       isAlive = false;
-      clearInterval(beats);
-      clearTimeout(leaseTimer);
-      running.forEach((run) => {
-        clearTimeout(run.timer);
-        note({ event: 'end', runner: id, task: run.task, attempt: run.attempt, how: 'crashed' });
-      });
-      running.clear();
+      loseAll();
       server.closeAllConnections();
       server.close();
     },
   };
 }
+
+function sleep(ms) {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
