--- a/review/standins-3/runner.mjs
+++ b/review/standins-3/runner.mjs
@@ -31,6 +31,7 @@
   let sequence = 0;
   let state = 'ready';
   let isAlive = true;
+  let isClosed = false;
 
   const used = () => [...running.values()].reduce((sum, run) => sum + run.cpu, 0);
   const end = (run, how) => {
@@ -139,10 +140,7 @@
     res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(answer));
   });
   server.keepAliveTimeout = 60_000;
-  await new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, ip, resolve);
-  });
+  await listen(server, port, ip);
 
   const [controlHost, controlPort] = control.split(':');
   const call = (method, body) =>
@@ -207,15 +205,19 @@
     },
     leave: () => call('DELETE'),
     /**
-     * Crashes, is dark for `darkMs`, so that nothing answers, and starts again under its id without any former state.
-     * The first heartbeat of its next life comes after `firstBeatMs`.
+     * Crashes, is down for `downMs`, and starts again under its id without any former state. While it is down and dark,
+     * nothing answers; otherwise connections are refused. The first heartbeat of its next life comes after `firstBeatMs`.
      */
-    async crashDark(darkMs, firstBeatMs) {
+    async crash(downMs, firstBeatMs, isDark = true) {
       isAlive = false;
       loseAll();
-      note({ event: 'trouble', what: 'crashed', runner: id });
-      await sleep(darkMs);
+      note({ event: 'trouble', what: isDark ? 'is dark' : 'crashed', runner: id });
+      if (!isDark) server.close();
+      if (!isDark) server.closeAllConnections();
+      await sleep(downMs);
       server.closeAllConnections();
+      if (isClosed) return;
+      if (!isDark) await listen(server, port, ip);
       highest.clear();
       finished = [];
       ends = 0;
@@ -233,6 +235,7 @@
     /** Ends as by a crash: everything that runs is gone, and connections are refused. */
     close() {
       isAlive = false;
+      isClosed = true;
       loseAll();
       server.closeAllConnections();
       server.close();
@@ -240,6 +243,13 @@
   };
 }
 
+function listen(server, port, ip) {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, ip, resolve);
+  });
+}
+
 function sleep(ms) {
   return new Promise((resolve) => {
     setTimeout(resolve, ms);
