review: requests are cut off at a planned stop just after a start

Cause: an entry without open batches ends at once after SIGTERM, but goes on to read requests for some 250 ms while a dial to a seed that is gone is waited for. In its first 3 s it accepts them instead of refusing them.

--- a/review/standins-3/deployment.mjs
+++ b/review/standins-3/deployment.mjs
@@ -17,6 +17,9 @@
 const PORTS = { frontend: 18_161, ready: 18_167, control: 18_166, app: 18_080, store: 18_169 };
 const PORT_RANGE = [17_720, 17_735];
 
+/** Last part of the address of a seed that is gone. */
+const STALE_NUMBER = 99;
+
 export const SERVICE = 'desk';
 export const HOST = 'desk.example';
 export const PREFIX = '/desk/';
@@ -44,6 +47,27 @@
     .replace(/\{\{([\w.]+)\}\}/g, (_all, name) => String(lookUp(fields, name) ?? ''));
 }
 
+/** Listens at an address where nobody answers, as that of a machine that is gone. */
+async function startSilent(ip, port) {
+  const sockets = new Set();
+  const server = net.createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('close', () => sockets.delete(socket));
+    socket.resume();
+  });
+  await new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, ip, resolve);
+  });
+  return {
+    close() {
+      sockets.forEach((socket) => socket.destroy());
+      server.close();
+    },
+  };
+}
+
 /** Reads the command and the template of a role from the deploy file. */
 function readRole(role) {
   const text = readFileSync(path.join(ROOT, 'deploy/system.toml'), 'utf8');
@@ -72,6 +96,7 @@
  */
 export async function startDeployment(opts) {
   const { entries = 3, sidecars = 3, capacity, note, logTo, cuttable = false, runner = {} } = opts;
+  const { staleSeed = false } = opts;
   const { network, lock } = await findNetwork();
   const folder = mkdtempSync(path.join(os.tmpdir(), 'review-'));
   const log = logTo ? createWriteStream(logTo) : undefined;
@@ -80,6 +105,10 @@
   const runners = new Map();
   const proxies = new Map();
   const store = await startStore(`${network}.5.1`, PORTS.store);
+  const seedNumbers = staleSeed ? [1, 2, STALE_NUMBER] : [1, 2, 3].slice(0, entries);
+  const stale = staleSeed
+    ? await startSilent(`${network}.1.${STALE_NUMBER}`, PORT_RANGE[0])
+    : undefined;
   const zones = ['z1', 'z2', 'z3'];
   const bounds = { remote_factor: 1.5, grace_s: 6, hold_max_ms: 1_000 };
   let version = 0;
@@ -146,7 +175,7 @@
         control: `${ip}:${PORTS.control}`,
       },
       port_range: PORT_RANGE,
-      seeds: [1, 2, 3].slice(0, entries).map((n) => `${network}.1.${n}:${PORTS.control}`),
+      seeds: seedNumbers.map((number) => `${network}.1.${number}:${PORTS.control}`),
       platform: { addr: `${network}.5.1:${PORTS.store}` },
       bounds,
     };
@@ -258,6 +287,7 @@
       const until = Date.now() + 3_000;
       while (processes.size > 0 && Date.now() < until) await sleep(10);
       proxies.forEach((proxy) => proxy.close());
+      stale?.close();
       store.close();
       lock.close();
       log?.end();
