--- a/review/standins-3/deployment.mjs
+++ b/review/standins-3/deployment.mjs
@@ -47,20 +47,28 @@
     .replace(/\{\{([\w.]+)\}\}/g, (_all, name) => String(lookUp(fields, name) ?? ''));
 }
 
-/** Listens at an address where nobody answers, as that of a machine that is gone. */
+/**
+ * Listens at an address where nobody answers, as that of a machine that is gone. `dialledBy` holds when each process
+ * last tried it, by the name in its first message.
+ */
 async function startSilent(ip, port) {
   const sockets = new Set();
+  const dialledBy = new Map();
   const server = net.createServer((socket) => {
     sockets.add(socket);
     socket.on('error', () => undefined);
     socket.on('close', () => sockets.delete(socket));
-    socket.resume();
+    socket.on('data', (chunk) => {
+      const [name] = /(front|side)-\d+/.exec(chunk.toString('latin1')) ?? [];
+      if (name) dialledBy.set(name, Date.now());
+    });
   });
   await new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, ip, resolve);
   });
   return {
+    dialledBy,
     close() {
       sockets.forEach((socket) => socket.destroy());
       server.close();
@@ -236,6 +244,14 @@
     network,
     isReady,
     ipOf: (name) => specs.get(name).ip,
+    /** Resolves when a process has just begun to dial the seed that is gone. */
+    async waitForStaleDial(name, limitMs = 10_000) {
+      const since = Date.now();
+      while ((stale.dialledBy.get(name) ?? 0) < since) {
+        if (Date.now() - since > limitMs) throw new Error(`${name} does not dial the stale seed`);
+        await sleep(5);
+      }
+    },
     /** Cuts two processes off from each other, of which at least one is an entry; the function returned heals it. */
     cut(one, other) {
       const sides = [
