--- a/review/standins-3/deployment.mjs
+++ b/review/standins-3/deployment.mjs
@@ -8,6 +8,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import { setTimeout } from 'node:timers';
+import { pathToFileURL } from 'node:url';
 import request from './client.mjs';
 import startProxy from './proxy.mjs';
 import startRunner from './runner.mjs';
@@ -147,7 +148,7 @@
     const { command, settings, ip } = specs.get(name);
     const [program, ...args] = command;
     const diverted = cuttable && {
-      NODE_OPTIONS: `--import ${path.join(ROOT, 'tools/soak/divert.mjs')}`,
+      NODE_OPTIONS: `--import ${pathToFileURL(path.join(ROOT, 'tools/soak/divert.mjs')).href}`,
       SOAK_TOLD: `${network}.1.`,
       SOAK_REAL: `${network}.2.`,
       SOAK_SELF: ip,
